--- /dev/null
+++ b/packages/admission/src/fair-queue.ts
@@ -0,0 +1,99 @@
+/**
+ * A queue that is fair between client accounts: deficit round robin over estimated tokens.
+ * A first-come queue would let one large account's burst delay everyone behind it; here
+ * each account in turn gets tokens in proportion to its weight.
+ */
+export interface QueuedRequest {
+  readonly account: string;
+  readonly weight: number;
+  readonly tokens: number;
+}
+
+interface AccountQueue<T> {
+  deficit: number;
+  weight: number;
+  readonly waiting: T[];
+}
+
+/** Tokens an account of weight 1 gains at each turn. */
+export const QUANTUM_TOKENS = 256;
+
+export interface FairQueue<T extends QueuedRequest> {
+  readonly size: number;
+  readonly tokens: number;
+  push(request: T): void;
+  /** The next request in fair order. */
+  shift(): T | undefined;
+  /** Takes one request out of turn, because it was cancelled or its time is up. */
+  remove(request: T): boolean;
+  /** Tokens of one account that wait. */
+  tokensOf(account: string): number;
+}
+
+export function createFairQueue<T extends QueuedRequest>(): FairQueue<T> {
+  const queues = new Map<string, AccountQueue<T>>();
+  let turns: string[] = [];
+  let size = 0;
+  let tokens = 0;
+
+  function forget(account: string): void {
+    queues.delete(account);
+    turns = turns.filter((name) => name !== account);
+  }
+
+  function taken(account: string, queue: AccountQueue<T>, request: T): T {
+    size -= 1;
+    tokens -= request.tokens;
+    if (queue.waiting.length === 0) forget(account);
+    return request;
+  }
+
+  return {
+    get size() {
+      return size;
+    },
+    get tokens() {
+      return tokens;
+    },
+    push(request) {
+      let queue = queues.get(request.account);
+      if (queue === undefined) {
+        queue = { deficit: 0, weight: request.weight, waiting: [] };
+        queues.set(request.account, queue);
+        turns.push(request.account);
+      }
+      queue.weight = request.weight;
+      queue.waiting.push(request);
+      size += 1;
+      tokens += request.tokens;
+    },
+    shift() {
+      while (turns.length > 0) {
+        const account = turns[0];
+        const queue = queues.get(account) as AccountQueue<T>;
+        const head = queue.waiting[0];
+        if (queue.deficit >= head.tokens) {
+          queue.deficit -= head.tokens;
+          queue.waiting.shift();
+          return taken(account, queue, head);
+        }
+        queue.deficit += QUANTUM_TOKENS * queue.weight;
+        turns.push(turns.shift() as string);
+      }
+      return undefined;
+    },
+    remove(request) {
+      const queue = queues.get(request.account);
+      const index = queue?.waiting.indexOf(request) ?? -1;
+      if (queue === undefined || index < 0) return false;
+      queue.waiting.splice(index, 1);
+      taken(request.account, queue, request);
+      return true;
+    },
+    tokensOf(account) {
+      let sum = 0;
+      for (const request of queues.get(account)?.waiting ?? []) sum += request.tokens;
+      return sum;
+    },
+  };
+}
--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Decisions of a sidecar about what its backend server may carry.
+ */
+export { createFairQueue, QUANTUM_TOKENS } from './fair-queue.js';
+export type { FairQueue, QueuedRequest } from './fair-queue.js';
+export { AdmissionKind, expectedWait, planAdmission, RefusalReason } from './plan-admission.js';
+export type { Admission, AdmissionInput } from './plan-admission.js';
+export { EvidenceKind, initialLimit, planLimit } from './plan-limit.js';
+export type { Evidence, LimitPolicy, LimitState } from './plan-limit.js';
--- /dev/null
+++ b/packages/admission/src/plan-admission.ts
@@ -0,0 +1,71 @@
+/**
+ * Decides whether a request starts now, waits in the short queue, or is refused at once.
+ */
+export enum AdmissionKind {
+  Start = 'start',
+  Queue = 'queue',
+  Refuse = 'refuse',
+}
+
+export enum RefusalReason {
+  QueueFull = 'queueFull',
+  DeadlineTooShort = 'deadlineTooShort',
+}
+
+export type Admission =
+  | { readonly kind: AdmissionKind.Start }
+  | { readonly kind: AdmissionKind.Queue; readonly expectedWaitMilliseconds: number }
+  | {
+      readonly kind: AdmissionKind.Refuse;
+      readonly reason: RefusalReason;
+      readonly retryAfterMilliseconds: number;
+    };
+
+export interface AdmissionInput {
+  readonly running: number;
+  readonly limit: number;
+  readonly queued: number;
+  readonly queuedTokens: number;
+  /** Tokens that run now and are not yet generated. */
+  readonly runningTokens: number;
+  readonly stepMilliseconds: number;
+  readonly requestTokens: number;
+  readonly remainingMilliseconds: number;
+  readonly maximumQueued: number;
+  readonly queueMilliseconds: number;
+  readonly minimumRetryAfterMilliseconds: number;
+}
+
+/** Time until a slot is free for a request that joins the queue now. */
+export function expectedWait(input: AdmissionInput): number {
+  const tokensAhead = input.queuedTokens + input.runningTokens / 2;
+  return (tokensAhead * input.stepMilliseconds) / Math.max(1, input.limit);
+}
+
+/**
+ * A request that cannot finish before its deadline would only take a slot from one that
+ * can, so it is refused at once and told when the queue will have passed.
+ */
+export function planAdmission(input: AdmissionInput): Admission {
+  const own = input.requestTokens * input.stepMilliseconds;
+  if (input.queued === 0 && input.running < input.limit) {
+    if (own <= input.remainingMilliseconds) return { kind: AdmissionKind.Start };
+    return refuse(RefusalReason.DeadlineTooShort, 0, input);
+  }
+  const wait = expectedWait(input);
+  if (input.queued >= input.maximumQueued || wait > input.queueMilliseconds) {
+    return refuse(RefusalReason.QueueFull, wait, input);
+  }
+  if (wait + own > input.remainingMilliseconds) {
+    return refuse(RefusalReason.DeadlineTooShort, wait, input);
+  }
+  return { kind: AdmissionKind.Queue, expectedWaitMilliseconds: wait };
+}
+
+function refuse(reason: RefusalReason, wait: number, input: AdmissionInput): Admission {
+  return {
+    kind: AdmissionKind.Refuse,
+    reason,
+    retryAfterMilliseconds: Math.max(input.minimumRetryAfterMilliseconds, Math.ceil(wait)),
+  };
+}
--- /dev/null
+++ b/packages/at-most-once/src/claims.ts
@@ -0,0 +1,205 @@
+/**
+ * The life of a claim at the sidecar that would dispatch: win it, then store what came of
+ * it, or give it back. Only the winner of the conditional insert ever dispatches, once.
+ */
+import { readBack, writeConditionally, WriteOutcome } from '@lapisbridge/platform';
+import type { ObjectStore, Table, TableRow } from '@lapisbridge/platform';
+
+import { ClaimState, claimKey } from './claim-record.js';
+import type { ClaimRecord, StoredResult } from './claim-record.js';
+import { ClaimPlanKind, planClaim } from './plan-claim.js';
+import type { ClaimPlan } from './plan-claim.js';
+import { proveNotRun } from './prove-not-run.js';
+
+export interface Call {
+  readonly account: string;
+  readonly idempotencyKey: string;
+  /** Name of this attempt, unique among all attempts at all requests. */
+  readonly attempt: string;
+  readonly digest: string;
+  /** Row version that the attempt goes on from, 0 for an absent row. */
+  readonly claimVersion: number;
+}
+
+/** Proof of having won: the row as this sidecar wrote it. */
+export interface WonClaim {
+  readonly call: Call;
+  readonly key: string;
+  readonly version: number;
+  readonly record: ClaimRecord;
+}
+
+export enum ClaimResultKind {
+  Won = 'won',
+  KeyReused = 'keyReused',
+  /** The call was proved not run after this attempt began; a new attempt may go on from there. */
+  Superseded = 'superseded',
+  Running = 'running',
+  InDoubt = 'inDoubt',
+  Replay = 'replay',
+  /** The table gave no answer. Nothing will be dispatched for this attempt. */
+  Unavailable = 'unavailable',
+}
+
+export type ClaimResult =
+  | { readonly kind: ClaimResultKind.Won; readonly claim: WonClaim }
+  | { readonly kind: ClaimResultKind.KeyReused; readonly ran: boolean }
+  | { readonly kind: ClaimResultKind.Superseded; readonly version: number }
+  | { readonly kind: ClaimResultKind.Running }
+  | { readonly kind: ClaimResultKind.InDoubt }
+  | { readonly kind: ClaimResultKind.Replay; readonly result: StoredResult }
+  | { readonly kind: ClaimResultKind.Unavailable };
+
+export interface Claims {
+  claim(call: Call): Promise<ClaimResult>;
+  /** Stores the outcome; false while the table cannot be reached, to be tried again. */
+  settle(claim: WonClaim, state: ClaimState.Done, result: StoredResult): Promise<boolean>;
+  settle(claim: WonClaim, state: ClaimState.InDoubt): Promise<boolean>;
+  /** Gives the claim back before dispatch; true once that is known to have taken effect. */
+  release(claim: WonClaim): Promise<boolean>;
+  /** Makes sure that a claim whose write got no answer never stands in the way for good. */
+  abandon(call: Call): Promise<boolean>;
+}
+
+export interface ClaimsOptions {
+  readonly table: Table;
+  readonly objects: ObjectStore;
+  readonly environment: string;
+  readonly instanceId: string;
+  readonly createNonce: () => string;
+}
+
+/** Races with other attempts are few; more rounds than this mean a table in trouble. */
+const MAXIMUM_ROUNDS = 5;
+/** A larger result goes to the object store, so that rows stay small. */
+const MAXIMUM_INLINE_CHARACTERS = 32 * 1024;
+
+function isOwnRecord(nonce: string, state: ClaimState): (value: unknown) => boolean {
+  return (value) => {
+    const record = value as ClaimRecord;
+    return record.nonce === nonce && record.state === state;
+  };
+}
+
+export function createClaims(options: ClaimsOptions): Claims {
+  const { table, objects, environment, instanceId } = options;
+
+  async function replay(
+    result: StoredResult | undefined,
+    object: string | undefined,
+  ): Promise<ClaimResult> {
+    if (result !== undefined) return { kind: ClaimResultKind.Replay, result };
+    const stored = object === undefined ? null : await objects.read(object).catch(() => null);
+    if (stored === null) return { kind: ClaimResultKind.Unavailable };
+    return { kind: ClaimResultKind.Replay, result: stored as StoredResult };
+  }
+
+  /** One conditional write in view of a row; a row as the answer means: look again. */
+  async function attemptClaim(
+    call: Call,
+    key: string,
+    row: TableRow | null,
+    firstTry: boolean,
+  ): Promise<ClaimResult | { readonly conflict: TableRow | null }> {
+    const plan: ClaimPlan = firstTry
+      ? { kind: ClaimPlanKind.Insert, expectedVersion: call.claimVersion }
+      : planClaim(row, call);
+    switch (plan.kind) {
+      case ClaimPlanKind.Insert: {
+        const record: ClaimRecord = {
+          state: ClaimState.Claimed,
+          nonce: options.createNonce(),
+          digest: call.digest,
+          attempt: call.attempt,
+          instanceId,
+        };
+        const written = await writeConditionally(table, {
+          key,
+          value: record,
+          expectedVersion: plan.expectedVersion,
+          isOwn: isOwnRecord(record.nonce, ClaimState.Claimed),
+        });
+        if (written.outcome === WriteOutcome.Unknown) {
+          return { kind: ClaimResultKind.Unavailable };
+        }
+        if (written.outcome === WriteOutcome.Conflict) return { conflict: written.row };
+        const version = written.row?.version ?? plan.expectedVersion + 1;
+        return { kind: ClaimResultKind.Won, claim: { call, key, version, record } };
+      }
+      case ClaimPlanKind.KeyReused:
+        return { kind: ClaimResultKind.KeyReused, ran: plan.ran };
+      case ClaimPlanKind.Superseded:
+        return { kind: ClaimResultKind.Superseded, version: plan.version };
+      case ClaimPlanKind.Running:
+        return { kind: ClaimResultKind.Running };
+      case ClaimPlanKind.InDoubt:
+        return { kind: ClaimResultKind.InDoubt };
+      case ClaimPlanKind.Replay:
+        return replay(plan.result, plan.resultObject);
+      default: {
+        const unreachable: never = plan;
+        return unreachable;
+      }
+    }
+  }
+
+  async function rewrite(claim: WonClaim, record: ClaimRecord): Promise<boolean> {
+    const written = await writeConditionally(table, {
+      key: claim.key,
+      value: record,
+      expectedVersion: claim.version,
+      isOwn: isOwnRecord(record.nonce, record.state),
+    });
+    return written.outcome === WriteOutcome.Applied;
+  }
+
+  async function storeResult(key: string, result: StoredResult): Promise<Partial<ClaimRecord>> {
+    if (result.body.length <= MAXIMUM_INLINE_CHARACTERS) return { result };
+    const resultObject = `results/${key}`;
+    await objects.write(resultObject, result);
+    return { resultObject };
+  }
+
+  return {
+    async claim(call) {
+      const key = claimKey(environment, call.account, call.idempotencyKey);
+      let row: TableRow | null = null;
+      for (let round = 0; round < MAXIMUM_ROUNDS; round += 1) {
+        const outcome = await attemptClaim(call, key, row, round === 0);
+        if ('kind' in outcome) return outcome;
+        row = outcome.conflict;
+      }
+      return { kind: ClaimResultKind.Running };
+    },
+
+    async settle(claim: WonClaim, state: ClaimState, result?: StoredResult) {
+      try {
+        const stored = result === undefined ? {} : await storeResult(claim.key, result);
+        return await rewrite(claim, { ...claim.record, state, ...stored });
+      } catch {
+        return false;
+      }
+    },
+
+    async release(claim) {
+      const { record } = claim;
+      const released = { ...record, state: ClaimState.NotRun };
+      if (await rewrite(claim, released)) return true;
+      const seen = await readBack(table, {
+        key: claim.key,
+        value: released,
+        expectedVersion: claim.version,
+        isOwn: isOwnRecord(record.nonce, ClaimState.NotRun),
+      });
+      return seen.outcome === WriteOutcome.Applied;
+    },
+
+    async abandon(call) {
+      const proof = await proveNotRun(table, environment, call, {
+        releaseOwnClaim: true,
+        createNonce: options.createNonce,
+      });
+      return proof.known;
+    },
+  };
+}
--- /dev/null
+++ b/packages/at-most-once/src/prove-not-run.ts
@@ -0,0 +1,124 @@
+/**
+ * Proves that a call did not run, or finds out what became of it. A reply "not run" is a
+ * promise, and silence of a sidecar is no proof: frozen before its claim it could still run
+ * the call later. So the proof is a write: it raises the row's version, and a claim that was
+ * under way expects the older version and must fail.
+ */
+import { writeConditionally, WriteOutcome } from '@lapisbridge/platform';
+import type { Table, TableRow } from '@lapisbridge/platform';
+import { RequestOutcome } from '@lapisbridge/types';
+
+import { claimKey, ClaimState } from './claim-record.js';
+import type { ClaimRecord, StoredResult } from './claim-record.js';
+
+export interface UnprovedCall {
+  readonly account: string;
+  readonly idempotencyKey: string;
+  readonly attempt: string;
+  readonly digest: string;
+}
+
+export interface Proof {
+  readonly outcome: RequestOutcome;
+  /** False when the table could not be read or written. */
+  readonly known: boolean;
+  readonly result?: StoredResult;
+  readonly resultObject?: string;
+  /** True when the key stands for another body. */
+  readonly keyReused?: boolean;
+  /** Row version that a new attempt must go on from. */
+  readonly version?: number;
+  /** The sidecar that claimed the call, while it runs. */
+  readonly instanceId?: string;
+}
+
+export interface ProofOptions {
+  readonly createNonce: () => string;
+  /** Set by the attempt's own sidecar, which knows that it has not dispatched. */
+  readonly releaseOwnClaim?: boolean;
+}
+
+const MAXIMUM_ROUNDS = 4;
+
+/** What a claim row says, without writing anything. */
+export function outcomeOf(row: TableRow | null): Proof {
+  if (row === null) return { outcome: RequestOutcome.NotRun, known: true };
+  const record = row.value as ClaimRecord;
+  switch (record.state) {
+    case ClaimState.Claimed:
+      return { outcome: RequestOutcome.Running, known: true, instanceId: record.instanceId };
+    case ClaimState.InDoubt:
+      return { outcome: RequestOutcome.Unknown, known: true };
+    case ClaimState.NotRun:
+      return { outcome: RequestOutcome.NotRun, known: true, version: row.version };
+    case ClaimState.Done:
+      return {
+        outcome: RequestOutcome.Done,
+        known: true,
+        ...(record.result === undefined ? {} : { result: record.result }),
+        ...(record.resultObject === undefined ? {} : { resultObject: record.resultObject }),
+      };
+    default: {
+      const unreachable: never = record.state;
+      return unreachable;
+    }
+  }
+}
+
+function mayWriteProof(row: TableRow | null, call: UnprovedCall, options: ProofOptions): boolean {
+  if (row === null) return true;
+  const record = row.value as ClaimRecord;
+  if (record.state === ClaimState.NotRun) return true;
+  const own = record.state === ClaimState.Claimed && record.attempt === call.attempt;
+  return own && options.releaseOwnClaim === true;
+}
+
+/** A digest is empty where a caller only asks what became of a key. */
+function isOtherBody(record: ClaimRecord, call: UnprovedCall): boolean {
+  if (record.digest === '' || call.digest === '') return false;
+  return record.digest !== call.digest;
+}
+
+export async function proveNotRun(
+  table: Table,
+  environment: string,
+  call: UnprovedCall,
+  options: ProofOptions,
+): Promise<Proof> {
+  const key = claimKey(environment, call.account, call.idempotencyKey);
+  const unknown: Proof = { outcome: RequestOutcome.Unknown, known: false };
+  let row: TableRow | null;
+  try {
+    row = await table.read(key);
+  } catch {
+    return unknown;
+  }
+  for (let round = 0; round < MAXIMUM_ROUNDS; round += 1) {
+    const record = row?.value as ClaimRecord | undefined;
+    if (record !== undefined && isOtherBody(record, call)) {
+      return { ...outcomeOf(row), keyReused: true };
+    }
+    if (!mayWriteProof(row, call, options)) return outcomeOf(row);
+    const nonce = options.createNonce();
+    const expectedVersion = row?.version ?? 0;
+    const proof: ClaimRecord = {
+      state: ClaimState.NotRun,
+      nonce,
+      digest: record?.digest ?? call.digest,
+      attempt: call.attempt,
+      instanceId: '',
+    };
+    const written = await writeConditionally(table, {
+      key,
+      value: proof,
+      expectedVersion,
+      isOwn: (value) => (value as ClaimRecord).nonce === nonce,
+    });
+    if (written.outcome === WriteOutcome.Applied) {
+      return { outcome: RequestOutcome.NotRun, known: true, version: expectedVersion + 1 };
+    }
+    if (written.outcome === WriteOutcome.Unknown) return unknown;
+    row = written.row;
+  }
+  return unknown;
+}
--- /dev/null
+++ b/packages/bench/src/site/http-json.ts
@@ -0,0 +1,36 @@
+/**
+ * JSON over HTTP for scaffolding.
+ */
+import { Agent, request } from 'undici';
+
+const TIMEOUT_MILLISECONDS = 10_000;
+const agent = new Agent({ connections: 64, pipelining: 1 });
+
+async function send<T>(
+  method: 'GET' | 'POST',
+  url: string,
+  body: unknown,
+  token: string | undefined,
+): Promise<T> {
+  const reply = await request(url, {
+    method,
+    dispatcher: agent,
+    signal: AbortSignal.timeout(TIMEOUT_MILLISECONDS),
+    headers: {
+      'content-type': 'application/json',
+      ...(token === undefined ? {} : { authorization: `Bearer ${token}` }),
+    },
+    ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+  });
+  const text = await reply.body.text();
+  if (reply.statusCode >= 400) throw new Error(`${url} answered ${reply.statusCode}: ${text}`);
+  return JSON.parse(text) as T;
+}
+
+export function getJson<T>(url: string, token?: string): Promise<T> {
+  return send<T>('GET', url, undefined, token);
+}
+
+export function postJson<T>(url: string, body: unknown, token?: string): Promise<T> {
+  return send<T>('POST', url, body, token);
+}
--- /dev/null
+++ b/packages/cli/bin/lapisbridge.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/bin.js';
--- /dev/null
+++ b/packages/entry/src/backend-pool.ts
@@ -0,0 +1,370 @@
+/**
+ * Connections of one entry to the sidecars of its subset. A connection that fell silent is
+ * replaced, and only new connections that fail count against a sidecar, because something
+ * between the two ends can lose track of one connection while others work.
+ */
+import type { Instance } from '@lapisbridge/instance';
+import type { Member } from '@lapisbridge/membership';
+import { planSubset } from '@lapisbridge/routing';
+import type { Candidate } from '@lapisbridge/routing';
+import { BackendServerKind, InstanceState } from '@lapisbridge/types';
+import type { InstanceRecord, LoadReport } from '@lapisbridge/types';
+import { dial, MessageKind, openChannel } from '@lapisbridge/wire';
+import type { AttemptName, Channel, KeyAnswer, Message } from '@lapisbridge/wire';
+
+/** Receives what belongs to one attempt. */
+export interface AttemptListener {
+  onMessage(message: Message): void;
+  onLost(): void;
+}
+
+interface Connection {
+  record: InstanceRecord;
+  channel: Channel | undefined;
+  /** True from the sidecar's hello on: a frozen process accepts connections and never says it. */
+  ready: boolean;
+  load: LoadReport | undefined;
+  sentSinceReport: number;
+  leaving: boolean;
+  dialing: boolean;
+  failures: number;
+  /** Kept although it is outside the subset, because a resumed answer is held there. */
+  wanted: boolean;
+  readonly listeners: Map<string, AttemptListener>;
+  readonly waiters: Set<(ready: boolean) => void>;
+}
+
+export interface BackendPool {
+  start(): void;
+  stop(): void;
+  /** Sidecars that may take new work for a model or service, as far as this entry knows. */
+  candidates(kind: BackendServerKind, name: string): readonly Candidate[];
+  /** Whether any sidecar of that name is known at all. */
+  isKnown(kind: BackendServerKind, name: string): boolean;
+  zoneOf(instanceId: string): string;
+  /** Registers for an attempt's messages; false when the sidecar is not connected. */
+  listen(instanceId: string, name: AttemptName, listener: AttemptListener): boolean;
+  unlisten(instanceId: string, name: AttemptName): void;
+  send(instanceId: string, message: Message): boolean;
+  noteSent(instanceId: string): void;
+  /** Waits for a usable connection, dialing when needed. */
+  connect(instanceId: string, timeoutMilliseconds: number): Promise<boolean>;
+  /** Asks the sidecars of a service for their memory of a key; undefined where no answer came. */
+  queryKey(
+    service: string,
+    account: string,
+    idempotencyKey: string,
+  ): Promise<readonly (KeyAnswer | undefined)[]>;
+  connections(): number;
+  /** Connected sidecars with their latest loads. */
+  servers(): readonly { readonly record: InstanceRecord; readonly load: LoadReport }[];
+}
+
+const REDIAL_MILLISECONDS = 200;
+const MAXIMUM_REDIAL_MILLISECONDS = 2000;
+const REFRESH_MILLISECONDS = 1000;
+const KEY_QUERY_MILLISECONDS = 500;
+
+function listenerKey({ requestId, attempt }: AttemptName): string {
+  return `${requestId}#${attempt}`;
+}
+
+function belongsToAttempt(message: Message): message is Message & AttemptName {
+  return 'requestId' in message;
+}
+
+export interface BackendPoolOptions {
+  readonly instance: Instance;
+  subsetSize(): number;
+}
+
+export function createBackendPool(options: BackendPoolOptions): BackendPool {
+  const { instance } = options;
+  const connections = new Map<string, Connection>();
+  const keyWaiters = new Map<number, (answer: KeyAnswer) => void>();
+  let queryId = 0;
+  let refreshTimer: NodeJS.Timeout | undefined;
+  let stopped = false;
+
+  function settleWaiters(connection: Connection, ready: boolean): void {
+    for (const waiter of connection.waiters) waiter(ready);
+    connection.waiters.clear();
+  }
+
+  function onMessage(connection: Connection, message: Message): void {
+    switch (message.kind) {
+      case MessageKind.Hello:
+        connection.ready = true;
+        connection.failures = 0;
+        noteLoad(connection, message.load);
+        settleWaiters(connection, true);
+        break;
+      case MessageKind.Heartbeat:
+        noteLoad(connection, message.load);
+        if (connection.channel !== undefined) {
+          instance.heardDigest(message.stateDigest, connection.channel);
+        }
+        break;
+      case MessageKind.StateRequest:
+        connection.channel?.send({
+          kind: MessageKind.StateReply,
+          state: instance.state.serialize(),
+        });
+        break;
+      case MessageKind.StateReply:
+        instance.state.merge(message.state);
+        break;
+      case MessageKind.Goodbye:
+        connection.leaving = true;
+        break;
+      case MessageKind.KeyAnswer:
+        keyWaiters.get(message.queryId)?.(message);
+        break;
+      default:
+        if (belongsToAttempt(message)) {
+          connection.listeners.get(listenerKey(message))?.onMessage(message);
+        }
+    }
+  }
+
+  function noteLoad(connection: Connection, load: LoadReport | undefined): void {
+    if (load === undefined) return;
+    connection.load = load;
+    connection.sentSinceReport = 0;
+  }
+
+  function onClose(connection: Connection): void {
+    connection.channel = undefined;
+    connection.ready = false;
+    const listeners = [...connection.listeners.values()];
+    connection.listeners.clear();
+    // Redial before the listeners run: they wait for the new connection.
+    void dialNow(connection);
+    for (const listener of listeners) listener.onLost();
+  }
+
+  async function dialNow(connection: Connection): Promise<void> {
+    if (stopped || connection.dialing || connection.channel !== undefined) return;
+    connection.dialing = true;
+    const { record } = connection;
+    try {
+      const socket = await dial(record.host, record.peerPort);
+      const channel = openChannel(socket, {
+        onMessage: (message) => onMessage(connection, message),
+        onClose: () => onClose(connection),
+        heartbeat: () => instance.heartbeat(),
+      });
+      connection.channel = channel;
+      channel.send(instance.hello());
+    } catch {
+      connection.failures += 1;
+      settleWaiters(connection, false);
+      redialLater(connection);
+    } finally {
+      connection.dialing = false;
+    }
+  }
+
+  function redialLater(connection: Connection): void {
+    const pause = Math.min(
+      REDIAL_MILLISECONDS * 2 ** Math.min(connection.failures, 8),
+      MAXIMUM_REDIAL_MILLISECONDS,
+    );
+    setTimeout(
+      () => {
+        if (connections.get(connection.record.instanceId) === connection) {
+          void dialNow(connection);
+        }
+      },
+      pause * (0.5 + instance.random()),
+    ).unref();
+  }
+
+  function isGone(member: Member): boolean {
+    return member.state === InstanceState.Dead || member.state === InstanceState.Leaving;
+  }
+
+  function sidecarMembers(): Member[] {
+    const members: Member[] = [];
+    for (const member of instance.membership.members()) {
+      if (member.record.backendServer !== undefined) members.push(member);
+    }
+    return members;
+  }
+
+  /** Subsets are made per model or service, since each needs enough servers of its own. */
+  function wantedInstances(): Set<string> {
+    const byName = new Map<string, Member[]>();
+    for (const member of sidecarMembers()) {
+      if (isGone(member)) continue;
+      for (const name of member.record.backendServer?.names ?? []) {
+        byName.set(name, [...(byName.get(name) ?? []), member]);
+      }
+    }
+    const wanted = new Set<string>();
+    for (const members of byName.values()) {
+      const subset = planSubset(
+        instance.self.instanceId,
+        instance.self.availabilityZone,
+        members.map(({ record }) => record),
+        options.subsetSize(),
+      );
+      for (const instanceId of subset) wanted.add(instanceId);
+    }
+    return wanted;
+  }
+
+  function ensure(record: InstanceRecord): Connection {
+    const known = connections.get(record.instanceId);
+    if (known !== undefined) {
+      known.record = record;
+      return known;
+    }
+    const connection: Connection = {
+      record,
+      channel: undefined,
+      ready: false,
+      load: undefined,
+      sentSinceReport: 0,
+      leaving: false,
+      dialing: false,
+      failures: 0,
+      wanted: false,
+      listeners: new Map(),
+      waiters: new Set(),
+    };
+    connections.set(record.instanceId, connection);
+    void dialNow(connection);
+    return connection;
+  }
+
+  function refresh(): void {
+    const wanted = wantedInstances();
+    for (const member of sidecarMembers()) {
+      if (wanted.has(member.record.instanceId)) ensure(member.record);
+    }
+    for (const [instanceId, connection] of connections) {
+      const idle = connection.listeners.size === 0 && connection.waiters.size === 0;
+      if (wanted.has(instanceId) || connection.wanted || !idle) continue;
+      connections.delete(instanceId);
+      connection.channel?.close();
+    }
+  }
+
+  /** A group is one health domain: without any one of its ranks no step can finish. */
+  function groupIsWhole(record: InstanceRecord): boolean {
+    const place = record.backendServer?.rankPlace;
+    if (place === undefined) return true;
+    if (place.rank !== 0) return false;
+    for (const member of sidecarMembers()) {
+      const other = member.record.backendServer?.rankPlace;
+      if (other?.group === place.group && member.state === InstanceState.Dead) return false;
+    }
+    return true;
+  }
+
+  function mayTakeWork(connection: Connection): boolean {
+    if (!connection.ready || connection.leaving || connection.load === undefined) return false;
+    if (connection.load.draining) return false;
+    const { record } = connection;
+    if (instance.state.isDrained(record.instanceId, record.availabilityZone)) return false;
+    const member = instance.membership.member(record.instanceId);
+    if (member?.listedLeaving === true || member?.state === InstanceState.Leaving) return false;
+    return groupIsWhole(record);
+  }
+
+  function serves(record: InstanceRecord, kind: BackendServerKind, name: string): boolean {
+    return record.backendServer?.kind === kind && record.backendServer.names.includes(name);
+  }
+
+  return {
+    start() {
+      refresh();
+      refreshTimer = setInterval(refresh, REFRESH_MILLISECONDS);
+    },
+    stop() {
+      stopped = true;
+      clearInterval(refreshTimer);
+      for (const connection of connections.values()) connection.channel?.close();
+    },
+    candidates(kind, name) {
+      const found: Candidate[] = [];
+      for (const connection of connections.values()) {
+        const { record, load } = connection;
+        if (load === undefined || !serves(record, kind, name) || !mayTakeWork(connection)) continue;
+        found.push({
+          instanceId: record.instanceId,
+          availabilityZone: record.availabilityZone,
+          load,
+          sentSinceReport: connection.sentSinceReport,
+        });
+      }
+      return found;
+    },
+    isKnown(kind, name) {
+      return sidecarMembers().some(({ record }) => serves(record, kind, name));
+    },
+    zoneOf(instanceId) {
+      return connections.get(instanceId)?.record.availabilityZone ?? '';
+    },
+    listen(instanceId, name, listener) {
+      const connection = connections.get(instanceId);
+      if (connection === undefined || !connection.ready) return false;
+      connection.listeners.set(listenerKey(name), listener);
+      return true;
+    },
+    unlisten(instanceId, name) {
+      connections.get(instanceId)?.listeners.delete(listenerKey(name));
+    },
+    send(instanceId, message) {
+      const channel = connections.get(instanceId)?.channel;
+      if (channel === undefined || channel.closed) return false;
+      channel.send(message);
+      return true;
+    },
+    noteSent(instanceId) {
+      const connection = connections.get(instanceId);
+      if (connection !== undefined) connection.sentSinceReport += 1;
+    },
+    async connect(instanceId, timeoutMilliseconds) {
+      const member = instance.membership.member(instanceId);
+      const known = connections.get(instanceId);
+      if (known === undefined && member === undefined) return false;
+      const connection = known ?? ensure((member as Member).record);
+      if (connection.ready) return true;
+      return new Promise((resolve) => {
+        connection.waiters.add(resolve);
+        setTimeout(() => {
+          connection.waiters.delete(resolve);
+          resolve(false);
+        }, timeoutMilliseconds);
+        void dialNow(connection);
+      });
+    },
+    async queryKey(service, account, idempotencyKey) {
+      const asked: Promise<KeyAnswer | undefined>[] = [];
+      for (const { record } of sidecarMembers()) {
+        if (!serves(record, BackendServerKind.PlainService, service)) continue;
+        queryId += 1;
+        const id = queryId;
+        const answer = new Promise<KeyAnswer | undefined>((resolve) => {
+          keyWaiters.set(id, resolve);
+          setTimeout(() => resolve(undefined), KEY_QUERY_MILLISECONDS);
+        });
+        asked.push(answer.finally(() => keyWaiters.delete(id)));
+        const query = { kind: MessageKind.KeyQuery, queryId: id, account, idempotencyKey } as const;
+        const connection = connections.get(record.instanceId);
+        if (connection?.ready === true) connection.channel?.send(query);
+      }
+      return Promise.all(asked);
+    },
+    connections: () => connections.size,
+    servers() {
+      const servers: { record: InstanceRecord; load: LoadReport }[] = [];
+      for (const { record, load } of connections.values()) {
+        if (load !== undefined) servers.push({ record, load });
+      }
+      return servers;
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/call.ts
@@ -0,0 +1,363 @@
+/**
+ * Serves one call of a plain service. Idempotent calls are repeated elsewhere when an answer
+ * is lost; at-most-once calls only once it is proved that the lost attempt cannot run.
+ */
+import type { Proof, StoredResult } from '@lapisbridge/at-most-once';
+import type { EnvironmentDocument } from '@lapisbridge/config';
+import { LapisError, ResultCode } from '@lapisbridge/errors';
+import type { Logger } from '@lapisbridge/logger';
+import type { Random } from '@lapisbridge/kernel';
+import { ChoiceKind, planChoice } from '@lapisbridge/routing';
+import type { Candidate, RetryBudget } from '@lapisbridge/routing';
+import { BackendServerKind, OperationKind, Ran, RequestOutcome } from '@lapisbridge/types';
+import { MessageKind } from '@lapisbridge/wire';
+import type { CallStart } from '@lapisbridge/wire';
+
+import type { BackendPool } from './backend-pool.js';
+import { CallOutcomeKind, runCallAttempt } from './call-attempt.js';
+import type { CallOutcome } from './call-attempt.js';
+import type { CallKey, CallOutcomes } from './call-outcome.js';
+import type { Deadline } from './deadline.js';
+
+export interface CallContext {
+  readonly pool: BackendPool;
+  readonly logger: Logger;
+  readonly random: Random;
+  readonly budget: RetryBudget;
+  readonly entryId: string;
+  readonly ownZone: string;
+  readonly outcomes: CallOutcomes;
+}
+
+export interface ServiceCall {
+  readonly requestId: string;
+  readonly account: string;
+  readonly service: string;
+  readonly operation: OperationKind;
+  readonly method: string;
+  readonly path: string;
+  readonly contentType: string;
+  readonly body: Buffer;
+  readonly key: CallKey;
+  readonly document: EnvironmentDocument;
+  readonly deadline: Deadline;
+  readonly callerGone: AbortSignal;
+}
+
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Uint8Array;
+  readonly replayed: boolean;
+  readonly instanceId: string;
+}
+
+const RECONNECT_MILLISECONDS = 500;
+const MAXIMUM_BREAKAGES = 3;
+/** Kept back from the caller's time, so that a truthful answer can still be found out. */
+const PROOF_MILLISECONDS = 300;
+
+interface CallState {
+  attempt: number;
+  breakages: number;
+  claimVersion: number;
+  /** An attempt was sent and neither answered, refused nor proved not run. */
+  indeterminate: boolean;
+  lastCode: ResultCode;
+  lastReason: string;
+  retryAfterMilliseconds: number;
+  readonly tried: Set<string>;
+}
+
+function choose(context: CallContext, call: ServiceCall, state: CallState): Candidate | undefined {
+  let candidates = context.pool.candidates(BackendServerKind.PlainService, call.service);
+  if (call.operation === OperationKind.AtMostOnce) {
+    const reaching = candidates.filter(({ load }) => load.storeReachable);
+    if (reaching.length > 0) candidates = reaching;
+  }
+  const choice = planChoice({
+    candidates,
+    ownZone: context.ownZone,
+    affinityKey: '',
+    estimatedTokens: 1,
+    excluded: state.tried,
+    policy: call.document.routing,
+    random: context.random,
+  });
+  const chosen = choice.kind === ChoiceKind.Chosen ? choice.candidate : undefined;
+  context.logger.decision({
+    kind: 'routing',
+    subject: call.requestId,
+    choice: chosen?.instanceId ?? 'none',
+    reason: choice.kind === ChoiceKind.Chosen ? choice.reason : `${choice.tried} tried, none left`,
+    candidates: choice.kind === ChoiceKind.Chosen ? choice.scores : [],
+  });
+  return chosen;
+}
+
+function startMessage(call: ServiceCall, state: CallState): CallStart {
+  return {
+    kind: MessageKind.CallStart,
+    requestId: call.requestId,
+    attempt: state.attempt,
+    account: call.account,
+    service: call.service,
+    operation: call.operation,
+    method: call.method,
+    path: call.path,
+    contentType: call.contentType,
+    remainingMilliseconds: call.deadline.remaining(),
+    body: call.body,
+    idempotencyKey: call.key.idempotencyKey,
+    digest: call.key.digest,
+    claimVersion: state.claimVersion,
+  };
+}
+
+function attemptTimeout(call: ServiceCall): number {
+  return Math.max(1, call.deadline.remaining() - PROOF_MILLISECONDS);
+}
+
+/** Runs one attempt; when its connection breaks, asks the same sidecar once more on a new one. */
+async function attemptOn(
+  context: CallContext,
+  call: ServiceCall,
+  state: CallState,
+  instanceId: string,
+): Promise<CallOutcome> {
+  const input = { pool: context.pool, instanceId, callerGone: call.callerGone };
+  const first = await runCallAttempt({
+    ...input,
+    message: startMessage(call, state),
+    timeoutMilliseconds: attemptTimeout(call),
+  });
+  if (first.kind !== CallOutcomeKind.Lost) return first;
+  if (!(await context.pool.connect(instanceId, RECONNECT_MILLISECONDS))) return first;
+  const resumed = await runCallAttempt({
+    ...input,
+    message: {
+      kind: MessageKind.Resume,
+      entryId: context.entryId,
+      requestId: call.requestId,
+      attempt: state.attempt,
+      account: call.account,
+      offset: 0,
+      credit: 0,
+      takeOver: false,
+    },
+    timeoutMilliseconds: attemptTimeout(call),
+  });
+  // A restarted sidecar does not know the attempt: that is no proof that it did not run.
+  const forgotten =
+    resumed.kind === CallOutcomeKind.Failed && resumed.code === ResultCode.UnknownRequest;
+  return forgotten ? { kind: CallOutcomeKind.Lost } : resumed;
+}
+
+function toAnswer(result: StoredResult, instanceId: string): ServiceAnswer {
+  return {
+    status: result.status,
+    contentType: result.contentType,
+    body: Buffer.from(result.body, 'base64'),
+    replayed: true,
+    instanceId,
+  };
+}
+
+function ranOf(proof: Proof): Ran {
+  switch (proof.outcome) {
+    case RequestOutcome.NotRun:
+      return Ran.No;
+    case RequestOutcome.Done:
+      return Ran.Yes;
+    case RequestOutcome.Running:
+    case RequestOutcome.Unknown:
+      return Ran.Unknown;
+    default: {
+      const unreachable: never = proof.outcome;
+      return unreachable;
+    }
+  }
+}
+
+function failure(call: ServiceCall, state: CallState, code: ResultCode, ran: Ran): LapisError {
+  const { retryAfterMilliseconds } = call.document.limits;
+  return new LapisError(code, state.lastReason, {
+    ran,
+    retryAfterMilliseconds: Math.max(state.retryAfterMilliseconds, retryAfterMilliseconds),
+  });
+}
+
+/** The answer of a call that has been found out to be done, or the error that says what is known. */
+async function concludeProof(
+  context: CallContext,
+  call: ServiceCall,
+  state: CallState,
+  proof: Proof,
+  codeWhenNotRun: ResultCode,
+): Promise<ServiceAnswer> {
+  context.logger.decision({
+    kind: 'outcome',
+    subject: call.requestId,
+    choice: proof.outcome,
+    reason: proof.known ? 'claim row' : 'not to be found out now',
+  });
+  if (proof.keyReused === true) {
+    throw failure(call, state, ResultCode.IdempotencyKeyReused, ranOf(proof));
+  }
+  switch (proof.outcome) {
+    case RequestOutcome.Done: {
+      const result = await context.outcomes.loadResult(proof);
+      if (result !== undefined) return toAnswer(result, '');
+      throw failure(call, state, ResultCode.OutcomeUnknown, Ran.Yes);
+    }
+    case RequestOutcome.NotRun:
+      throw failure(call, state, codeWhenNotRun, Ran.No);
+    case RequestOutcome.Running:
+      throw failure(call, state, ResultCode.StillRunning, Ran.Unknown);
+    case RequestOutcome.Unknown:
+      throw failure(call, state, ResultCode.OutcomeUnknown, Ran.Unknown);
+    default: {
+      const unreachable: never = proof.outcome;
+      return unreachable;
+    }
+  }
+}
+
+/** No server is left to try. "Not run" is said only if it holds for the key, not just for this attempt. */
+async function giveUp(
+  context: CallContext,
+  call: ServiceCall,
+  state: CallState,
+): Promise<ServiceAnswer> {
+  const { lastCode } = state;
+  if (call.operation === OperationKind.Idempotent) {
+    throw failure(call, state, lastCode, state.indeterminate ? Ran.Unknown : Ran.No);
+  }
+  if (state.indeterminate) {
+    const proof = await context.outcomes.prove(call.key, call.requestId);
+    return concludeProof(context, call, state, proof, ResultCode.EngineFailed);
+  }
+  const seen = await context.outcomes.look(call.key);
+  const proof =
+    seen.outcome === RequestOutcome.Running
+      ? await context.outcomes.follow(call.key, call.deadline)
+      : seen;
+  return concludeProof(context, call, state, proof, lastCode);
+}
+
+/** After a lost attempt at an at-most-once call: certain, or not to be repeated. */
+async function afterLostClaim(
+  context: CallContext,
+  call: ServiceCall,
+  state: CallState,
+): Promise<ServiceAnswer | undefined> {
+  let proof = await context.outcomes.prove(call.key, call.requestId);
+  if (proof.outcome === RequestOutcome.Running) {
+    proof = await context.outcomes.follow(call.key, call.deadline);
+  }
+  if (proof.outcome === RequestOutcome.NotRun && proof.version !== undefined) {
+    state.indeterminate = false;
+    state.claimVersion = proof.version;
+    return undefined;
+  }
+  return concludeProof(context, call, state, proof, ResultCode.EngineFailed);
+}
+
+async function afterFailure(
+  context: CallContext,
+  call: ServiceCall,
+  state: CallState,
+  outcome: CallOutcome & { kind: CallOutcomeKind.Failed },
+): Promise<ServiceAnswer | undefined> {
+  const { code } = outcome;
+  if (call.operation === OperationKind.Idempotent) {
+    state.indeterminate = outcome.ran !== Ran.No;
+    return undefined;
+  }
+  if (code === ResultCode.StillRunning) {
+    const proof = await context.outcomes.follow(call.key, call.deadline);
+    return concludeProof(context, call, state, proof, ResultCode.EngineFailed);
+  }
+  throw failure(call, state, code, outcome.ran);
+}
+
+function noteRefusal(
+  state: CallState,
+  outcome: CallOutcome & { kind: CallOutcomeKind.Refused },
+): void {
+  state.lastCode = outcome.code;
+  state.lastReason = outcome.reason;
+  state.retryAfterMilliseconds = outcome.retryAfterMilliseconds;
+  if (outcome.claimVersion !== undefined) state.claimVersion = outcome.claimVersion;
+}
+
+export async function serveCall(context: CallContext, call: ServiceCall): Promise<ServiceAnswer> {
+  const state: CallState = {
+    attempt: 0,
+    breakages: 0,
+    claimVersion: 0,
+    indeterminate: false,
+    lastCode: ResultCode.NoBackendServer,
+    lastReason: 'no backend server can take it now',
+    retryAfterMilliseconds: 0,
+    tried: new Set(),
+  };
+  context.budget.earn();
+  for (;;) {
+    const candidate = choose(context, call, state);
+    if (candidate === undefined) return giveUp(context, call, state);
+    const { instanceId } = candidate;
+    state.attempt += 1;
+    context.pool.noteSent(instanceId);
+    const outcome = await attemptOn(context, call, state, instanceId);
+    switch (outcome.kind) {
+      case CallOutcomeKind.Answered: {
+        const { status, contentType, body, replayed } = outcome.answer;
+        return { status, contentType, body, replayed, instanceId };
+      }
+      case CallOutcomeKind.Refused:
+        noteRefusal(state, outcome);
+        // A superseded claim may be tried again on the same server, from the newer version.
+        if (outcome.code !== ResultCode.Cancelled) state.tried.add(instanceId);
+        if (outcome.code === ResultCode.Overloaded && !context.budget.spend()) {
+          return giveUp(context, call, state);
+        }
+        break;
+      case CallOutcomeKind.Failed: {
+        state.lastReason = outcome.reason;
+        const answer = await afterFailure(context, call, state, outcome);
+        if (answer !== undefined) return answer;
+        state.lastCode = outcome.code;
+        state.tried.add(instanceId);
+        break;
+      }
+      case CallOutcomeKind.Lost: {
+        state.tried.add(instanceId);
+        state.lastCode = ResultCode.EngineFailed;
+        state.lastReason = `the connection to ${instanceId} was lost`;
+        state.indeterminate = true;
+        if (call.operation === OperationKind.AtMostOnce) {
+          const answer = await afterLostClaim(context, call, state);
+          if (answer !== undefined) return answer;
+        }
+        break;
+      }
+      case CallOutcomeKind.TimedOut:
+        state.indeterminate = true;
+        state.lastCode = ResultCode.TimedOut;
+        state.lastReason = 'no answer in time';
+        return giveUp(context, call, state);
+      case CallOutcomeKind.CallerGone: {
+        const name = { requestId: call.requestId, attempt: state.attempt };
+        context.pool.send(instanceId, { kind: MessageKind.Cancel, ...name });
+        throw failure(call, state, ResultCode.Cancelled, Ran.Unknown);
+      }
+      default: {
+        const unreachable: never = outcome;
+        throw new Error(String(unreachable));
+      }
+    }
+    state.breakages += 1;
+    if (state.breakages > MAXIMUM_BREAKAGES * 4) return giveUp(context, call, state);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * The entry role.
+ */
+export { createEntry } from './entry.js';
+export type { Entry } from './entry.js';
--- /dev/null
+++ b/packages/entry/src/metrics.ts
@@ -0,0 +1,84 @@
+/**
+ * Metrics in Prometheus text. Latencies are kept in HDR histograms, whose percentiles stay
+ * exact at the far end, and are read out as quantiles when asked for.
+ */
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+import { Counter, Gauge, Registry } from 'prom-client';
+
+const QUANTILES = [50, 95, 99, 99.9];
+const MICROSECONDS_PER_MILLISECOND = 1000;
+const MICROSECONDS_PER_SECOND = 1_000_000;
+const HIGHEST_MICROSECONDS = 3_600_000_000;
+
+export enum LatencyKind {
+  FirstToken = 'first_token',
+  Draft = 'draft',
+  Call = 'call',
+}
+
+export interface Metrics {
+  countRequest(kind: string, code: number): void;
+  observe(kind: LatencyKind, milliseconds: number): void;
+  /** Registers a value that is read when metrics are asked for. */
+  gauge(name: string, help: string, read: () => number): void;
+  text(): Promise<string>;
+}
+
+function createHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: HIGHEST_MICROSECONDS,
+    numberOfSignificantValueDigits: 2,
+    bitBucketSize: 32,
+  });
+}
+
+export function createMetrics(): Metrics {
+  const registry = new Registry();
+  const requests = new Counter({
+    name: 'lapisbridge_requests_total',
+    help: 'Requests by kind and result code.',
+    labelNames: ['kind', 'code'],
+    registers: [registry],
+  });
+  const histograms = new Map<LatencyKind, Histogram>();
+  for (const kind of Object.values(LatencyKind)) histograms.set(kind, createHistogram());
+  const latency = new Gauge({
+    name: 'lapisbridge_latency_seconds',
+    help: 'Latency quantiles since the start.',
+    labelNames: ['kind', 'quantile'],
+    registers: [registry],
+    collect() {
+      for (const [kind, histogram] of histograms) {
+        for (const quantile of QUANTILES) {
+          const seconds = histogram.getValueAtPercentile(quantile) / MICROSECONDS_PER_SECOND;
+          this.set({ kind, quantile: String(quantile / 100) }, seconds);
+        }
+      }
+    },
+  });
+  registry.registerMetric(latency);
+
+  return {
+    countRequest(kind, code) {
+      requests.inc({ kind, code: String(code) });
+    },
+    observe(kind, milliseconds) {
+      const microseconds = Math.max(1, Math.round(milliseconds * MICROSECONDS_PER_MILLISECOND));
+      histograms.get(kind)?.recordValue(Math.min(microseconds, HIGHEST_MICROSECONDS));
+    },
+    gauge(name, help, read) {
+      const gauge = new Gauge({
+        name,
+        help,
+        registers: [registry],
+        collect() {
+          this.set(read());
+        },
+      });
+      registry.registerMetric(gauge);
+    },
+    text: () => registry.metrics(),
+  };
+}
--- /dev/null
+++ b/packages/membership/src/udp-membership.ts
@@ -0,0 +1,150 @@
+/**
+ * Runs the prober over UDP and seeds it from the platform's lagging instance list.
+ */
+import { createSocket } from 'node:dgram';
+import type { Socket } from 'node:dgram';
+
+import type { MonotonicClock } from '@lapisbridge/kernel';
+import type { InstanceRecord, InstanceState } from '@lapisbridge/types';
+import { InstanceState as State } from '@lapisbridge/types';
+import { Encoder } from 'cbor-x';
+
+import type { Member } from './member-table.js';
+import { createProber } from './prober.js';
+import type { GossipMessage, Prober } from './prober.js';
+
+const TICK_MILLISECONDS = 100;
+const LIST_MILLISECONDS = 2500;
+/** Messages sent while leaving, so that one lost datagram does not hide it. */
+const GOODBYE_TICKS = 3;
+
+export interface ListedInstanceView {
+  readonly record: InstanceRecord;
+  readonly state: InstanceState.Live | InstanceState.Leaving;
+}
+
+export interface MembershipOptions {
+  readonly self: InstanceRecord;
+  readonly clock: MonotonicClock;
+  readonly random: () => number;
+  listInstances(): Promise<readonly ListedInstanceView[]>;
+  stateDigest(): string;
+  onChange(member: Member): void;
+  onPeerDigest(peer: InstanceRecord, digest: string): void;
+  /** The platform's list names this instance as leaving. */
+  onOwnLeaving?(): void;
+}
+
+export interface Membership {
+  start(): Promise<void>;
+  stop(): Promise<void>;
+  members(): Iterable<Member>;
+  member(instanceId: string): Member | undefined;
+  announceVersion(version: number): void;
+  announceLeaving(): void;
+  /** Bytes and messages since the start, for metrics and the capacity page. */
+  readonly traffic: Traffic;
+}
+
+export interface Traffic {
+  sentMessages: number;
+  sentBytes: number;
+  receivedMessages: number;
+  receivedBytes: number;
+}
+
+const codec = new Encoder({ useRecords: false });
+
+export function createMembership(options: MembershipOptions): Membership {
+  const { self, clock } = options;
+  const traffic: Traffic = { sentMessages: 0, sentBytes: 0, receivedMessages: 0, receivedBytes: 0 };
+  let socket: Socket | undefined;
+  let ticking: NodeJS.Timeout | undefined;
+  let listing: NodeJS.Timeout | undefined;
+  let stopped = false;
+
+  function send(to: InstanceRecord, message: GossipMessage): void {
+    const bytes = codec.encode(message);
+    traffic.sentMessages += 1;
+    traffic.sentBytes += bytes.length;
+    // An unreachable peer is what probing is there to notice, so send errors are not raised.
+    socket?.send(bytes, to.peerPort, to.host, () => undefined);
+  }
+
+  const prober: Prober = createProber({
+    self,
+    // Wall-clock seconds only seed the number: a restarted instance must start above its past one.
+    incarnation: Math.floor(Date.now() / 1000),
+    random: options.random,
+    send,
+    stateDigest: () => options.stateDigest(),
+    onChange: (member) => options.onChange(member),
+    onPeerDigest: (peer, digest) => options.onPeerDigest(peer, digest),
+  });
+
+  function receive(bytes: Buffer): void {
+    traffic.receivedMessages += 1;
+    traffic.receivedBytes += bytes.length;
+    let message: GossipMessage;
+    try {
+      message = codec.decode(bytes) as GossipMessage;
+      if (message.from.record.environment !== self.environment) return;
+    } catch {
+      // A stray datagram on the port; nothing of ours is lost with it.
+      return;
+    }
+    prober.receive(message, clock());
+  }
+
+  async function readList(): Promise<void> {
+    try {
+      for (const { record, state } of await options.listInstances()) {
+        const leaving = state === State.Leaving;
+        if (record.instanceId === self.instanceId && leaving) options.onOwnLeaving?.();
+        prober.noteListed(record, leaving, clock());
+      }
+    } catch {
+      // The list is only a seed: gossip goes on with what is known.
+    }
+  }
+
+  function scheduleList(): void {
+    if (stopped) return;
+    const jittered = LIST_MILLISECONDS * (0.5 + options.random());
+    listing = setTimeout(() => void readList().then(scheduleList), jittered);
+  }
+
+  return {
+    traffic,
+    async start() {
+      const opened = createSocket(self.host.includes(':') ? 'udp6' : 'udp4');
+      socket = opened;
+      await new Promise<void>((resolve, reject) => {
+        opened.once('error', reject);
+        opened.bind(self.peerPort, self.host, () => {
+          opened.removeListener('error', reject);
+          resolve();
+        });
+      });
+      opened.on('message', receive);
+      opened.on('error', () => undefined);
+      await readList();
+      scheduleList();
+      ticking = setInterval(() => prober.tick(clock()), TICK_MILLISECONDS);
+    },
+    async stop() {
+      stopped = true;
+      clearTimeout(listing);
+      clearInterval(ticking);
+      for (let count = 0; count < GOODBYE_TICKS; count += 1) prober.leave(clock());
+      await new Promise<void>((resolve) => {
+        if (socket === undefined) resolve();
+        else socket.close(() => resolve());
+      });
+    },
+    members: () => prober.members(),
+    member: (instanceId) => prober.member(instanceId),
+    announceVersion: (version) => prober.announceVersion(version),
+    announceLeaving: () => prober.leave(clock()),
+  };
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,22 @@
+/**
+ * Decisions of an entry about where a request goes.
+ */
+export {
+  ChoiceKind,
+  ChoiceReason,
+  estimateMilliseconds,
+  occupancyOf,
+  planChoice,
+} from './plan-choice.js';
+export type {
+  Candidate,
+  CandidateScore,
+  Choice,
+  ChoiceInput,
+  ChoicePolicy,
+} from './plan-choice.js';
+export { planSubset } from './plan-subset.js';
+export type { SubsetMember } from './plan-subset.js';
+export { rendezvousOrder, rendezvousWeight } from './rendezvous.js';
+export { createRetryBudget } from './retry-budget.js';
+export type { RetryBudget } from './retry-budget.js';
--- /dev/null
+++ b/packages/routing/src/plan-choice.ts
@@ -0,0 +1,167 @@
+/**
+ * Chooses a backend server for one request. Pure: the caller passes what it knows and a
+ * source of randomness, and gets a decision with its reasons.
+ */
+import type { LoadReport } from '@lapisbridge/types';
+
+import { rendezvousWeight } from './rendezvous.js';
+
+/** What an entry knows of one backend server. Reports lag; `sentSinceReport` corrects them. */
+export interface Candidate {
+  readonly instanceId: string;
+  readonly availabilityZone: string;
+  readonly load: LoadReport;
+  /** Requests this entry sent there since the report. */
+  readonly sentSinceReport: number;
+}
+
+export interface ChoicePolicy {
+  readonly hopCostMilliseconds: number;
+  readonly boundedLoadFactor: number;
+  readonly sampledChoices: number;
+}
+
+export interface ChoiceInput {
+  readonly candidates: readonly Candidate[];
+  readonly ownZone: string;
+  /** Leading part of the prompt; empty turns affinity off. */
+  readonly affinityKey: string;
+  readonly estimatedTokens: number;
+  /** Servers that this request has already tried. */
+  readonly excluded: ReadonlySet<string>;
+  readonly policy: ChoicePolicy;
+  readonly random: () => number;
+}
+
+export enum ChoiceKind {
+  Chosen = 'chosen',
+  NoneLeft = 'noneLeft',
+}
+
+export enum ChoiceReason {
+  PrefixAffinity = 'prefixAffinity',
+  LeastEstimatedTime = 'leastEstimatedTime',
+}
+
+export interface CandidateScore {
+  readonly instanceId: string;
+  readonly estimatedMilliseconds: number;
+  readonly occupancy: number;
+}
+
+export type Choice =
+  | {
+      readonly kind: ChoiceKind.Chosen;
+      readonly candidate: Candidate;
+      readonly reason: ChoiceReason;
+      readonly scores: readonly CandidateScore[];
+    }
+  | { readonly kind: ChoiceKind.NoneLeft; readonly tried: number };
+
+/** Share of the server's limit in use, above 1 when requests queue there. */
+export function occupancyOf(candidate: Candidate): number {
+  const { running, queued, limit } = candidate.load;
+  return (running + queued + candidate.sentSinceReport) / Math.max(1, limit);
+}
+
+/**
+ * Estimated milliseconds until the last token. Below its limit a server only decodes;
+ * above it, each whole limit's worth of requests ahead adds one answer's time.
+ */
+export function estimateMilliseconds(candidate: Candidate, input: ChoiceInput): number {
+  const decode = candidate.load.stepMilliseconds * Math.max(1, input.estimatedTokens);
+  const occupancy = occupancyOf(candidate);
+  const wait = Math.max(0, occupancy - 1) * decode;
+  const contention = Math.min(1, occupancy) * candidate.load.stepMilliseconds;
+  const hop = candidate.availabilityZone === input.ownZone ? 0 : input.policy.hopCostMilliseconds;
+  return decode + wait + contention + hop;
+}
+
+function preferredByPrefix(
+  candidates: readonly Candidate[],
+  affinityKey: string,
+): Candidate | undefined {
+  let best: Candidate | undefined;
+  let bestWeight = -1;
+  for (const candidate of candidates) {
+    const weight = rendezvousWeight(affinityKey, candidate.instanceId);
+    if (weight > bestWeight) {
+      best = candidate;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
+/** Affinity may not overload its favourite: it yields above a multiple of the mean load. */
+function withinBoundedLoad(
+  preferred: Candidate,
+  candidates: readonly Candidate[],
+  factor: number,
+): boolean {
+  let sum = 0;
+  let slowest = Infinity;
+  for (const candidate of candidates) {
+    sum += occupancyOf(candidate);
+    slowest = Math.min(slowest, candidate.load.stepMilliseconds);
+  }
+  const mean = sum / candidates.length;
+  const oneRequest = 1 / Math.max(1, preferred.load.limit);
+  const healthy = preferred.load.stepMilliseconds <= slowest * 2;
+  return healthy && occupancyOf(preferred) + oneRequest <= mean * factor + oneRequest * 2;
+}
+
+function sample(
+  candidates: readonly Candidate[],
+  count: number,
+  random: () => number,
+): readonly Candidate[] {
+  if (candidates.length <= count) return candidates;
+  const pool = [...candidates];
+  const taken: Candidate[] = [];
+  while (taken.length < count) {
+    const index = Math.floor(random() * pool.length);
+    const [picked] = pool.splice(index, 1);
+    if (picked !== undefined) taken.push(picked);
+  }
+  return taken;
+}
+
+function scoreOf(candidate: Candidate, input: ChoiceInput): CandidateScore {
+  return {
+    instanceId: candidate.instanceId,
+    estimatedMilliseconds: estimateMilliseconds(candidate, input),
+    occupancy: occupancyOf(candidate),
+  };
+}
+
+export function planChoice(input: ChoiceInput): Choice {
+  const { candidates, excluded, policy } = input;
+  const open = candidates.filter((candidate) => !excluded.has(candidate.instanceId));
+  if (open.length === 0) return { kind: ChoiceKind.NoneLeft, tried: excluded.size };
+  if (input.affinityKey !== '') {
+    const preferred = preferredByPrefix(open, input.affinityKey);
+    if (preferred !== undefined && withinBoundedLoad(preferred, open, policy.boundedLoadFactor)) {
+      return {
+        kind: ChoiceKind.Chosen,
+        candidate: preferred,
+        reason: ChoiceReason.PrefixAffinity,
+        scores: [scoreOf(preferred, input)],
+      };
+    }
+  }
+  const sampled = sample(open, policy.sampledChoices, input.random);
+  const scores = sampled.map((candidate) => scoreOf(candidate, input));
+  let best = 0;
+  for (const [index, score] of scores.entries()) {
+    if (score.estimatedMilliseconds < (scores[best]?.estimatedMilliseconds ?? Infinity)) {
+      best = index;
+    }
+  }
+  return {
+    kind: ChoiceKind.Chosen,
+    candidate: sampled[best],
+    reason: ChoiceReason.LeastEstimatedTime,
+    scores,
+  };
+}
--- /dev/null
+++ b/packages/shared-state/src/drain-orders.ts
@@ -0,0 +1,49 @@
+/**
+ * Drain orders as a map of last-writer-wins registers. Each order carries a counter above
+ * every counter its author had seen; ties go to the greater author. Merging in any order,
+ * any number of times, gives the same map, so orders can spread by gossip while the store
+ * is down and be written to it later.
+ */
+import type { DrainTargetKind, ServiceState } from '@lapisbridge/types';
+
+export interface DrainOrder {
+  readonly targetKind: DrainTargetKind;
+  readonly target: string;
+  readonly state: ServiceState;
+  readonly counter: number;
+  readonly author: string;
+}
+
+export type DrainOrders = Readonly<Record<string, DrainOrder>>;
+
+export function orderKey(order: Pick<DrainOrder, 'targetKind' | 'target'>): string {
+  return `${order.targetKind}:${order.target}`;
+}
+
+function isNewer(left: DrainOrder, right: DrainOrder): boolean {
+  if (left.counter !== right.counter) return left.counter > right.counter;
+  return left.author > right.author;
+}
+
+export function mergeOrders(left: DrainOrders, right: DrainOrders): DrainOrders {
+  const merged: Record<string, DrainOrder> = { ...left };
+  for (const [key, order] of Object.entries(right)) {
+    const known = merged[key];
+    if (known === undefined || isNewer(order, known)) merged[key] = order;
+  }
+  return merged;
+}
+
+export function highestCounter(orders: DrainOrders): number {
+  let highest = 0;
+  for (const order of Object.values(orders)) highest = Math.max(highest, order.counter);
+  return highest;
+}
+
+/** Text that is equal exactly when two maps are. */
+export function ordersFingerprint(orders: DrainOrders): string {
+  const parts = Object.entries(orders).map(
+    ([key, order]) => `${key}=${order.state}@${order.counter}/${order.author}`,
+  );
+  return parts.sort().join(',');
+}
--- /dev/null
+++ b/packages/shared-state/src/index.ts
@@ -0,0 +1,13 @@
+/**
+ * Configuration and drain orders, shared by all processes of an environment.
+ */
+export { highestCounter, mergeOrders, orderKey, ordersFingerprint } from './drain-orders.js';
+export type { DrainOrder, DrainOrders } from './drain-orders.js';
+export { createSharedState } from './shared-state.js';
+export type { Configuration, SharedState } from './shared-state.js';
+export { formatDigest, parseDigest, peerIsAhead } from './state-digest.js';
+export type { StateDigest } from './state-digest.js';
+export { ApplyOutcome, createStateStore } from './state-store.js';
+export type { ApplyResult, StateStore, StoredChange, StoredDocument } from './state-store.js';
+export { createStateSync } from './state-sync.js';
+export type { StateSync, StateSyncOptions } from './state-sync.js';
--- /dev/null
+++ b/packages/shared-state/src/shared-state.ts
@@ -0,0 +1,146 @@
+/**
+ * What every process of an environment must agree on in the end: the configuration document
+ * in force and the drain orders. Versions only grow; a lower one is refused wherever it
+ * comes from, so an accepted configuration never reverts.
+ */
+import { checkDocument } from '@lapisbridge/config';
+import type { EnvironmentDocument } from '@lapisbridge/config';
+import type { Logger } from '@lapisbridge/logger';
+import { DrainTargetKind, ServiceState } from '@lapisbridge/types';
+
+import { mergeOrders, orderKey } from './drain-orders.js';
+import type { DrainOrder, DrainOrders } from './drain-orders.js';
+import { formatDigest } from './state-digest.js';
+
+/** A configuration in force. `version` is the table row's version. */
+export interface Configuration {
+  readonly version: number;
+  readonly changeId: string;
+  readonly document: EnvironmentDocument;
+}
+
+interface WireState {
+  readonly version: number;
+  readonly changeId: string;
+  readonly text: string;
+  readonly orders: DrainOrders;
+}
+
+export interface SharedState {
+  readonly configuration: Configuration | undefined;
+  readonly orders: DrainOrders;
+  readonly digest: string;
+  /** Document text as accepted, for operators. */
+  readonly documentText: string;
+  adopt(version: number, changeId: string, text: string): boolean;
+  mergeOrders(orders: DrainOrders): void;
+  /** Merges what a peer sent. */
+  merge(serialized: string): void;
+  serialize(): string;
+  onChange(listener: () => void): void;
+  isDrained(instanceId: string, availabilityZone: string): boolean;
+}
+
+export function createSharedState(environment: string, logger: Logger): SharedState {
+  let configuration: Configuration | undefined;
+  let documentText = '';
+  let orders: DrainOrders = {};
+  let digest = formatDigest(0, {});
+  const listeners: (() => void)[] = [];
+
+  function changed(): void {
+    digest = formatDigest(configuration?.version ?? 0, orders);
+    for (const listener of listeners) listener();
+  }
+
+  function stateOf(kind: DrainTargetKind, target: string): ServiceState {
+    const key = orderKey({ targetKind: kind, target });
+    return orders[key]?.state ?? ServiceState.InService;
+  }
+
+  function logOrders(before: DrainOrders): void {
+    for (const [key, order] of Object.entries(orders)) {
+      if (before[key] !== order) logOrder(order);
+    }
+  }
+
+  function logOrder(order: DrainOrder): void {
+    logger.decision({
+      kind: 'drainOrder',
+      subject: order.target,
+      choice: order.state,
+      reason: `order ${order.counter} of ${order.author}`,
+    });
+  }
+
+  const state: SharedState = {
+    get configuration() {
+      return configuration;
+    },
+    get orders() {
+      return orders;
+    },
+    get digest() {
+      return digest;
+    },
+    get documentText() {
+      return documentText;
+    },
+    adopt(version, changeId, text) {
+      // A store replica, a late reply or an old peer may offer an earlier version.
+      if (version <= (configuration?.version ?? 0)) return false;
+      const checked = checkDocument(text);
+      if (checked.isLeft()) {
+        logger.error('configuration refused', { version, changeId });
+        return false;
+      }
+      const document = checked.unsafeCoerce();
+      if (document.name !== environment) {
+        logger.error('configuration of another environment', { version, name: document.name });
+        return false;
+      }
+      configuration = { version, changeId, document };
+      documentText = text;
+      logger.decision({
+        kind: 'configuration',
+        subject: changeId,
+        choice: `version ${version}`,
+        reason: 'highest version seen',
+      });
+      changed();
+      return true;
+    },
+    mergeOrders(given) {
+      const before = orders;
+      const previousDigest = digest;
+      orders = mergeOrders(orders, given);
+      if (formatDigest(configuration?.version ?? 0, orders) === previousDigest) return;
+      logOrders(before);
+      changed();
+    },
+    merge(serialized) {
+      const wire = JSON.parse(serialized) as WireState;
+      if (wire.version > 0) state.adopt(wire.version, wire.changeId, wire.text);
+      state.mergeOrders(wire.orders);
+    },
+    serialize() {
+      const wire: WireState = {
+        version: configuration?.version ?? 0,
+        changeId: configuration?.changeId ?? '',
+        text: documentText,
+        orders,
+      };
+      return JSON.stringify(wire);
+    },
+    onChange(listener) {
+      listeners.push(listener);
+    },
+    isDrained(instanceId, availabilityZone) {
+      return (
+        stateOf(DrainTargetKind.Instance, instanceId) === ServiceState.Drained ||
+        stateOf(DrainTargetKind.AvailabilityZone, availabilityZone) === ServiceState.Drained
+      );
+    },
+  };
+  return state;
+}
--- /dev/null
+++ b/packages/shared-state/src/state-store.ts
@@ -0,0 +1,169 @@
+/**
+ * The shared state's rows at the platform's table: the document with its version, its
+ * history by version and by change id, and the drain orders.
+ */
+import { writeConditionally, WriteOutcome } from '@lapisbridge/platform';
+import type { Table, TableRow } from '@lapisbridge/platform';
+
+import { mergeOrders, ordersFingerprint } from './drain-orders.js';
+import type { DrainOrders } from './drain-orders.js';
+
+export interface StoredDocument {
+  readonly changeId: string;
+  readonly author: string;
+  /** Wall-clock time for people to read; never compared. */
+  readonly acceptedAt: string;
+  readonly text: string;
+}
+
+export interface StoredChange {
+  readonly version: number;
+  readonly document: StoredDocument;
+}
+
+export enum ApplyOutcome {
+  Accepted = 'accepted',
+  Conflict = 'conflict',
+  Unknown = 'unknown',
+}
+
+export interface ApplyResult {
+  readonly outcome: ApplyOutcome;
+  readonly version: number;
+  /** On a conflict: the change that stands. */
+  readonly standing?: StoredChange;
+}
+
+export interface StateStore {
+  readDocument(environment: string): Promise<StoredChange | null>;
+  /** The documents in force of all environments on this platform, by environment name. */
+  readAllDocuments(): Promise<ReadonlyMap<string, StoredChange>>;
+  readVersion(environment: string, version: number): Promise<StoredChange | null>;
+  readChange(environment: string, changeId: string): Promise<StoredChange | null>;
+  history(environment: string): Promise<readonly StoredChange[]>;
+  /** Accepts a document on top of the version that its operator looked at. */
+  apply(environment: string, baseVersion: number, document: StoredDocument): Promise<ApplyResult>;
+  readOrders(environment: string): Promise<DrainOrders>;
+  /** Merges orders into the stored ones; true once they are known to stand there. */
+  writeOrders(environment: string, orders: DrainOrders): Promise<boolean>;
+}
+
+const DOCUMENTS_PREFIX = 'documents/';
+const VERSION_DIGITS = 9;
+const MAXIMUM_ROUNDS = 8;
+
+function documentKey(environment: string): string {
+  return `${DOCUMENTS_PREFIX}${environment}`;
+}
+
+function historyKey(environment: string, version: number): string {
+  return `environments/${environment}/history/${String(version).padStart(VERSION_DIGITS, '0')}`;
+}
+
+function changeKey(environment: string, changeId: string): string {
+  return `environments/${environment}/changes/${changeId}`;
+}
+
+function ordersKey(environment: string): string {
+  return `environments/${environment}/orders`;
+}
+
+function toChange(row: TableRow | null): StoredChange | null {
+  if (row === null) return null;
+  return { version: row.version, document: row.value as StoredDocument };
+}
+
+export function createStateStore(table: Table): StateStore {
+  async function readVersion(environment: string, version: number): Promise<StoredChange | null> {
+    const row = await table.read(historyKey(environment, version));
+    return row === null ? null : (row.value as StoredChange);
+  }
+
+  /** After a lost answer: the change's own row tells whether the write took effect. */
+  async function readBackApply(
+    environment: string,
+    baseVersion: number,
+    changeId: string,
+  ): Promise<ApplyResult> {
+    try {
+      const own = await table.read(changeKey(environment, changeId));
+      if (own !== null) {
+        return { outcome: ApplyOutcome.Accepted, version: (own.value as StoredChange).version };
+      }
+      const standing = toChange(await table.read(documentKey(environment)));
+      const version = standing?.version ?? 0;
+      // At the base version still, the write may be on its way and take effect after this read.
+      if (version === baseVersion) return { outcome: ApplyOutcome.Unknown, version };
+      return {
+        outcome: ApplyOutcome.Conflict,
+        version,
+        ...(standing === null ? {} : { standing }),
+      };
+    } catch {
+      return { outcome: ApplyOutcome.Unknown, version: baseVersion };
+    }
+  }
+
+  return {
+    async readDocument(environment) {
+      return toChange(await table.read(documentKey(environment)));
+    },
+    async readAllDocuments() {
+      const rows = await table.list(DOCUMENTS_PREFIX);
+      const entries = rows.map(
+        (row) => [row.key.slice(DOCUMENTS_PREFIX.length), toChange(row) as StoredChange] as const,
+      );
+      return new Map(entries);
+    },
+    readVersion,
+    async readChange(environment, changeId) {
+      const row = await table.read(changeKey(environment, changeId));
+      return row === null ? null : (row.value as StoredChange);
+    },
+    async history(environment) {
+      const rows = await table.list(`environments/${environment}/history/`);
+      return rows.map((row) => row.value as StoredChange);
+    },
+    async apply(environment, baseVersion, document) {
+      const version = baseVersion + 1;
+      const change: StoredChange = { version, document };
+      const { changeId } = document;
+      const puts = [
+        { key: documentKey(environment), value: document, expectedVersion: baseVersion },
+        { key: historyKey(environment, version), value: change, expectedVersion: 0 },
+        { key: changeKey(environment, changeId), value: change, expectedVersion: 0 },
+      ];
+      try {
+        const [result] = await table.transact([{ puts }]);
+        if (result?.applied === true) return { outcome: ApplyOutcome.Accepted, version };
+      } catch {
+        // Fall through: the answer was lost, so the table itself is asked.
+      }
+      return readBackApply(environment, baseVersion, changeId);
+    },
+    async readOrders(environment) {
+      const row = await table.read(ordersKey(environment));
+      return (row?.value ?? {}) as DrainOrders;
+    },
+    async writeOrders(environment, orders) {
+      const key = ordersKey(environment);
+      for (let round = 0; round < MAXIMUM_ROUNDS; round += 1) {
+        const row = await table.read(key).catch(() => undefined);
+        if (row === undefined) return false;
+        const stored = (row?.value ?? {}) as DrainOrders;
+        const merged = mergeOrders(stored, orders);
+        const fingerprint = ordersFingerprint(merged);
+        if (fingerprint === ordersFingerprint(stored)) return true;
+        const written = await writeConditionally(table, {
+          key,
+          value: merged,
+          expectedVersion: row?.version ?? 0,
+          isOwn: (value) => ordersFingerprint(value as DrainOrders) === fingerprint,
+        });
+        if (written.outcome === WriteOutcome.Applied) return true;
+        if (written.outcome === WriteOutcome.Unknown) return false;
+      }
+      return false;
+    },
+  };
+}
--- /dev/null
+++ b/packages/shared-state/src/state-sync.ts
@@ -0,0 +1,89 @@
+/**
+ * Keeps a process's shared state up to date: digests on heartbeats and gossip say who is
+ * ahead, the text is then fetched once from that peer; a slow jittered poll of the table is
+ * the safety net. Orders taken while the table was down are written to it when it is back.
+ */
+import type { Logger } from '@lapisbridge/logger';
+
+import { ordersFingerprint } from './drain-orders.js';
+import type { SharedState } from './shared-state.js';
+import { peerIsAhead } from './state-digest.js';
+import type { StateStore } from './state-store.js';
+
+export interface StateSyncOptions {
+  readonly environment: string;
+  readonly state: SharedState;
+  readonly store: StateStore;
+  readonly logger: Logger;
+  readonly random: () => number;
+  readonly pollMilliseconds?: number;
+  /** Entries write unsaved orders back; sidecars leave that to them. */
+  readonly writesOrders: boolean;
+}
+
+export interface StateSync {
+  start(): Promise<void>;
+  stop(): void;
+  /** Tells of a peer's digest; `fetch` asks that peer for its state. */
+  heard(peerDigest: string, fetch: () => void): void;
+  /** Reads the table now; false when it did not answer. */
+  poll(): Promise<boolean>;
+}
+
+const POLL_MILLISECONDS = 15_000;
+/** Until a first configuration is known the table is asked often. */
+const EAGER_POLL_MILLISECONDS = 500;
+/** One fetch at a time: many peers announce the same version at once. */
+const FETCH_MILLISECONDS = 300;
+
+export function createStateSync(options: StateSyncOptions): StateSync {
+  const { environment, state, store, logger } = options;
+  const pollMilliseconds = options.pollMilliseconds ?? POLL_MILLISECONDS;
+  let timer: NodeJS.Timeout | undefined;
+  let stopped = false;
+  let lastFetch = -Infinity;
+
+  async function poll(): Promise<boolean> {
+    try {
+      const stored = await store.readDocument(environment);
+      if (stored !== null) {
+        state.adopt(stored.version, stored.document.changeId, stored.document.text);
+      }
+      const orders = await store.readOrders(environment);
+      state.mergeOrders(orders);
+      const unsaved = ordersFingerprint(state.orders) !== ordersFingerprint(orders);
+      if (unsaved && options.writesOrders) await store.writeOrders(environment, state.orders);
+      return true;
+    } catch (thrown) {
+      logger.debug('state poll failed', { reason: (thrown as Error).message });
+      return false;
+    }
+  }
+
+  function schedule(): void {
+    if (stopped) return;
+    const known = state.configuration !== undefined;
+    const period = known ? pollMilliseconds : Math.min(EAGER_POLL_MILLISECONDS, pollMilliseconds);
+    const jittered = period * (0.5 + options.random());
+    timer = setTimeout(() => void poll().then(schedule), jittered);
+  }
+
+  return {
+    async start() {
+      await poll();
+      schedule();
+    },
+    stop() {
+      stopped = true;
+      clearTimeout(timer);
+    },
+    heard(peerDigest, fetch) {
+      if (!peerIsAhead(state.digest, peerDigest)) return;
+      const now = performance.now();
+      if (now - lastFetch < FETCH_MILLISECONDS) return;
+      lastFetch = now;
+      fetch();
+    },
+    poll,
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/draft-runner.ts
@@ -0,0 +1,305 @@
+/**
+ * Runs drafts on the model engine: admission, generation into a buffer, and sending to
+ * whichever entry reads. The buffer outlives its reader, so that an answer whose entry died
+ * can be taken up by another one from any offset.
+ */
+import { EvidenceKind } from '@lapisbridge/admission';
+import { AnswerStatus, createAnswerBuffer } from '@lapisbridge/answers';
+import type { AnswerBuffer } from '@lapisbridge/answers';
+import type { Limits } from '@lapisbridge/config';
+import { ResultCode } from '@lapisbridge/errors';
+import type { Logger } from '@lapisbridge/logger';
+import { Ran } from '@lapisbridge/types';
+import { MessageKind } from '@lapisbridge/wire';
+import type { AttemptName, Channel, Credit, Detach, DraftStart, Resume } from '@lapisbridge/wire';
+
+import { EngineOutcomeKind } from './engine-client.js';
+import type { EngineClient, EngineOutcome } from './engine-client.js';
+import { EntranceKind } from './gate.js';
+import type { Gate } from './gate.js';
+
+export interface DraftRunnerOptions {
+  readonly gate: Gate;
+  readonly engine: EngineClient;
+  readonly logger: Logger;
+  limits(): Limits;
+  weightOf(account: string): number;
+  running(): number;
+}
+
+/** Where the text of a run goes: one channel at a time, as far as its credit reaches. */
+interface Reader {
+  readonly channel: Channel;
+  readonly attempt: number;
+  offset: number;
+  credit: number;
+}
+
+interface Run {
+  readonly start: DraftStart;
+  readonly buffer: AnswerBuffer;
+  readonly abort: AbortController;
+  /** The entry that may resume without the caller's coming back. */
+  owner: string;
+  reader: Reader | undefined;
+  tokens: number;
+  failure: EngineOutcome | undefined;
+  orphanTimer: NodeJS.Timeout | undefined;
+}
+
+export interface DraftRunner {
+  /** True while an answer is generated or not yet wholly sent to its reader. */
+  isBusy(): boolean;
+  start(message: DraftStart, channel: Channel): void;
+  resume(message: Resume, channel: Channel): boolean;
+  credit(message: Credit): void;
+  cancel(name: AttemptName): void;
+  detach(message: Detach, channel: Channel): void;
+  channelClosed(channel: Channel): void;
+}
+
+export function createDraftRunner(options: DraftRunnerOptions): DraftRunner {
+  const { gate, engine, logger } = options;
+  const runs = new Map<string, Run>();
+  let active = 0;
+
+  function pump(run: Run): void {
+    const { reader, buffer } = run;
+    if (reader === undefined || reader.channel.closed) return;
+    const name = { requestId: run.start.requestId, attempt: reader.attempt };
+    while (reader.offset < buffer.length && reader.credit > 0) {
+      const text = buffer.read(reader.offset, reader.credit);
+      reader.channel.send({
+        kind: MessageKind.Chunk,
+        ...name,
+        offset: reader.offset,
+        text,
+        tokens: run.tokens,
+      });
+      reader.offset += text.length;
+      reader.credit -= text.length;
+    }
+    if (reader.offset === buffer.length) sendEnding(run, reader, name);
+  }
+
+  function sendEnding(run: Run, reader: Reader, name: AttemptName): void {
+    const { buffer, failure } = run;
+    switch (buffer.status) {
+      case AnswerStatus.Open:
+        return;
+      case AnswerStatus.Complete:
+        reader.channel.send({
+          kind: MessageKind.End,
+          ...name,
+          totalCharacters: buffer.length,
+          finishReason: buffer.ending?.finishReason ?? 'stop',
+          completionTokens: buffer.ending?.completionTokens ?? 0,
+        });
+        break;
+      case AnswerStatus.Failed:
+        reader.channel.send({
+          kind: MessageKind.Failed,
+          ...name,
+          code:
+            failure?.kind === EngineOutcomeKind.Rejected
+              ? ResultCode.BadRequest
+              : ResultCode.EngineFailed,
+          reason: failure !== undefined && 'reason' in failure ? failure.reason : 'engine failed',
+          ran: failure?.kind === EngineOutcomeKind.NotStarted ? Ran.No : Ran.Unknown,
+          retryAfterMilliseconds: 0,
+        });
+        break;
+      default: {
+        const unreachable: never = buffer.status;
+        throw new Error(`unknown status ${String(unreachable)}`);
+      }
+    }
+    run.reader = undefined;
+  }
+
+  function createRun(message: DraftStart, channel: Channel): Run {
+    return {
+      start: message,
+      buffer: createAnswerBuffer(message.account, message.deliveredText),
+      abort: new AbortController(),
+      owner: message.entryId,
+      reader: {
+        channel,
+        attempt: message.attempt,
+        offset: message.deliveredText.length,
+        credit: message.credit,
+      },
+      tokens: message.deliveredTokens,
+      failure: undefined,
+      orphanTimer: undefined,
+    };
+  }
+
+  async function generate(run: Run): Promise<EngineOutcome> {
+    let lastTextAt: number | undefined;
+    return engine.stream({
+      body: JSON.parse(Buffer.from(run.start.body).toString('utf8')) as Record<string, unknown>,
+      deliveredText: run.start.deliveredText,
+      deliveredTokens: run.start.deliveredTokens,
+      priority: run.start.priority,
+      silenceMilliseconds: options.limits().engineSilenceMilliseconds,
+      signal: run.abort.signal,
+      onText(text) {
+        const now = performance.now();
+        if (lastTextAt !== undefined) {
+          const milliseconds = now - lastTextAt;
+          gate.observe({ kind: EvidenceKind.Step, milliseconds, running: options.running() });
+        }
+        lastTextAt = now;
+        run.tokens += 1;
+        run.buffer.append(text);
+        pump(run);
+      },
+    });
+  }
+
+  function conclude(run: Run, outcome: EngineOutcome): void {
+    if (outcome.kind === EngineOutcomeKind.Complete) {
+      run.buffer.complete({ finishReason: outcome.finishReason, completionTokens: run.tokens });
+    } else {
+      run.failure = outcome;
+      run.buffer.fail();
+      const ownDoing = run.abort.signal.aborted || outcome.kind === EngineOutcomeKind.Rejected;
+      if (!ownDoing) gate.observe({ kind: EvidenceKind.Lost });
+      logger.warn('draft not completed', {
+        requestId: run.start.requestId,
+        attempt: run.start.attempt,
+        outcome: outcome.kind,
+        reason: outcome.reason,
+      });
+    }
+    pump(run);
+    forgetLater(run);
+  }
+
+  function forgetLater(run: Run): void {
+    const { requestId } = run.start;
+    setTimeout(() => {
+      if (runs.get(requestId) === run) runs.delete(requestId);
+    }, options.limits().answerRetentionMilliseconds).unref();
+  }
+
+  /** Nobody reads any more. Without a time limit the engine would go on working for nobody. */
+  function orphan(run: Run): void {
+    run.reader = undefined;
+    if (run.buffer.status !== AnswerStatus.Open) return;
+    clearTimeout(run.orphanTimer);
+    run.orphanTimer = setTimeout(() => run.abort.abort(), options.limits().orphanMilliseconds);
+  }
+
+  async function execute(run: Run): Promise<void> {
+    const { start } = run;
+    const entrance = await gate.enter(
+      {
+        requestId: start.requestId,
+        account: start.account,
+        weight: options.weightOf(start.account),
+        tokens: start.estimatedTokens,
+        remainingMilliseconds: start.remainingMilliseconds,
+      },
+      run.abort.signal,
+    );
+    if (entrance.kind === EntranceKind.Refused) {
+      runs.delete(start.requestId);
+      const { code, reason, retryAfterMilliseconds } = entrance.refusal;
+      logger.decision({
+        kind: 'admission',
+        subject: start.requestId,
+        choice: 'refused',
+        reason,
+        code,
+      });
+      run.reader?.channel.send({
+        kind: MessageKind.Refused,
+        requestId: start.requestId,
+        attempt: start.attempt,
+        code,
+        reason,
+        retryAfterMilliseconds,
+      });
+      return;
+    }
+    const deadline = setTimeout(() => run.abort.abort(), start.remainingMilliseconds);
+    try {
+      conclude(run, await generate(run));
+    } finally {
+      clearTimeout(deadline);
+      clearTimeout(run.orphanTimer);
+      entrance.release();
+    }
+  }
+
+  async function track(run: Run): Promise<void> {
+    active += 1;
+    try {
+      await execute(run);
+    } finally {
+      active -= 1;
+    }
+  }
+
+  return {
+    isBusy() {
+      if (active > 0) return true;
+      for (const run of runs.values()) {
+        if (run.reader !== undefined && !run.reader.channel.closed) return true;
+      }
+      return false;
+    },
+    start(message, channel) {
+      const before = runs.get(message.requestId);
+      if (before !== undefined) {
+        const sameEntry = before.owner === message.entryId;
+        if (sameEntry && before.start.attempt >= message.attempt) return;
+        before.abort.abort();
+      }
+      const run = createRun(message, channel);
+      runs.set(message.requestId, run);
+      void track(run);
+    },
+    resume(message, channel) {
+      const run = runs.get(message.requestId);
+      if (run === undefined || run.buffer.account !== message.account) return false;
+      if (message.offset > run.buffer.length) return false;
+      // An entry that was frozen while its caller went on through another one would take the
+      // answer away from the new reader; only the caller's own return changes the owner.
+      if (!message.takeOver && run.owner !== message.entryId) return false;
+      run.owner = message.entryId;
+      clearTimeout(run.orphanTimer);
+      run.reader = {
+        channel,
+        attempt: message.attempt,
+        offset: message.offset,
+        credit: message.credit,
+      };
+      pump(run);
+      return true;
+    },
+    credit(message) {
+      const run = runs.get(message.requestId);
+      if (run?.reader === undefined || run.reader.attempt !== message.attempt) return;
+      run.reader.credit += message.characters;
+      pump(run);
+    },
+    cancel(name) {
+      const run = runs.get(name.requestId);
+      if (run === undefined || (run.reader?.attempt ?? run.start.attempt) > name.attempt) return;
+      run.abort.abort();
+      runs.delete(name.requestId);
+    },
+    detach(message, channel) {
+      const run = runs.get(message.requestId);
+      if (run?.reader?.channel === channel) orphan(run);
+    },
+    channelClosed(channel) {
+      for (const run of runs.values()) {
+        if (run.reader?.channel === channel) orphan(run);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/gate.ts
@@ -0,0 +1,215 @@
+/**
+ * The gate in front of one backend server: a limit that follows the evidence, a short fair
+ * queue, and refusals at once. Whoever was refused here was never dispatched.
+ */
+import {
+  AdmissionKind,
+  createFairQueue,
+  EvidenceKind,
+  initialLimit,
+  planAdmission,
+  planLimit,
+} from '@lapisbridge/admission';
+import type { Evidence, LimitPolicy, LimitState } from '@lapisbridge/admission';
+import { ResultCode } from '@lapisbridge/errors';
+import type { Logger } from '@lapisbridge/logger';
+
+export interface GatePolicy extends LimitPolicy {
+  readonly maximumQueuedRequests: number;
+  readonly queueMilliseconds: number;
+  readonly retryAfterMilliseconds: number;
+}
+
+export interface GateRequest {
+  readonly requestId: string;
+  readonly account: string;
+  readonly weight: number;
+  readonly tokens: number;
+  readonly remainingMilliseconds: number;
+}
+
+export interface Refusal {
+  readonly code: ResultCode;
+  readonly reason: string;
+  readonly retryAfterMilliseconds: number;
+}
+
+export enum EntranceKind {
+  Admitted = 'admitted',
+  Refused = 'refused',
+}
+
+export type Entrance =
+  | { readonly kind: EntranceKind.Admitted; release(): void }
+  | { readonly kind: EntranceKind.Refused; readonly refusal: Refusal };
+
+export interface GateLoad {
+  readonly running: number;
+  readonly queued: number;
+  readonly limit: number;
+  readonly inFlightTokens: number;
+  readonly stepMilliseconds: number;
+  readonly warm: boolean;
+}
+
+export interface Gate {
+  enter(request: GateRequest, signal: AbortSignal): Promise<Entrance>;
+  observe(evidence: Evidence): void;
+  load(): GateLoad;
+}
+
+interface Waiting {
+  readonly account: string;
+  readonly weight: number;
+  readonly tokens: number;
+  start(): void;
+}
+
+export interface GateOptions {
+  readonly logger: Logger;
+  readonly name: string;
+  /** Undefined until a configuration names this backend server. */
+  policy(): GatePolicy | undefined;
+  isDraining(): boolean;
+}
+
+const NOT_READY_RETRY_MILLISECONDS = 1000;
+const UNKNOWN_POLICY: LimitPolicy = {
+  coldConcurrency: 1,
+  maximumConcurrency: 1,
+  expectedStepMilliseconds: 50,
+};
+
+function refused(code: ResultCode, reason: string, retryAfterMilliseconds: number): Entrance {
+  return { kind: EntranceKind.Refused, refusal: { code, reason, retryAfterMilliseconds } };
+}
+
+export function createGate(options: GateOptions): Gate {
+  const queue = createFairQueue<Waiting>();
+  let running = 0;
+  let runningTokens = 0;
+  let limit: LimitState | undefined;
+
+  function limitState(): LimitState {
+    limit ??= initialLimit(options.policy() ?? UNKNOWN_POLICY);
+    return limit;
+  }
+
+  function startWaiting(): void {
+    while (running < limitState().limit) {
+      const next = queue.shift();
+      if (next === undefined) return;
+      next.start();
+    }
+  }
+
+  function admit(tokens: number): Entrance {
+    running += 1;
+    runningTokens += tokens;
+    let released = false;
+    return {
+      kind: EntranceKind.Admitted,
+      release() {
+        if (released) return;
+        released = true;
+        running -= 1;
+        runningTokens -= tokens;
+        startWaiting();
+      },
+    };
+  }
+
+  function wait(
+    request: GateRequest,
+    policy: GatePolicy,
+    expectedWaitMilliseconds: number,
+    signal: AbortSignal,
+  ): Promise<Entrance> {
+    return new Promise((resolve) => {
+      const waiting: Waiting = {
+        account: request.account,
+        weight: request.weight,
+        tokens: request.tokens,
+        start() {
+          clearTimeout(timer);
+          signal.removeEventListener('abort', giveUp);
+          resolve(admit(request.tokens));
+        },
+      };
+      const giveUp = (): void => {
+        clearTimeout(timer);
+        signal.removeEventListener('abort', giveUp);
+        if (!queue.remove(waiting)) return;
+        const retryAfter = Math.max(policy.retryAfterMilliseconds, expectedWaitMilliseconds);
+        resolve(refused(ResultCode.Overloaded, 'waited too long in the queue', retryAfter));
+      };
+      const longest = Math.min(policy.queueMilliseconds, request.remainingMilliseconds);
+      const timer = setTimeout(giveUp, longest);
+      signal.addEventListener('abort', giveUp);
+      queue.push(waiting);
+    });
+  }
+
+  return {
+    async enter(request, signal) {
+      if (options.isDraining()) return refused(ResultCode.Draining, 'draining', 0);
+      const policy = options.policy();
+      if (policy === undefined) {
+        return refused(ResultCode.NotReady, 'no configuration', NOT_READY_RETRY_MILLISECONDS);
+      }
+      const state = limitState();
+      const admission = planAdmission({
+        running,
+        limit: state.limit,
+        queued: queue.size,
+        queuedTokens: queue.tokens,
+        runningTokens,
+        stepMilliseconds: state.stepMilliseconds,
+        requestTokens: request.tokens,
+        remainingMilliseconds: request.remainingMilliseconds,
+        maximumQueued: policy.maximumQueuedRequests,
+        queueMilliseconds: policy.queueMilliseconds,
+        minimumRetryAfterMilliseconds: policy.retryAfterMilliseconds,
+      });
+      switch (admission.kind) {
+        case AdmissionKind.Start:
+          return admit(request.tokens);
+        case AdmissionKind.Queue:
+          return wait(request, policy, admission.expectedWaitMilliseconds, signal);
+        case AdmissionKind.Refuse:
+          return refused(ResultCode.Overloaded, admission.reason, admission.retryAfterMilliseconds);
+        default: {
+          const unreachable: never = admission;
+          return unreachable;
+        }
+      }
+    },
+    observe(evidence) {
+      const policy = options.policy();
+      if (policy === undefined) return;
+      const before = limitState();
+      limit = planLimit(before, evidence, policy);
+      if (limit.limit === before.limit) return;
+      options.logger.decision({
+        kind: 'admissionLimit',
+        subject: options.name,
+        choice: String(limit.limit),
+        reason: `${evidence.kind}, was ${before.limit}`,
+      });
+      startWaiting();
+    },
+    load() {
+      const state = limitState();
+      return {
+        running,
+        queued: queue.size,
+        limit: state.limit,
+        inFlightTokens: runningTokens + queue.tokens,
+        stepMilliseconds: state.stepMilliseconds,
+        warm: state.reportedWarm,
+      };
+    },
+  };
+}
+
+export { EvidenceKind };
--- /dev/null
+++ b/packages/sidecar/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * The sidecar role.
+ */
+export { createSidecar } from './sidecar.js';
+export type { Sidecar } from './sidecar.js';
--- /dev/null
+++ b/packages/sidecar/src/load-watcher.ts
@@ -0,0 +1,63 @@
+/**
+ * Reads the backend server's own load report, which lags, and tells the gate whether it is
+ * warm. A changed boot id means that the server restarted under a living sidecar: it is cold
+ * although no connection may have been open to notice.
+ */
+import { EvidenceKind } from '@lapisbridge/admission';
+import type { Evidence } from '@lapisbridge/admission';
+import { Agent, request } from 'undici';
+
+const PERIOD_MILLISECONDS = 250;
+const TIMEOUT_MILLISECONDS = 1000;
+
+/** `GET /load` of a backend server. */
+interface BackendLoad {
+  readonly warm?: boolean;
+  readonly bootId?: string;
+}
+
+export interface LoadWatcher {
+  start(): void;
+  stop(): void;
+}
+
+export function createLoadWatcher(url: string, observe: (evidence: Evidence) => void): LoadWatcher {
+  let agent = new Agent({ connections: 1 });
+  let timer: NodeJS.Timeout | undefined;
+  let stopped = false;
+  let bootId: string | undefined;
+
+  async function read(): Promise<void> {
+    try {
+      const reply = await request(`${url}/load`, {
+        dispatcher: agent,
+        signal: AbortSignal.timeout(TIMEOUT_MILLISECONDS),
+      });
+      const load = (await reply.body.json()) as BackendLoad;
+      if (bootId !== undefined && load.bootId !== bootId) observe({ kind: EvidenceKind.Lost });
+      bootId = load.bootId;
+      observe({ kind: EvidenceKind.Reported, warm: load.warm === true });
+    } catch {
+      // The connection may have gone silent while new ones work: the next read opens a fresh one.
+      void agent.destroy();
+      agent = new Agent({ connections: 1 });
+      observe({ kind: EvidenceKind.Lost });
+    }
+  }
+
+  function schedule(): void {
+    if (stopped) return;
+    timer = setTimeout(() => void read().then(schedule), PERIOD_MILLISECONDS);
+  }
+
+  return {
+    start() {
+      void read().then(schedule);
+    },
+    stop() {
+      stopped = true;
+      clearTimeout(timer);
+      void agent.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/packages/wire/src/frames.ts
@@ -0,0 +1,64 @@
+/**
+ * Frames: four bytes of length, then a CBOR body. The length is bounded, so that a wrong
+ * or hostile peer cannot make this process reserve memory without end.
+ */
+import { Encoder } from 'cbor-x';
+
+import type { Message } from './messages.js';
+
+const LENGTH_BYTES = 4;
+
+/** Largest body of one frame, in bytes: the largest document or request body plus its envelope. */
+export const MAXIMUM_FRAME_BYTES = 17 * 1024 * 1024;
+
+const codec = new Encoder({ useRecords: false, tagUint8Array: false });
+
+export function encodeFrame(message: Message): Buffer {
+  const body = codec.encode(message);
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, LENGTH_BYTES);
+  return frame;
+}
+
+export interface FrameReader {
+  /** Takes bytes as they arrive and returns the whole messages among them. Throws on a frame out of bounds. */
+  push(bytes: Buffer): readonly Message[];
+}
+
+export function createFrameReader(): FrameReader {
+  let pieces: Buffer[] = [];
+  let held = 0;
+  let needed = LENGTH_BYTES;
+
+  function takeWhole(buffer: Buffer, messages: Message[]): number {
+    let position = 0;
+    while (buffer.length - position >= LENGTH_BYTES) {
+      const length = buffer.readUInt32BE(position);
+      if (length > MAXIMUM_FRAME_BYTES) throw new RangeError(`frame of ${length} bytes`);
+      const end = position + LENGTH_BYTES + length;
+      if (end > buffer.length) {
+        needed = end - position;
+        return position;
+      }
+      messages.push(codec.decode(buffer.subarray(position + LENGTH_BYTES, end)) as Message);
+      position = end;
+    }
+    needed = LENGTH_BYTES;
+    return position;
+  }
+
+  return {
+    push(bytes) {
+      const messages: Message[] = [];
+      pieces.push(bytes);
+      held += bytes.length;
+      if (held < needed) return messages;
+      const buffer = pieces.length === 1 ? bytes : Buffer.concat(pieces, held);
+      const position = takeWhole(buffer, messages);
+      pieces = position === buffer.length ? [] : [buffer.subarray(position)];
+      held = buffer.length - position;
+      return messages;
+    },
+  };
+}
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,14 @@
+/**
+ * The system's own protocol: messages, frames and channels.
+ */
+export * from './messages.js';
+export { createFrameReader, encodeFrame, MAXIMUM_FRAME_BYTES } from './frames.js';
+export type { FrameReader } from './frames.js';
+export {
+  CloseReason,
+  HEARTBEAT_MILLISECONDS,
+  openChannel,
+  SILENCE_MILLISECONDS,
+} from './channel.js';
+export type { Channel, ChannelHandlers, ChannelOptions } from './channel.js';
+export { CONNECT_MILLISECONDS, dial } from './dial.js';
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,21 @@
+import { readdirSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+
+import { defineConfig } from 'vitest/config';
+
+const packages = fileURLToPath(new URL('packages/', import.meta.url));
+const alias = Object.fromEntries(
+  readdirSync(packages).map((name) => [`@lapisbridge/${name}`, `${packages}${name}/src/index.ts`]),
+);
+
+/** Unit tests run from the sources; whole-process tests start the built daemons. */
+export default defineConfig({
+  resolve: { alias },
+  test: {
+    include: ['packages/*/src/**/*.test.ts'],
+    testTimeout: 120_000,
+    hookTimeout: 120_000,
+    maxWorkers: 4,
+    reporters: ['default', './scripts/plain-summary-reporter.ts'],
+  },
+});
