Keep answers whole under deaths, and stop a dead engine from drawing work

A sidecar that told its load before its first configuration fixed its limit at 1 for good. Ruled out: the retry budget alone (it only reported what the limits refused). Now no limit is kept without a policy, and a kept one follows the policy's bounds. Cause 2: a sidecar whose engine is gone failed fast, looked idle and drew new work; it now refuses until the engine answers again, and entries leave it out. Cause 4: a mutant that regenerated from the start instead of going on from the delivered text passed all 7 tests, since the stand-in's text followed from the prompt alone. Each generation now names itself, so that a splice of two generations is seen. A lost claim is refused at once from memory while the table is down. Not proved yet: zones, configuration, cold start, maps as processes.

--- a/packages/entry/src/backend-pool.ts
+++ b/packages/entry/src/backend-pool.ts
@@ -265,7 +265,7 @@
 
   function mayTakeWork(connection: Connection): boolean {
     if (!connection.ready || connection.leaving || connection.load === undefined) return false;
-    if (connection.load.draining) return false;
+    if (connection.load.draining || !connection.load.backendReachable) return false;
     const { record } = connection;
     if (instance.state.isDrained(record.instanceId, record.availabilityZone)) return false;
     const member = instance.membership.member(record.instanceId);
@@ -361,8 +361,9 @@
     connections: () => connections.size,
     servers() {
       const servers: { record: InstanceRecord; load: LoadReport }[] = [];
-      for (const { record, load } of connections.values()) {
-        if (load !== undefined) servers.push({ record, load });
+      for (const { record, load, ready } of connections.values()) {
+        // The last report of a sidecar that is gone would be shown, and counted, as if it lived.
+        if (load !== undefined && ready) servers.push({ record, load });
       }
       return servers;
     },
--- a/packages/entry/src/call-outcome.ts
+++ b/packages/entry/src/call-outcome.ts
@@ -7,7 +7,7 @@
 import { claimKey, outcomeOf, proveNotRun } from '@lapisbridge/at-most-once';
 import type { Proof, StoredResult } from '@lapisbridge/at-most-once';
 import { sleep } from '@lapisbridge/kernel';
-import type { Platform } from '@lapisbridge/platform';
+import type { Platform, StoreWatcher } from '@lapisbridge/platform';
 import { RequestOutcome } from '@lapisbridge/types';
 
 import type { BackendPool } from './backend-pool.js';
@@ -38,7 +38,11 @@
 /** Time kept back so that the answer reaches the caller before its deadline. */
 const RETURN_MILLISECONDS = 30;
 
-export function createCallOutcomes(platform: Platform, pool: BackendPool): CallOutcomes {
+export function createCallOutcomes(
+  platform: Platform,
+  pool: BackendPool,
+  storeWatcher: StoreWatcher,
+): CallOutcomes {
   const { table, objects } = platform;
 
   async function readRow(key: CallKey): Promise<Proof> {
@@ -60,13 +64,16 @@
 
   return {
     async look(key) {
+      if (!storeWatcher.reachable) return fromMemory(key);
       try {
         return await readRow(key);
       } catch {
+        storeWatcher.note(false);
         return fromMemory(key);
       }
     },
     async prove(key, attempt) {
+      if (!storeWatcher.reachable) return { outcome: RequestOutcome.Unknown, known: false };
       const call = { ...key, attempt };
       return proveNotRun(table, key.environment, call, { createNonce: randomUUID });
     },
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,6 +5,7 @@
 import type { EntrySettings } from '@lapisbridge/config';
 import { createInstance } from '@lapisbridge/instance';
 import { sleep } from '@lapisbridge/kernel';
+import { createStoreWatcher } from '@lapisbridge/platform';
 import { createRetryBudget } from '@lapisbridge/routing';
 import type { RetryBudget } from '@lapisbridge/routing';
 import { MessageKind } from '@lapisbridge/wire';
@@ -60,6 +61,7 @@
     instance,
     subsetSize: () => state.configuration?.document.routing.subsetSize ?? DEFAULT_SUBSET,
   });
+  const storeWatcher = createStoreWatcher(platform.table, instance.random);
   const metrics = createMetrics();
   const inFlight = createInFlightLimits();
   let budgetRatio = DEFAULT_RETRY_RATIO;
@@ -80,7 +82,7 @@
       pool,
       accounts: createAccounts(self.environment, state, instance.store),
       budget: { earn: () => budget.earn(), spend: () => budget.spend() },
-      outcomes: createCallOutcomes(platform, pool),
+      outcomes: createCallOutcomes(platform, pool, storeWatcher),
       inFlight,
       metrics,
       isReady,
@@ -120,6 +122,7 @@
   );
 
   kernel.register('backendPool', pool);
+  kernel.register('storeWatcher', { stop: () => storeWatcher.stop() });
   kernel.register('callers', { start: () => callers.start() });
   kernel.register('operators', operators);
 
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -12,6 +12,8 @@
 export type { PutOperation, Table, TableRow, Transaction, TransactionResult } from './table.js';
 export { readBack, WriteOutcome, writeConditionally } from './conditional-write.js';
 export type { ConditionalWrite, WriteResult } from './conditional-write.js';
+export { createStoreWatcher } from './store-watcher.js';
+export type { StoreWatcher } from './store-watcher.js';
 export type { PlatformConnection, PlatformOptions } from './http-client.js';
 
 /** One row of the platform's instance list; it lags behind the truth. */
--- a/packages/sidecar/src/store-watcher.ts
+++ b/packages/platform/src/store-watcher.ts
@@ -1,9 +1,8 @@
 /**
- * Knows whether this sidecar reaches the table. While it does not, at-most-once calls are
- * refused at once instead of each waiting for a timeout, and entries prefer other sidecars.
+ * Knows whether this instance reaches the table. While it does not, calls that need the table
+ * are answered at once instead of each waiting for a timeout.
  */
-import type { Random } from '@lapisbridge/kernel';
-import type { Table } from '@lapisbridge/platform';
+import type { Table } from './table.js';
 
 const PROBE_MILLISECONDS = 700;
 const PROBE_KEY = 'probe';
@@ -14,7 +13,7 @@
   stop(): void;
 }
 
-export function createStoreWatcher(table: Table, random: Random): StoreWatcher {
+export function createStoreWatcher(table: Table, random: () => number): StoreWatcher {
   let reachable = true;
   let timer: NodeJS.Timeout | undefined;
   let stopped = false;
--- a/packages/routing/src/routing.test.ts
+++ b/packages/routing/src/routing.test.ts
@@ -15,6 +15,7 @@
   inFlightTokens: 0,
   stepMilliseconds: 20,
   warm: true,
+  backendReachable: true,
   storeReachable: true,
   draining: false,
 };
--- a/packages/sidecar/src/call-runner.ts
+++ b/packages/sidecar/src/call-runner.ts
@@ -39,6 +39,7 @@
   limits(): Limits;
   weightOf(account: string): number;
   running(): number;
+  noteUnreachable(): void;
   storeReachable(): boolean;
   noteStore(reachable: boolean): void;
 }
@@ -124,6 +125,7 @@
       // A caller's own short deadline says nothing about the service, so it is not evidence.
       gate.observe({ kind: EvidenceKind.Lost });
     }
+    if (outcome.kind === ServiceOutcomeKind.NotSent) options.noteUnreachable();
     return outcome;
   }
 
--- a/packages/sidecar/src/draft-runner.ts
+++ b/packages/sidecar/src/draft-runner.ts
@@ -25,6 +25,7 @@
   limits(): Limits;
   weightOf(account: string): number;
   running(): number;
+  noteUnreachable(): void;
 }
 
 /** Where the text of a run goes: one channel at a time, as far as its credit reaches. */
@@ -166,6 +167,7 @@
       run.buffer.fail();
       const ownDoing = run.abort.signal.aborted || outcome.kind === EngineOutcomeKind.Rejected;
       if (!ownDoing) gate.observe({ kind: EvidenceKind.Lost });
+      if (outcome.kind === EngineOutcomeKind.NotStarted) options.noteUnreachable();
       logger.warn('draft not completed', {
         requestId: run.start.requestId,
         attempt: run.start.attempt,
--- a/packages/sidecar/src/gate.ts
+++ b/packages/sidecar/src/gate.ts
@@ -71,6 +71,7 @@
   /** Undefined until a configuration names this backend server. */
   policy(): GatePolicy | undefined;
   isDraining(): boolean;
+  isBackendReachable(): boolean;
 }
 
 const NOT_READY_RETRY_MILLISECONDS = 1000;
@@ -90,8 +91,14 @@
   let runningTokens = 0;
   let limit: LimitState | undefined;
 
+  /** Kept within the bounds of the policy in force; not kept at all until there is one. */
   function limitState(): LimitState {
-    limit ??= initialLimit(options.policy() ?? UNKNOWN_POLICY);
+    const policy = options.policy();
+    if (policy === undefined) return initialLimit(UNKNOWN_POLICY);
+    limit ??= initialLimit(policy);
+    const { coldConcurrency, maximumConcurrency } = policy;
+    const bounded = Math.min(maximumConcurrency, Math.max(coldConcurrency, limit.limit));
+    if (bounded !== limit.limit) limit = { ...limit, limit: bounded };
     return limit;
   }
 
@@ -153,6 +160,10 @@
   return {
     async enter(request, signal) {
       if (options.isDraining()) return refused(ResultCode.Draining, 'draining', 0);
+      // A dead server fails requests fast and so looks idle: it would draw all new work to itself.
+      if (!options.isBackendReachable()) {
+        return refused(ResultCode.NoBackendServer, 'the backend server is not there', 0);
+      }
       const policy = options.policy();
       if (policy === undefined) {
         return refused(ResultCode.NotReady, 'no configuration', NOT_READY_RETRY_MILLISECONDS);
--- a/packages/sidecar/src/load-watcher.ts
+++ b/packages/sidecar/src/load-watcher.ts
@@ -17,6 +17,9 @@
 }
 
 export interface LoadWatcher {
+  /** False from a failed read, or a refused connection, until the next good read. */
+  readonly reachable: boolean;
+  noteUnreachable(): void;
   start(): void;
   stop(): void;
 }
@@ -26,6 +29,7 @@
   let timer: NodeJS.Timeout | undefined;
   let stopped = false;
   let bootId: string | undefined;
+  let reachable = false;
 
   async function read(): Promise<void> {
     try {
@@ -36,8 +40,10 @@
       const load = (await reply.body.json()) as BackendLoad;
       if (bootId !== undefined && load.bootId !== bootId) observe({ kind: EvidenceKind.Lost });
       bootId = load.bootId;
+      reachable = true;
       observe({ kind: EvidenceKind.Reported, warm: load.warm === true });
     } catch {
+      reachable = false;
       // The connection may have gone silent while new ones work: the next read opens a fresh one.
       void agent.destroy();
       agent = new Agent({ connections: 1 });
@@ -51,6 +57,12 @@
   }
 
   return {
+    get reachable() {
+      return reachable;
+    },
+    noteUnreachable() {
+      reachable = false;
+    },
     start() {
       void read().then(schedule);
     },
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -10,6 +10,7 @@
 import { createInstance } from '@lapisbridge/instance';
 import type { Instance } from '@lapisbridge/instance';
 import { sleep } from '@lapisbridge/kernel';
+import { createStoreWatcher } from '@lapisbridge/platform';
 import { BackendServerKind, Ran } from '@lapisbridge/types';
 import type { LoadReport } from '@lapisbridge/types';
 import { MessageKind } from '@lapisbridge/wire';
@@ -24,7 +25,6 @@
 import { gatePolicyOf, limitsOf, weightOf } from './policies.js';
 import { createServiceClient } from './service-client.js';
 import { readLives, registerLife } from './sidecar-lives.js';
-import { createStoreWatcher } from './store-watcher.js';
 
 export interface Sidecar {
   start(): Promise<void>;
@@ -74,6 +74,7 @@
     name: instanceId,
     policy: () => gatePolicyOf(documentInForce(), backendServer),
     isDraining,
+    isBackendReachable: () => loadWatcher.reachable,
   });
   const background = createBackgroundRetry(random);
   const storeWatcher = createStoreWatcher(platform.table, random);
@@ -84,6 +85,7 @@
 
   const common = {
     gate,
+    noteUnreachable: () => loadWatcher.noteUnreachable(),
     logger,
     limits,
     weightOf: (account: string) => weightOf(documentInForce(), account),
@@ -108,7 +110,12 @@
   });
 
   function load(): LoadReport {
-    return { ...gate.load(), storeReachable: storeWatcher.reachable, draining: isDraining() };
+    return {
+      ...gate.load(),
+      backendReachable: loadWatcher.reachable,
+      storeReachable: storeWatcher.reachable,
+      draining: isDraining(),
+    };
   }
 
   function unknownRequest(name: AttemptName, channel: Channel): void {
--- a/packages/stand-ins/src/engine.ts
+++ b/packages/stand-ins/src/engine.ts
@@ -6,7 +6,7 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { answerTokens, countTokens } from './generated-text.js';
+import { answerTokens, countTokens, generationOf } from './generated-text.js';
 import type { ChatMessage } from './generated-text.js';
 import { listen, readJson, reply } from './http-server.js';
 import { createPrefixCache } from './prefix-cache.js';
@@ -58,6 +58,7 @@
   const counts = { started: 0, cancelled: 0, tokens: 0, fallOvers: 0, highestWhileCold: 0 };
   let faults: EngineFaults = { slowFactor: 1, breakAfterTokens: 0, silentAfterTokens: 0 };
   let warmth = 0;
+  let generations = 0;
   let report = { bootId, warm: warmth >= options.warmUpTokens, running: 0 };
 
   const isWarm = (): boolean => warmth >= options.warmUpTokens;
@@ -65,13 +66,17 @@
   function parseStream(body: ChatRequest, response: ServerResponse): Stream {
     const continued = body.continue_final_message === true;
     const prompt = continued ? body.messages.slice(0, -1) : body.messages;
-    const delivered = continued ? countTokens(body.messages.at(-1)?.content ?? '') : 0;
+    const deliveredText = continued ? (body.messages.at(-1)?.content ?? '') : '';
+    const delivered = countTokens(deliveredText);
+    generations += 1;
+    const fresh = `${options.port}-${generations}`;
+    const generation = delivered > 0 ? generationOf(deliveredText) : fresh;
     const maximum = body.max_tokens === undefined ? undefined : body.max_tokens + delivered;
     const text = body.messages.map(({ content }) => content).join('');
     const prefill = cache.use(text) * options.prefillMillisecondsPerBlock;
     return {
       response,
-      tokens: answerTokens(prompt, maximum),
+      tokens: answerTokens(prompt, generation, maximum),
       readyAt: performance.now() + prefill,
       next: delivered,
     };
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -89,6 +89,8 @@
   readonly inFlightTokens: number;
   readonly stepMilliseconds: number;
   readonly warm: boolean;
+  /** False while the sidecar cannot connect to its backend server. */
+  readonly backendReachable: boolean;
   readonly storeReachable: boolean;
   readonly draining: boolean;
 }
