--- a/packages/bench/src/proofs/at-most-once.proof.test.ts
+++ b/packages/bench/src/proofs/at-most-once.proof.test.ts
@@ -4,6 +4,8 @@
  */
 import { randomUUID } from 'node:crypto';
 
+import { ClaimState } from '@lapisbridge/at-most-once';
+import type { ClaimRecord } from '@lapisbridge/at-most-once';
 import { ResultCode } from '@lapisbridge/errors';
 import { checkAll } from '@lapisbridge/history';
 import { OutageKind } from '@lapisbridge/stand-ins';
@@ -18,6 +20,10 @@
 import { createRecorder } from './recorder.js';
 import type { Recorder } from './recorder.js';
 
+interface ClaimRow {
+  readonly value: ClaimRecord;
+}
+
 const SERVICE = 'inspection';
 const SIDECARS = ['brno-a', 'brno-b', 'brno-c'].map((zone) => `${zone}-${SERVICE}-1`);
 
@@ -113,10 +119,12 @@
     const bookings = Array.from({ length: 9 }, (_, index) =>
       recorder.book([index, index + 1], 4000),
     );
-    await awaitEvent('calls at the victim', async () => {
-      const { instances } = await statusOf(site, 1);
-      const load = instances.find(({ instanceId }) => instanceId === victim)?.load;
-      return load !== undefined && load.running > 0 ? true : undefined;
+    await awaitEvent('a claim of the victim', async () => {
+      const rows = await getJson<ClaimRow[]>(`${site.platformUrl}/table/rows?prefix=claims/`);
+      const claimed = rows.find(
+        ({ value }) => value.state === ClaimState.Claimed && value.instanceId === victim,
+      );
+      return claimed;
     });
     await site.process(victim).kill();
     const booked = await Promise.all(bookings);
