Plan expert maps and roll them out with one map in every step

Chosen: prepare everywhere, commit map and lease row in one transaction, then pause, switch and resume, each acknowledged by every rank. 'Hold at step S' was weighed and not built: it needs an engine that can hold, and the stand-ins' kind cannot. Not proved: a rank's sidecar cut off by the network at each point; the stall of 'hold'.

--- a/packages/bench/src/site/site.ts
+++ b/packages/bench/src/site/site.ts
@@ -25,6 +25,9 @@
 
 export const OPERATOR_TOKEN = 'example-operator-token';
 const HOST = '127.0.0.1';
+export const RANK_GROUP = 'group-1';
+/** The group's ranks serve no drafts in the stand-in: no document names this model. */
+const RANK_GROUP_MODEL = 'expert-group';
 const READY_MILLISECONDS = 30_000;
 const POLL_MILLISECONDS = 50;
 const DAEMON = fileURLToPath(new URL('../../../daemon/dist/bin.js', import.meta.url));
@@ -37,6 +40,8 @@
   readonly runnersPerZone?: number;
   readonly servicesPerZone?: number;
   readonly entriesPerZone?: number;
+  /** Ranks of a group in the first zone; none when left out. */
+  readonly ranks?: number;
   /** Uses a running platform instead of starting one. */
   readonly platformUrl?: string;
   readonly engine?: Partial<EngineOptions>;
@@ -66,6 +71,8 @@
   readonly effectsUrl: string;
   readonly entries: readonly EntryAddress[];
   readonly engines: readonly BackendAddress[];
+  /** Control address of the rank group stand-in; empty without one. */
+  readonly groupUrl: string;
   readonly processes: readonly ManagedProcess[];
   readonly folder: string;
   process(id: string): ManagedProcess;
@@ -236,6 +243,38 @@
     return `http://${HOST}:${effectsPort}`;
   }
 
+  async function addRankGroup(ranks: number): Promise<string> {
+    const zone = document.availabilityZones[0]?.name ?? '';
+    const rankPorts: number[] = [];
+    for (let rank = 0; rank < ranks; rank += 1) {
+      const port = await ports.next();
+      rankPorts.push(port);
+      launchDaemon({
+        role: Role.Sidecar,
+        ...common,
+        instanceId: `${zone}-rank-${rank}`,
+        availabilityZone: zone,
+        listen: { host: HOST, peerPort: await ports.next() },
+        backendServer: {
+          kind: BackendServerKind.ModelRunner,
+          models: [RANK_GROUP_MODEL],
+          url: `http://${HOST}:${port}`,
+          rankPlace: { group: RANK_GROUP, rank, size: ranks },
+        },
+      });
+    }
+    const controlPort = await ports.next();
+    launchStandIn(`${RANK_GROUP}-ranks`, zone, StandInKind.RankGroup, {
+      host: HOST,
+      ports: rankPorts,
+      controlPort,
+      experts: document.placement.experts,
+      stepMilliseconds: 5,
+      loadMillisecondsPerExpert: 2,
+    });
+    return `http://${HOST}:${controlPort}`;
+  }
+
   async function until(what: string, check: () => Promise<boolean>): Promise<void> {
     const end = performance.now() + READY_MILLISECONDS;
     while (performance.now() < end) {
@@ -279,6 +318,7 @@
     for (let index = 1; index <= runnersPerZone; index += 1) await addRunner(zone, index);
   }
   const effectsUrl = await addServices();
+  const groupUrl = options.ranks === undefined ? '' : await addRankGroup(options.ranks);
   await register();
 
   const [first] = entries;
@@ -315,6 +355,7 @@
     effectsUrl,
     entries,
     engines,
+    groupUrl,
     processes,
     folder,
     process: find,
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,1 +1,21 @@
-export {};
+/**
+ * Expert maps: planning them, and bringing all ranks of a group onto one of them.
+ */
+export { countMoves, countReplicas, initialMap, rankTimes, skewOf } from './expert-map.js';
+export type { ExpertLoad, ExpertMap } from './expert-map.js';
+export { createLease, leaseKey } from './lease.js';
+export type { HeldLease, Lease, LeaseOptions, LeaseRecord } from './lease.js';
+export { planFullMap } from './plan-full-map.js';
+export { MapDecisionKind, planMap } from './plan-map.js';
+export type { MapDecision, MapPolicy } from './plan-map.js';
+export { INITIAL_RANK, planRankOrder, RankStep } from './plan-rank-order.js';
+export type { RankDecision, RankOrderInput, RankState } from './plan-rank-order.js';
+export { createRollout, mapKey, RolloutOutcome } from './rollout.js';
+export type {
+  MapRecord,
+  RankAnswer,
+  RankOrderMessage,
+  Rollout,
+  RolloutOptions,
+} from './rollout.js';
+export { smoothTokens } from './smooth-load.js';
--- /dev/null
+++ b/packages/placement/src/plan-full-map.ts
@@ -0,0 +1,49 @@
+/**
+ * Plans a map from nothing, as a baseline: hot experts are replicated into the spare slots,
+ * then all replicas are packed, largest first, onto the rank that finishes earliest.
+ */
+import type { ExpertLoad, ExpertMap } from './expert-map.js';
+
+function replicateHot(tokens: readonly number[], slots: number): number[] {
+  const replicas = tokens.map(() => 1);
+  for (let spare = slots - tokens.length; spare > 0; spare -= 1) {
+    let hottest = 0;
+    let highest = -1;
+    for (const [expert, count] of tokens.entries()) {
+      const share = count / (replicas[expert] ?? 1);
+      if (share > highest) {
+        highest = share;
+        hottest = expert;
+      }
+    }
+    replicas[hottest] = (replicas[hottest] ?? 1) + 1;
+  }
+  return replicas;
+}
+
+export function planFullMap(load: ExpertLoad, slotsPerRank: number): ExpertMap {
+  const ranks = load.speeds.length;
+  const replicas = replicateHot(load.tokens, ranks * slotsPerRank);
+  const pieces: { expert: number; share: number }[] = [];
+  for (const [expert, count] of replicas.entries()) {
+    const share = (load.tokens[expert] ?? 0) / count;
+    for (let replica = 0; replica < count; replica += 1) pieces.push({ expert, share });
+  }
+  pieces.sort((left, right) => right.share - left.share);
+  const held = load.speeds.map(() => new Set<number>());
+  const times = load.speeds.map(() => 0);
+  for (const { expert, share } of pieces) {
+    let best = -1;
+    for (let rank = 0; rank < ranks; rank += 1) {
+      const experts = held[rank];
+      if (experts.size >= slotsPerRank || experts.has(expert)) continue;
+      const time = (times[rank] ?? 0) + share / (load.speeds[rank] ?? 1);
+      if (best < 0 || time < (times[best] ?? 0) + share / (load.speeds[best] ?? 1)) best = rank;
+    }
+    // Every rank that has room holds the expert already: its tokens go to those.
+    if (best < 0) continue;
+    held[best]?.add(expert);
+    times[best] = (times[best] ?? 0) + share / (load.speeds[best] ?? 1);
+  }
+  return { experts: held.map((experts) => [...experts].sort((left, right) => left - right)) };
+}
--- /dev/null
+++ b/packages/placement/src/plan-map.test.ts
@@ -0,0 +1,94 @@
+/**
+ * Planning of expert maps.
+ */
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import {
+  countMoves,
+  countReplicas,
+  initialMap,
+  MapDecisionKind,
+  planFullMap,
+  planMap,
+  rankTimes,
+  skewOf,
+  smoothTokens,
+} from './index.js';
+import type { ExpertLoad, MapPolicy } from './index.js';
+
+const POLICY: MapPolicy = {
+  slotsPerRank: 5,
+  maximumMoves: 4,
+  horizonSteps: 2000,
+  minimumGain: 0.03,
+  moveCostSteps: 4,
+};
+
+const loads = fc.record<ExpertLoad>({
+  tokens: fc.array(fc.integer({ min: 0, max: 1000 }), { minLength: 32, maxLength: 32 }),
+  speeds: fc.array(fc.constantFrom(1, 1, 1, 0.5), { minLength: 8, maxLength: 8 }),
+});
+
+describe('a planned map', () => {
+  it('holds every expert, within the slots, in few moves, and is never slower', () => {
+    // An expert that no rank holds would leave its tokens without a place in every step.
+    fc.assert(
+      fc.property(fc.array(loads, { minLength: 1, maxLength: 6 }), (windows) => {
+        let map = initialMap(32, 8);
+        for (const load of windows) {
+          const decision = planMap(map, load, POLICY);
+          const moves = countMoves(map, decision.map);
+          expect(moves).toBeLessThanOrEqual(POLICY.maximumMoves);
+          expect(Math.min(...countReplicas(decision.map, 32))).toBeGreaterThanOrEqual(1);
+          for (const held of decision.map.experts) {
+            expect(held.length).toBeLessThanOrEqual(POLICY.slotsPerRank);
+          }
+          const before = Math.max(...rankTimes(map, load));
+          expect(Math.max(...rankTimes(decision.map, load))).toBeLessThanOrEqual(before + 1e-6);
+          map = decision.map;
+        }
+      }),
+    );
+  });
+
+  it('relieves a straggler rank and a hot expert', () => {
+    const tokens = Array.from({ length: 32 }, (_, expert) => (expert === 0 ? 2000 : 100));
+    const speeds = [1, 1, 1, 0.4, 1, 1, 1, 1];
+    let map = initialMap(32, 8);
+    const before = skewOf(rankTimes(map, { tokens, speeds }));
+    for (let window = 0; window < 6; window += 1)
+      map = planMap(map, { tokens, speeds }, POLICY).map;
+    expect(skewOf(rankTimes(map, { tokens, speeds }))).toBeLessThan(before / 2);
+  });
+
+  it('is left alone while the load alternates', () => {
+    // Popularity swings back and forth each window. A planner that follows each swing would move
+    // experts for ever, and the group would stall for a gain that is gone before it comes.
+    const even = Array.from({ length: 32 }, (_, expert) => (expert % 2 === 0 ? 130 : 100));
+    const odd = Array.from({ length: 32 }, (_, expert) => (expert % 2 === 0 ? 100 : 130));
+    const speeds = new Array<number>(8).fill(1);
+    let tokens: number[] | undefined;
+    let map = initialMap(32, 8);
+    let changes = 0;
+    for (let window = 0; window < 40; window += 1) {
+      tokens = smoothTokens(tokens, window % 2 === 0 ? even : odd, 0.3);
+      const decision = planMap(map, { tokens, speeds }, POLICY);
+      if (decision.kind === MapDecisionKind.Change) changes += 1;
+      map = decision.map;
+    }
+    expect(changes).toBeLessThanOrEqual(2);
+  });
+});
+
+describe('a full plan', () => {
+  it('holds every expert within the slots', () => {
+    fc.assert(
+      fc.property(loads, (load) => {
+        const map = planFullMap(load, 5);
+        expect(Math.min(...countReplicas(map, 32))).toBeGreaterThanOrEqual(1);
+        for (const held of map.experts) expect(held.length).toBeLessThanOrEqual(5);
+      }),
+    );
+  });
+});
--- /dev/null
+++ b/packages/placement/src/plan-rank-order.ts
@@ -0,0 +1,130 @@
+/**
+ * What one rank's sidecar does with an order of its group's leader. Two rules keep all ranks
+ * on one map in every step: a rank changes its map only while it is paused, and it goes on
+ * only when told to by the leader that knows that every rank has changed.
+ */
+import { ResultCode } from '@lapisbridge/errors';
+
+export enum RankStep {
+  Query = 'query',
+  Prepare = 'prepare',
+  Pause = 'pause',
+  Switch = 'switch',
+  Resume = 'resume',
+  /** Ends a rollout that was not committed: the old map goes on. */
+  Abort = 'abort',
+}
+
+export interface RankState {
+  /** Highest fencing number seen: orders of an earlier leader are refused. */
+  readonly fencingNumber: number;
+  /** Highest rollout that was resumed or aborted here: its late orders are refused. */
+  readonly closedRollout: number;
+  /** Latest rollout seen: orders of an earlier one are refused. */
+  readonly currentRollout: number;
+  readonly activeVersion: number;
+  readonly preparedVersion: number;
+  /** Rollout for which the rank is paused, 0 when it runs. */
+  readonly pausedFor: number;
+}
+
+export interface RankOrderInput {
+  readonly step: RankStep;
+  readonly fencingNumber: number;
+  readonly rollout: number;
+  readonly mapVersion: number;
+}
+
+export interface RankDecision {
+  readonly code: ResultCode;
+  readonly state: RankState;
+  /** What the engine has to do before the new state holds; undefined for nothing. */
+  readonly effect: Exclude<RankStep, RankStep.Query | RankStep.Abort> | undefined;
+}
+
+export const INITIAL_RANK: RankState = {
+  fencingNumber: 0,
+  closedRollout: 0,
+  currentRollout: 0,
+  activeVersion: 0,
+  preparedVersion: 0,
+  pausedFor: 0,
+};
+
+function refuse(state: RankState, code: ResultCode): RankDecision {
+  return { code, state, effect: undefined };
+}
+
+function isStale(state: RankState, order: RankOrderInput): boolean {
+  return (
+    order.fencingNumber < state.fencingNumber ||
+    order.rollout <= state.closedRollout ||
+    order.rollout < state.currentRollout
+  );
+}
+
+export function planRankOrder(state: RankState, order: RankOrderInput): RankDecision {
+  if (order.step === RankStep.Query) {
+    if (order.fencingNumber < state.fencingNumber) {
+      return refuse(state, ResultCode.StaleFencingNumber);
+    }
+    const fenced = { ...state, fencingNumber: order.fencingNumber };
+    return { code: ResultCode.Accepted, state: fenced, effect: undefined };
+  }
+  // A leader that was frozen past its lease, or a datagram late by minutes, would otherwise
+  // pause, switch or resume a single rank, and the group would step on two maps.
+  if (isStale(state, order)) return refuse(state, ResultCode.StaleFencingNumber);
+  const seen = {
+    ...state,
+    fencingNumber: order.fencingNumber,
+    currentRollout: order.rollout,
+  };
+  switch (order.step) {
+    case RankStep.Prepare:
+      return {
+        code: ResultCode.Accepted,
+        state: { ...seen, preparedVersion: order.mapVersion },
+        effect: RankStep.Prepare,
+      };
+    case RankStep.Pause:
+      return {
+        code: ResultCode.Accepted,
+        state: { ...seen, pausedFor: order.rollout },
+        effect: RankStep.Pause,
+      };
+    case RankStep.Switch: {
+      if (seen.pausedFor !== order.rollout) return refuse(seen, ResultCode.PrepareFailed);
+      if (seen.activeVersion === order.mapVersion) {
+        return { code: ResultCode.Accepted, state: seen, effect: undefined };
+      }
+      if (seen.preparedVersion !== order.mapVersion) {
+        return refuse(seen, ResultCode.PrepareFailed);
+      }
+      const switched = { ...seen, activeVersion: order.mapVersion };
+      return { code: ResultCode.Accepted, state: switched, effect: RankStep.Switch };
+    }
+    case RankStep.Resume: {
+      const ready = seen.pausedFor === order.rollout && seen.activeVersion === order.mapVersion;
+      if (!ready) return refuse(seen, ResultCode.PrepareFailed);
+      const resumed = { ...seen, pausedFor: 0, closedRollout: order.rollout };
+      return { code: ResultCode.Accepted, state: resumed, effect: RankStep.Resume };
+    }
+    case RankStep.Abort: {
+      const paused = seen.pausedFor === order.rollout;
+      const aborted = {
+        ...seen,
+        pausedFor: paused ? 0 : seen.pausedFor,
+        closedRollout: order.rollout,
+      };
+      return {
+        code: ResultCode.Accepted,
+        state: aborted,
+        effect: paused ? RankStep.Resume : undefined,
+      };
+    }
+    default: {
+      const unreachable: never = order.step;
+      throw new Error(String(unreachable));
+    }
+  }
+}
--- a/packages/sidecar/src/policies.ts
+++ b/packages/sidecar/src/policies.ts
@@ -2,18 +2,28 @@
  * Reads from the document in force what this sidecar's backend server may carry.
  */
 import { documentSchema } from '@lapisbridge/config';
-import type { BackendServerSettings, EnvironmentDocument, Limits } from '@lapisbridge/config';
+import type {
+  BackendServerSettings,
+  EnvironmentDocument,
+  Limits,
+  PlacementPolicy,
+} from '@lapisbridge/config';
 import { BackendServerKind } from '@lapisbridge/types';
 
 import type { GatePolicy } from './gate.js';
 
 /** Limits that hold until a first document is known. */
 const DEFAULT_LIMITS: Limits = documentSchema.shape.limits.parse({});
+const DEFAULT_PLACEMENT: PlacementPolicy = documentSchema.shape.placement.parse({});
 
 export function limitsOf(document: EnvironmentDocument | undefined): Limits {
   return document?.limits ?? DEFAULT_LIMITS;
 }
 
+export function placementOf(document: EnvironmentDocument | undefined): PlacementPolicy {
+  return document?.placement ?? DEFAULT_PLACEMENT;
+}
+
 export function weightOf(document: EnvironmentDocument | undefined, account: string): number {
   return document?.accounts.find(({ name }) => name === account)?.weight ?? 1;
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -11,6 +11,8 @@
 import type { Instance } from '@lapisbridge/instance';
 import { sleep } from '@lapisbridge/kernel';
 import { createStoreWatcher } from '@lapisbridge/platform';
+import { leaseKey } from '@lapisbridge/placement';
+import type { LeaseRecord } from '@lapisbridge/placement';
 import { BackendServerKind, Ran } from '@lapisbridge/types';
 import type { LoadReport } from '@lapisbridge/types';
 import { MessageKind } from '@lapisbridge/wire';
@@ -21,8 +23,12 @@
 import { createDraftRunner } from './draft-runner.js';
 import { createEngineClient } from './engine-client.js';
 import { createGate } from './gate.js';
+import { createGroupLeader } from './group-leader.js';
 import { createLoadWatcher } from './load-watcher.js';
-import { gatePolicyOf, limitsOf, weightOf } from './policies.js';
+import { gatePolicyOf, limitsOf, placementOf, weightOf } from './policies.js';
+import { createRankAgent } from './rank-agent.js';
+import type { RankAgent } from './rank-agent.js';
+import { createRankEngine } from './rank-engine.js';
 import { createServiceClient } from './service-client.js';
 import { readLives, registerLife } from './sidecar-lives.js';
 
@@ -171,11 +177,41 @@
       case MessageKind.KeyQuery:
         answerKeyQuery(message, channel);
         break;
+      case MessageKind.RankOrder:
+        void rankAgent?.obey(message).then((reply) => channel.send(reply));
+        break;
       default:
         logger.warn('unexpected message', { kind: message.kind });
     }
   }
 
+  /** The parts of a sidecar whose backend server is one rank of a group. */
+  function createRankParts(): RankAgent | undefined {
+    if (backendServer.kind !== BackendServerKind.ModelRunner) return undefined;
+    const place = backendServer.rankPlace;
+    if (place === undefined) return undefined;
+    const rankEngine = createRankEngine(backendServer.url);
+    const agent = createRankAgent({
+      engine: rankEngine,
+      logger,
+      async seenFencingNumber() {
+        const key = leaseKey(settings.environment, place.group);
+        const row = await platform.table.read(key).catch(() => undefined);
+        if (row === undefined) return undefined;
+        return (row?.value as LeaseRecord | undefined)?.fencingNumber ?? 0;
+      },
+    });
+    const leader = createGroupLeader({
+      instance,
+      place,
+      agent,
+      policy: () => placementOf(documentInForce()),
+    });
+    kernel.register('rankEngine', { stop: () => rankEngine.close() });
+    kernel.register('groupLeader', leader);
+    return agent;
+  }
+
   async function register(): Promise<void> {
     if (backendServer.kind !== BackendServerKind.PlainService) return;
     const { environment } = settings;
@@ -206,6 +242,7 @@
     await sleep(LINGER_MILLISECONDS);
   }
 
+  const rankAgent = createRankParts();
   kernel.register('loadWatcher', loadWatcher);
   kernel.register('backend', {
     stop() {
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -9,4 +9,5 @@
 export type { PlatformFaults, PlatformOptions } from './platform.js';
 export { createTableState } from './platform-state.js';
 export type { TableState, TransactionReply, TransactionRequest } from './platform-state.js';
+export type { RankGroupOptions } from './rank-group.js';
 export { StandInKind } from './stand-in-kind.js';
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -7,6 +7,8 @@
 import type { PlainServiceOptions } from './plain-service.js';
 import { startPlatform } from './platform.js';
 import type { PlatformOptions } from './platform.js';
+import { startRankGroup } from './rank-group.js';
+import type { RankGroupOptions } from './rank-group.js';
 import { StandInKind } from './stand-in-kind.js';
 
 async function start(kind: StandInKind, options: unknown): Promise<void> {
@@ -17,6 +19,8 @@
       return startEngine(options as EngineOptions);
     case StandInKind.PlainService:
       return startPlainService(options as PlainServiceOptions);
+    case StandInKind.RankGroup:
+      return startRankGroup(options as RankGroupOptions);
     default: {
       const unreachable: never = kind;
       throw new Error(`unknown stand-in ${String(unreachable)}`);
--- a/packages/stand-ins/src/stand-in-kind.ts
+++ b/packages/stand-ins/src/stand-in-kind.ts
@@ -5,4 +5,5 @@
   Platform = 'platform',
   Engine = 'engine',
   PlainService = 'plainService',
+  RankGroup = 'rankGroup',
 }
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -199,6 +199,7 @@
   readonly group: string;
   readonly step: string;
   readonly fencingNumber: number;
+  readonly rollout: number;
   readonly mapVersion: number;
   readonly map: string;
 }
@@ -207,8 +208,9 @@
   readonly kind: MessageKind.RankReply;
   readonly orderId: number;
   readonly code: ResultCode;
-  readonly mapVersion: number;
-  readonly fencingNumber: number;
+  readonly activeVersion: number;
+  readonly paused: boolean;
+  /** Token counts and speed of the rank as JSON text; only in answer to a query. */
   readonly statistics: string;
 }
 
