Add the experiment tool, and a planner that neither stalls nor thrashes

Now an eviction counts the slowest other holder, and ties go to the least loaded rank. Ruled out: smoothing alone (0.3 left an oscillation of 18%). Now each change that the next window shows to be worse doubles what the next one must gain, and smoothing can be light (0.6). Also: choice rules as a setting, so that baselines run on the same code; a launch that fails kills its children.

--- /dev/null
+++ b/packages/bench/src/experiments/index.ts
@@ -0,0 +1,17 @@
+/**
+ * The experiments by name.
+ */
+import type { Experiment } from '../report/experiment.js';
+import { fairnessExperiment } from './fairness.js';
+import { overheadExperiment } from './overhead.js';
+import { placementExperiment } from './placement.js';
+import { slopesExperiment } from './slopes.js';
+import { zoneExperiment } from './zone.js';
+
+export const EXPERIMENTS: readonly Experiment[] = [
+  placementExperiment,
+  zoneExperiment,
+  fairnessExperiment,
+  overheadExperiment,
+  slopesExperiment,
+];
--- a/packages/bench/src/proofs/draft-load.ts
+++ b/packages/bench/src/load/draft-load.ts
@@ -16,6 +16,9 @@
   /** Entries to send through; callers of a real site are spread by the platform's balancer. */
   entries(): readonly number[];
   readonly maximumTokens: number;
+  readonly timeoutMilliseconds?: number;
+  /** Accounts in turn; the first of the document when left out. */
+  readonly accounts?: readonly string[];
 }
 
 const REFUSED_PAUSE_MILLISECONDS = 100;
@@ -30,7 +33,15 @@
       const entries = options.entries();
       next += 1;
       const entry = entries[next % entries.length] ?? 0;
-      const draft = await recorder.draft({ entry, maximumTokens: options.maximumTokens });
+      const account = options.accounts?.[next % options.accounts.length];
+      const draft = await recorder.draft({
+        entry,
+        maximumTokens: options.maximumTokens,
+        ...(account === undefined ? {} : { account }),
+        ...(options.timeoutMilliseconds === undefined
+          ? {}
+          : { timeoutMilliseconds: options.timeoutMilliseconds }),
+      });
       done.push(draft);
       if (!draft.complete) await sleep(REFUSED_PAUSE_MILLISECONDS);
     }
--- a/packages/bench/src/proofs/recorder.ts
+++ b/packages/bench/src/load/recorder.ts
@@ -26,6 +26,7 @@
   readonly code: number | undefined;
   readonly retryAfterSeconds: number | undefined;
   readonly firstTextMilliseconds: number | undefined;
+  readonly startedAt: number;
   readonly milliseconds: number;
   readonly resumed: number;
 }
@@ -128,6 +129,7 @@
       code,
       retryAfterSeconds: reply.retryAfterSeconds,
       firstTextMilliseconds,
+      startedAt,
       milliseconds: performance.now() - startedAt,
       resumed,
     };
--- a/packages/bench/src/proofs/at-most-once.proof.test.ts
+++ b/packages/bench/src/proofs/at-most-once.proof.test.ts
@@ -11,14 +11,14 @@
 import { OutageKind } from '@lapisbridge/stand-ins';
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 
-import { launchSite } from '../site/site.js';
+import { accountKey, launchSite } from '../site/site.js';
 import type { Site } from '../site/site.js';
 import type { CallReply } from '../site/caller.js';
 import { getJson } from '../site/http-json.js';
-import { awaitEvent } from './await-event.js';
-import { platformFaults, serviceFaults, statusOf } from './operator.js';
-import { createRecorder } from './recorder.js';
-import type { Recorder } from './recorder.js';
+import { awaitEvent } from '../load/await-event.js';
+import { platformFaults, serviceFaults, statusOf } from '../load/operator.js';
+import { createRecorder } from '../load/recorder.js';
+import type { Recorder } from '../load/recorder.js';
 
 interface ClaimRow {
   readonly value: ClaimRecord;
@@ -32,6 +32,9 @@
 
 beforeAll(async () => {
   site = await launchSite({ example: 'brno', runnersPerZone: 0 });
+  recorder = createRecorder(site);
+  await awaitRecovery();
+  recorder.close();
 });
 afterAll(() => site.stop());
 beforeEach(() => {
@@ -47,13 +50,33 @@
   for (const one of site.processes) {
     if (!one.exited) one.thaw();
   }
-  // A sidecar asks the table now and then during an outage, and refuses until it has an answer.
-  await awaitEvent('bookings again', async () =>
-    (await recorder.bookOnce(0, randomUUID())).status === 200 ? true : undefined,
-  );
+  await awaitRecovery();
   recorder.close();
 });
 
+/**
+ * After an outage each instance asks the table now and then, and until it has an answer it
+ * says `unknown` or refuses. A test begins only once every entry and sidecar is back.
+ */
+async function awaitRecovery(): Promise<void> {
+  for (const entry of site.entries.keys()) {
+    await awaitEvent(`bookings by ${SIDECARS[entry]}`, () => isBookedByOwnZone(entry));
+    await awaitEvent('the outcome of an unknown key', () => isNotRunProved(entry));
+  }
+}
+
+async function isBookedByOwnZone(entry: number): Promise<true | undefined> {
+  const { status, instance } = await recorder.bookOnce(entry, randomUUID());
+  return status === 200 && instance === SIDECARS[entry] ? true : undefined;
+}
+
+async function isNotRunProved(entry: number): Promise<true | undefined> {
+  const url = `${site.entries[entry]?.url}/v1/requests/${randomUUID()}`;
+  const account = site.document.accounts[0]?.name ?? '';
+  const { outcome } = await getJson<{ outcome: string }>(url, accountKey(account));
+  return outcome === 'not-run' ? true : undefined;
+}
+
 async function expectPromisesKept(): Promise<void> {
   await recorder.recordEffects();
   expect(checkAll(recorder.history.events)).toEqual([]);
--- a/packages/bench/src/proofs/configuration.proof.test.ts
+++ b/packages/bench/src/proofs/configuration.proof.test.ts
@@ -10,10 +10,10 @@
 import { getJson, postJson } from '../site/http-json.js';
 import { launchSite, OPERATOR_TOKEN } from '../site/site.js';
 import type { Site } from '../site/site.js';
-import { awaitEvent } from './await-event.js';
-import { platformFaults, statusOf } from './operator.js';
-import { createRecorder } from './recorder.js';
-import type { Recorder } from './recorder.js';
+import { awaitEvent } from '../load/await-event.js';
+import { platformFaults, statusOf } from '../load/operator.js';
+import { createRecorder } from '../load/recorder.js';
+import type { Recorder } from '../load/recorder.js';
 
 let site: Site;
 let recorder: Recorder;
--- a/packages/bench/src/proofs/expert-map.proof.test.ts
+++ b/packages/bench/src/proofs/expert-map.proof.test.ts
@@ -9,8 +9,8 @@
 import { getJson } from '../site/http-json.js';
 import { launchSite, RANK_GROUP } from '../site/site.js';
 import type { Site } from '../site/site.js';
-import { awaitEvent } from './await-event.js';
-import { platformFaults } from './operator.js';
+import { awaitEvent } from '../load/await-event.js';
+import { platformFaults } from '../load/operator.js';
 
 const RANKS = 4;
 const LEASE_KEY = encodeURIComponent(`groups/brno/${RANK_GROUP}/lease`);
--- a/packages/bench/src/proofs/leaving.proof.test.ts
+++ b/packages/bench/src/proofs/leaving.proof.test.ts
@@ -10,12 +10,12 @@
 import { getJson } from '../site/http-json.js';
 import { launchSite } from '../site/site.js';
 import type { Site } from '../site/site.js';
-import { awaitEvent } from './await-event.js';
-import { startDraftLoad } from './draft-load.js';
-import type { DraftLoad } from './draft-load.js';
-import { awaitDraining, engineCounts, orderZone, platformFaults } from './operator.js';
-import { createRecorder } from './recorder.js';
-import type { Recorder } from './recorder.js';
+import { awaitEvent } from '../load/await-event.js';
+import { startDraftLoad } from '../load/draft-load.js';
+import type { DraftLoad } from '../load/draft-load.js';
+import { awaitDraining, engineCounts, orderZone, platformFaults } from '../load/operator.js';
+import { createRecorder } from '../load/recorder.js';
+import type { Recorder } from '../load/recorder.js';
 
 const MODEL = 'inspection-draft';
 const ZONE = 'brno-a';
--- a/packages/bench/src/proofs/whole-answers.proof.test.ts
+++ b/packages/bench/src/proofs/whole-answers.proof.test.ts
@@ -8,10 +8,10 @@
 import { getJson } from '../site/http-json.js';
 import { launchSite } from '../site/site.js';
 import type { Site } from '../site/site.js';
-import { awaitEvent } from './await-event.js';
-import { engineCounts, engineFaults } from './operator.js';
-import { createRecorder } from './recorder.js';
-import type { RecordedDraft, Recorder } from './recorder.js';
+import { awaitEvent } from '../load/await-event.js';
+import { engineCounts, engineFaults } from '../load/operator.js';
+import { createRecorder } from '../load/recorder.js';
+import type { RecordedDraft, Recorder } from '../load/recorder.js';
 
 const MODEL = 'inspection-draft';
 const TOKENS = 60;
--- a/packages/bench/src/quickstart.ts
+++ b/packages/bench/src/quickstart.ts
@@ -48,7 +48,7 @@
 };
 
 function scriptOf(site: Site): Script {
-  return SCRIPTS[site.document.name] ?? (SCRIPTS.brno);
+  return SCRIPTS[site.document.name] ?? SCRIPTS.brno;
 }
 
 const RANKS = 4;
--- a/packages/bench/src/site/http-json.ts
+++ b/packages/bench/src/site/http-json.ts
@@ -6,12 +6,12 @@
 const TIMEOUT_MILLISECONDS = 10_000;
 const agent = new Agent({ connections: 64, pipelining: 1 });
 
-async function send<T>(
+async function sendText(
   method: 'GET' | 'POST',
   url: string,
   body: unknown,
   token: string | undefined,
-): Promise<T> {
+): Promise<string> {
   const reply = await request(url, {
     method,
     dispatcher: agent,
@@ -24,13 +24,17 @@
   });
   const text = await reply.body.text();
   if (reply.statusCode >= 400) throw new Error(`${url} answered ${reply.statusCode}: ${text}`);
-  return JSON.parse(text) as T;
+  return text;
 }
 
 export function getJson<T>(url: string, token?: string): Promise<T> {
-  return send<T>('GET', url, undefined, token);
+  return sendText('GET', url, undefined, token).then((text) => JSON.parse(text) as T);
 }
 
 export function postJson<T>(url: string, body: unknown, token?: string): Promise<T> {
-  return send<T>('POST', url, body, token);
+  return sendText('POST', url, body, token).then((text) => JSON.parse(text) as T);
+}
+
+export function getText(url: string): Promise<string> {
+  return sendText('GET', url, undefined, undefined);
 }
--- a/packages/bench/src/site/site.ts
+++ b/packages/bench/src/site/site.ts
@@ -295,7 +295,9 @@
     });
   }
 
-  async function waitForServers(name: string, count: number): Promise<void> {
+  async function waitForServers(name: string, wanted: number): Promise<void> {
+    // An entry keeps connections to a subset once there are many servers.
+    const count = Math.min(wanted, document.routing.subsetSize);
     for (const entry of entries) {
       await until(`${count} servers for ${name} at ${entry.id}`, async () => {
         const status = await getJson<{ instances: { serves?: string[]; load?: unknown }[] }>(
@@ -310,37 +312,53 @@
     }
   }
 
-  const runnersPerZone = options.runnersPerZone ?? 1;
-  for (const { name: zone } of document.availabilityZones) {
-    for (let index = 1; index <= (options.entriesPerZone ?? 1); index += 1) {
-      await addEntry(zone, index);
+  async function killAll(): Promise<void> {
+    await Promise.all(processes.filter((one) => !one.exited).map((one) => one.kill()));
+  }
+
+  async function launchProducts(): Promise<{ effectsUrl: string; groupUrl: string }> {
+    const runnersPerZone = options.runnersPerZone ?? 1;
+    for (const { name: zone } of document.availabilityZones) {
+      for (let index = 1; index <= (options.entriesPerZone ?? 1); index += 1) {
+        await addEntry(zone, index);
+      }
+      for (let index = 1; index <= runnersPerZone; index += 1) await addRunner(zone, index);
     }
-    for (let index = 1; index <= runnersPerZone; index += 1) await addRunner(zone, index);
+    const effectsUrl = await addServices();
+    const groupUrl = options.ranks === undefined ? '' : await addRankGroup(options.ranks);
+    await register();
+    return { effectsUrl, groupUrl };
   }
-  const effectsUrl = await addServices();
-  const groupUrl = options.ranks === undefined ? '' : await addRankGroup(options.ranks);
-  await register();
 
-  const [first] = entries;
-  if (first === undefined) throw new Error('a site needs an entry');
-  await until('the first configuration', async () => {
-    await postJson(
-      `${first.operatorUrl}/v1/document`,
-      { base: 0, text, author: 'launcher' },
-      OPERATOR_TOKEN,
-    );
-    return true;
-  });
-  for (const entry of entries) {
-    await until(`readiness of ${entry.id}`, async () => {
-      await getJson(`${entry.url}/readyz`);
+  async function awaitService(): Promise<void> {
+    const [first] = entries;
+    if (first === undefined) throw new Error('a site needs an entry');
+    await until('the first configuration', async () => {
+      const body = { base: 0, text, author: 'launcher' };
+      await postJson(`${first.operatorUrl}/v1/document`, body, OPERATOR_TOKEN);
       return true;
     });
+    for (const entry of entries) {
+      await until(`readiness of ${entry.id}`, async () => {
+        await getJson(`${entry.url}/readyz`);
+        return true;
+      });
+    }
+    const zones = document.availabilityZones.length;
+    const runners = (options.runnersPerZone ?? 1) * zones;
+    for (const { name } of document.models) await waitForServers(name, runners);
+    const services = (options.servicesPerZone ?? 1) * zones;
+    for (const { name } of document.services) await waitForServers(name, services);
+  }
+
+  const { effectsUrl, groupUrl } = await launchProducts();
+  try {
+    await awaitService();
+  } catch (thrown) {
+    // Children outlive their parent: a launch that failed would leave them running for good.
+    await killAll();
+    throw thrown;
   }
-  const zones = document.availabilityZones.length;
-  for (const { name } of document.models) await waitForServers(name, runnersPerZone * zones);
-  const services = (options.servicesPerZone ?? 1) * zones;
-  for (const { name } of document.services) await waitForServers(name, services);
 
   function find(id: string): ManagedProcess {
     const found = processes.find((one) => one.id === id && !one.exited);
@@ -368,7 +386,7 @@
     },
     waitForServers,
     async stop() {
-      await Promise.all(processes.filter((one) => !one.exited).map((one) => one.kill()));
+      await killAll();
       rmSync(folder, { recursive: true, force: true });
     },
   };
--- a/packages/config/src/document.ts
+++ b/packages/config/src/document.ts
@@ -2,7 +2,7 @@
  * The environment document: everything operators decide about one environment. Every
  * number has a unit in its name, a range and a default.
  */
-import { OperationKind } from '@lapisbridge/types';
+import { ChoiceRule, OperationKind } from '@lapisbridge/types';
 import { z } from 'zod';
 
 const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, {
@@ -75,6 +75,7 @@
 
 const routing = z
   .strictObject({
+    choiceRule: z.enum(ChoiceRule).default(ChoiceRule.Estimated),
     /** Wait that a hop into another availability zone is worth. */
     hopCostMilliseconds: z.number().min(0).max(10_000).default(2),
     /** Characters of leading prompt that are hashed for prefix affinity. */
@@ -95,7 +96,7 @@
     /** Steps over which a change must pay for itself. */
     horizonSteps: z.int().min(1).max(1_000_000).default(2000),
     maximumMoves: z.int().min(0).max(4096).default(4),
-    smoothing: z.number().min(0.01).max(1).default(0.3),
+    smoothing: z.number().min(0.01).max(1).default(0.6),
     /** Relative gain below which a map is left alone. */
     minimumGain: z.number().min(0).max(1).default(0.03),
     /** Stall that moving one expert costs, in steps. */
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -24,6 +24,7 @@
   readonly logger: Logger;
   readonly random: Random;
   readonly budget: RetryBudget;
+  nextTurn(): number;
   readonly entryId: string;
   readonly ownZone: string;
   readonly outcomes: CallOutcomes;
@@ -82,6 +83,7 @@
     estimatedTokens: 1,
     excluded: state.tried,
     policy: call.document.routing,
+    turn: context.nextTurn(),
     random: context.random,
   });
   const chosen = choice.kind === ChoiceKind.Chosen ? choice.candidate : undefined;
--- a/packages/entry/src/caller-api.ts
+++ b/packages/entry/src/caller-api.ts
@@ -74,8 +74,13 @@
 ): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
   const { instance, pool, accounts, metrics } = options;
   const { logger, self, random, state } = instance;
+  let turn = 0;
   const context = {
     pool,
+    nextTurn() {
+      turn += 1;
+      return turn;
+    },
     logger,
     random,
     budget: options.budget,
--- a/packages/entry/src/draft.ts
+++ b/packages/entry/src/draft.ts
@@ -28,6 +28,7 @@
   readonly logger: Logger;
   readonly random: Random;
   readonly budget: RetryBudget;
+  nextTurn(): number;
   readonly entryId: string;
   readonly ownZone: string;
 }
@@ -99,6 +100,7 @@
     estimatedTokens: estimateTokens(draft),
     excluded: state.tried,
     policy: routing,
+    turn: context.nextTurn(),
     random: context.random,
   });
   const chosen = choice.kind === ChoiceKind.Chosen;
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -6,6 +6,7 @@
 export { createLease, leaseKey } from './lease.js';
 export type { HeldLease, Lease, LeaseOptions, LeaseRecord } from './lease.js';
 export { planFullMap } from './plan-full-map.js';
+export { INITIAL_CAUTION, planCaution } from './plan-caution.js';
 export { MapDecisionKind, planMap } from './plan-map.js';
 export type { MapDecision, MapPolicy } from './plan-map.js';
 export { INITIAL_RANK, planRankOrder, RankStep } from './plan-rank-order.js';
--- a/packages/placement/src/plan-map.test.ts
+++ b/packages/placement/src/plan-map.test.ts
@@ -7,15 +7,17 @@
 import {
   countMoves,
   countReplicas,
+  INITIAL_CAUTION,
   initialMap,
   MapDecisionKind,
+  planCaution,
   planFullMap,
   planMap,
   rankTimes,
   skewOf,
   smoothTokens,
 } from './index.js';
-import type { ExpertLoad, MapPolicy } from './index.js';
+import type { ExpertLoad, ExpertMap, MapPolicy } from './index.js';
 
 const POLICY: MapPolicy = {
   slotsPerRank: 5,
@@ -70,11 +72,17 @@
     const speeds = new Array<number>(8).fill(1);
     let tokens: number[] | undefined;
     let map = initialMap(32, 8);
+    let previous: ExpertMap | undefined;
+    let caution = INITIAL_CAUTION;
     let changes = 0;
-    for (let window = 0; window < 40; window += 1) {
-      tokens = smoothTokens(tokens, window % 2 === 0 ? even : odd, 0.3);
-      const decision = planMap(map, { tokens, speeds }, POLICY);
-      if (decision.kind === MapDecisionKind.Change) changes += 1;
+    for (let window = 0; window < 60; window += 1) {
+      const seen = window % 2 === 0 ? even : odd;
+      tokens = smoothTokens(tokens, seen, 0.6);
+      caution = planCaution(caution, map, previous, { tokens: seen, speeds });
+      const decision = planMap(map, { tokens, speeds }, POLICY, caution);
+      const changed = decision.kind === MapDecisionKind.Change;
+      previous = changed ? map : undefined;
+      if (changed && window >= 30) changes += 1;
       map = decision.map;
     }
     expect(changes).toBeLessThanOrEqual(2);
--- a/packages/placement/src/plan-map.ts
+++ b/packages/placement/src/plan-map.ts
@@ -4,6 +4,7 @@
  */
 import { countReplicas, rankTimes, skewOf } from './expert-map.js';
 import type { ExpertLoad, ExpertMap } from './expert-map.js';
+import { INITIAL_CAUTION } from './plan-caution.js';
 
 export interface MapPolicy {
   readonly slotsPerRank: number;
@@ -37,8 +38,10 @@
   readonly from: number | undefined;
   /** Expert that leaves the receiving rank to make room. */
   readonly evicted: number | undefined;
+  /** Slowest of the ranks that the move touches, afterwards. */
   readonly slowest: number;
-  readonly cost: number;
+  /** Time of the receiving rank afterwards. */
+  readonly toTime: number;
 }
 
 interface Draft {
@@ -63,58 +66,89 @@
   return slowest;
 }
 
-/** The replicated expert whose loss costs a rank's group least. */
-function cheapestReplica(draft: Draft, load: ExpertLoad, rank: number): number | undefined {
-  let cheapest: number | undefined;
-  let lowest = Infinity;
+/** What a full rank can give up, and the slowest other holder of it afterwards. */
+interface Eviction {
+  readonly expert: number;
+  readonly share: number;
+  readonly holdersSlowest: number;
+}
+
+/** Slowest of the other ranks that hold an expert once one of its replicas is gone. */
+function slowestHolderAfter(
+  draft: Draft,
+  load: ExpertLoad,
+  expert: number,
+  without: number,
+): number {
+  const replicas = draft.replicas[expert] ?? 1;
+  const tokens = load.tokens[expert] ?? 0;
+  const added = tokens / (replicas - 1) - tokens / replicas;
+  let slowest = 0;
+  for (const [rank, held] of draft.held.entries()) {
+    if (rank !== without && held.has(expert)) {
+      slowest = Math.max(slowest, (draft.times[rank] ?? 0) + added / (load.speeds[rank] ?? 1));
+    }
+  }
+  return slowest;
+}
+
+/** The replica that a rank can give up at the least harm to the expert's other holders. */
+function planEviction(draft: Draft, load: ExpertLoad, rank: number): Eviction | undefined {
+  let best: Eviction | undefined;
   for (const expert of draft.held[rank] ?? []) {
     const replicas = draft.replicas[expert] ?? 1;
-    const share = (load.tokens[expert] ?? 0) / replicas;
-    if (replicas > 1 && share < lowest) {
-      cheapest = expert;
-      lowest = share;
+    if (replicas > 1) {
+      const holdersSlowest = slowestHolderAfter(draft, load, expert, rank);
+      const share = (load.tokens[expert] ?? 0) / replicas;
+      if (best === undefined || holdersSlowest < best.holdersSlowest) {
+        best = { expert, share, holdersSlowest };
+      }
     }
   }
-  return cheapest;
+  return best;
 }
 
-/** Time of the slower of the two ranks after a move, or infinity when the move does not fit. */
+/** The best form of moving one expert to one rank; undefined when it does not fit. */
 function judge(
   draft: Draft,
   load: ExpertLoad,
-  policy: MapPolicy,
   from: number,
   to: number,
   expert: number,
+  eviction: Eviction | undefined,
 ): Move | undefined {
-  const target = draft.held[to];
-  if (target.has(expert)) return undefined;
-  const full = target.size >= policy.slotsPerRank;
-  const evicted = full ? cheapestReplica(draft, load, to) : undefined;
-  if (full && (evicted === undefined || evicted === expert)) return undefined;
+  if (draft.held[to]?.has(expert) === true || eviction?.expert === expert) return undefined;
   const tokens = load.tokens[expert] ?? 0;
   const replicas = draft.replicas[expert] ?? 1;
   const fromSpeed = load.speeds[from] ?? 1;
   const toSpeed = load.speeds[to] ?? 1;
   const share = tokens / replicas;
   const shared = tokens / (replicas + 1);
-  const evictedShare =
-    evicted === undefined ? 0 : (load.tokens[evicted] ?? 0) / (draft.replicas[evicted] ?? 1);
-  const toTime = (draft.times[to] ?? 0) - evictedShare / toSpeed;
+  const roomy = (draft.times[to] ?? 0) - (eviction?.share ?? 0) / toSpeed;
   const fromTime = draft.times[from] ?? 0;
-  const replicated = Math.max(fromTime - (share - shared) / fromSpeed, toTime + shared / toSpeed);
-  const moved = Math.max(fromTime - share / fromSpeed, toTime + share / toSpeed);
+  const harmed = eviction?.holdersSlowest ?? 0;
+  const replicatedTo = roomy + shared / toSpeed;
+  const movedTo = roomy + share / toSpeed;
+  const replicated = Math.max(fromTime - (share - shared) / fromSpeed, replicatedTo, harmed);
+  const moved = Math.max(fromTime - share / fromSpeed, movedTo, harmed);
   const stays = replicated <= moved;
   return {
     expert,
     to,
     from: stays ? undefined : from,
-    evicted,
+    evicted: eviction?.expert,
     slowest: Math.min(replicated, moved),
-    cost: 1,
+    toTime: stays ? replicatedTo : movedTo,
   };
 }
 
+/** Ties go to the rank that ends up least loaded, so that free slots are used before replicas are given up. */
+function isBetter(move: Move, best: Move | undefined): boolean {
+  if (best === undefined) return true;
+  if (move.slowest !== best.slowest) return move.slowest < best.slowest;
+  return move.toTime < best.toTime;
+}
+
 /** An exchange of two experts between full ranks; it counts as two moves. */
 interface Exchange {
   readonly given: number;
@@ -130,12 +164,14 @@
   from: number,
 ): Move | undefined {
   let best: Move | undefined;
-  for (const expert of draft.held[from] ?? []) {
-    for (let to = 0; to < draft.held.length; to += 1) {
-      if (to !== from && (draft.times[to] ?? 0) < (draft.times[from] ?? 0)) {
-        const move = judge(draft, load, policy, from, to, expert);
-        if (move !== undefined && (best === undefined || move.slowest < best.slowest)) best = move;
-      }
+  for (const [to, target] of draft.held.entries()) {
+    if (to === from || (draft.times[to] ?? 0) >= (draft.times[from] ?? 0)) continue;
+    const full = target.size >= policy.slotsPerRank;
+    const eviction = full ? planEviction(draft, load, to) : undefined;
+    if (full && eviction === undefined) continue;
+    for (const expert of draft.held[from] ?? []) {
+      const move = judge(draft, load, from, to, expert, eviction);
+      if (move !== undefined && isBetter(move, best)) best = move;
     }
   }
   return best;
@@ -214,7 +250,7 @@
       moves += 2;
     } else if (move !== undefined && move.slowest < worst) {
       applyMove(draft, move);
-      moves += move.cost;
+      moves += 1;
     } else {
       return moves;
     }
@@ -229,7 +265,13 @@
   };
 }
 
-export function planMap(current: ExpertMap, load: ExpertLoad, policy: MapPolicy): MapDecision {
+/** `caution` multiplies what a change has to gain; see `planCaution`. */
+export function planMap(
+  current: ExpertMap,
+  load: ExpertLoad,
+  policy: MapPolicy,
+  caution = INITIAL_CAUTION,
+): MapDecision {
   const draft = toDraft(current, load);
   const skewBefore = skewOf(draft.times);
   const worstBefore = Math.max(...draft.times);
@@ -245,9 +287,9 @@
   if (moves === 0) return keep('no move helps');
   const worstAfter = Math.max(...draft.times);
   const gain = (worstBefore - worstAfter) / worstBefore;
-  if (gain < policy.minimumGain) return keep(`gain of ${gain.toFixed(3)} is too small`);
+  if (gain < policy.minimumGain * caution) return keep(`gain of ${gain.toFixed(3)} is too small`);
   const gainedSteps = gain * policy.horizonSteps;
-  const costSteps = moves * policy.moveCostSteps;
+  const costSteps = moves * policy.moveCostSteps * caution;
   if (gainedSteps <= costSteps) return keep(`${moves} moves cost more than they gain`);
   const map = toMap(draft);
   return {
--- a/packages/routing/src/plan-choice.ts
+++ b/packages/routing/src/plan-choice.ts
@@ -2,6 +2,7 @@
  * Chooses a backend server for one request. Pure: the caller passes what it knows and a
  * source of randomness, and gets a decision with its reasons.
  */
+import { ChoiceRule } from '@lapisbridge/types';
 import type { LoadReport } from '@lapisbridge/types';
 
 import { rendezvousWeight } from './rendezvous.js';
@@ -16,6 +17,7 @@
 }
 
 export interface ChoicePolicy {
+  readonly choiceRule: ChoiceRule;
   readonly hopCostMilliseconds: number;
   readonly boundedLoadFactor: number;
   readonly sampledChoices: number;
@@ -30,6 +32,8 @@
   /** Servers that this request has already tried. */
   readonly excluded: ReadonlySet<string>;
   readonly policy: ChoicePolicy;
+  /** Number of the choice at this entry, for choosing in turn. */
+  readonly turn: number;
   readonly random: () => number;
 }
 
@@ -41,6 +45,8 @@
 export enum ChoiceReason {
   PrefixAffinity = 'prefixAffinity',
   LeastEstimatedTime = 'leastEstimatedTime',
+  LeastOutstanding = 'leastOutstanding',
+  InTurn = 'inTurn',
 }
 
 export interface CandidateScore {
@@ -150,10 +156,8 @@
   };
 }
 
-export function planChoice(input: ChoiceInput): Choice {
-  const { candidates, excluded, policy } = input;
-  const open = candidates.filter((candidate) => !excluded.has(candidate.instanceId));
-  if (open.length === 0) return { kind: ChoiceKind.NoneLeft, tried: excluded.size };
+function chooseEstimated(open: readonly Candidate[], input: ChoiceInput): Choice {
+  const { policy } = input;
   const fastestStep = findFastestStep(open);
   if (input.affinityKey !== '') {
     const preferred = preferredByPrefix(open, input.affinityKey);
@@ -171,12 +175,7 @@
   }
   const sampled = sample(open, policy.sampledChoices, input.random);
   const scores = sampled.map((candidate) => scoreOf(candidate, input, fastestStep));
-  let best = 0;
-  for (const [index, score] of scores.entries()) {
-    if (score.estimatedMilliseconds < (scores[best]?.estimatedMilliseconds ?? Infinity)) {
-      best = index;
-    }
-  }
+  const best = indexOfSmallest(scores.map(({ estimatedMilliseconds }) => estimatedMilliseconds));
   return {
     kind: ChoiceKind.Chosen,
     candidate: sampled[best],
@@ -184,3 +183,43 @@
     scores,
   };
 }
+
+function indexOfSmallest(values: readonly number[]): number {
+  let smallest = 0;
+  for (const [index, value] of values.entries()) {
+    if (value < (values[smallest] ?? Infinity)) smallest = index;
+  }
+  return smallest;
+}
+
+function chooseLeastOutstanding(open: readonly Candidate[]): Choice {
+  const outstanding = open.map(
+    ({ load, sentSinceReport }) => load.running + load.queued + sentSinceReport,
+  );
+  const candidate = open[indexOfSmallest(outstanding)];
+  const reason = ChoiceReason.LeastOutstanding;
+  return { kind: ChoiceKind.Chosen, candidate, reason, scores: [] };
+}
+
+function chooseInTurn(open: readonly Candidate[], input: ChoiceInput): Choice {
+  const candidate = open[input.turn % open.length];
+  return { kind: ChoiceKind.Chosen, candidate, reason: ChoiceReason.InTurn, scores: [] };
+}
+
+export function planChoice(input: ChoiceInput): Choice {
+  const { candidates, excluded, policy } = input;
+  const open = candidates.filter((candidate) => !excluded.has(candidate.instanceId));
+  if (open.length === 0) return { kind: ChoiceKind.NoneLeft, tried: excluded.size };
+  switch (policy.choiceRule) {
+    case ChoiceRule.Estimated:
+      return chooseEstimated(open, input);
+    case ChoiceRule.LeastOutstanding:
+      return chooseLeastOutstanding(open);
+    case ChoiceRule.RoundRobin:
+      return chooseInTurn(open, input);
+    default: {
+      const unreachable: never = policy.choiceRule;
+      throw new Error(String(unreachable));
+    }
+  }
+}
--- a/packages/routing/src/routing.test.ts
+++ b/packages/routing/src/routing.test.ts
@@ -1,6 +1,7 @@
 /**
  * Choice of a backend server, subsets and the retry budget.
  */
+import { ChoiceRule } from '@lapisbridge/types';
 import type { LoadReport } from '@lapisbridge/types';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
@@ -36,7 +37,13 @@
     affinityKey: '',
     estimatedTokens: 10,
     excluded: new Set(),
-    policy: { hopCostMilliseconds: 2, boundedLoadFactor: 1.25, sampledChoices: 4 },
+    turn: 0,
+    policy: {
+      choiceRule: ChoiceRule.Estimated,
+      hopCostMilliseconds: 2,
+      boundedLoadFactor: 1.25,
+      sampledChoices: 4,
+    },
     random: () => 0.5,
     ...given,
   };
--- a/packages/sidecar/src/group-leader.ts
+++ b/packages/sidecar/src/group-leader.ts
@@ -11,14 +11,16 @@
 import {
   createLease,
   createRollout,
+  INITIAL_CAUTION,
   initialMap,
   MapDecisionKind,
+  planCaution,
   planMap,
   RankStep,
   RolloutOutcome,
   smoothTokens,
 } from '@lapisbridge/placement';
-import type { MapPolicy, RankAnswer, RankOrderMessage } from '@lapisbridge/placement';
+import type { ExpertMap, MapPolicy, RankAnswer, RankOrderMessage } from '@lapisbridge/placement';
 import { InstanceState } from '@lapisbridge/types';
 import type { InstanceRecord, RankPlace } from '@lapisbridge/types';
 import { MessageKind } from '@lapisbridge/wire';
@@ -52,6 +54,8 @@
   const { environment } = self;
   let stopped = false;
   let smoothed: number[] | undefined;
+  let previous: ExpertMap | undefined;
+  let caution = INITIAL_CAUTION;
   let lastWindowAt = -Infinity;
   let orderId = 0;
   const statistics = new Map<number, RankStatistics>();
@@ -144,16 +148,22 @@
   async function planWindow(): Promise<void> {
     const committed = await rollout.committed();
     if (committed === undefined || statistics.size < place.size) return;
-    smoothed = smoothTokens(smoothed, sumTokens(), options.policy().smoothing);
+    const tokens = sumTokens();
+    smoothed = smoothTokens(smoothed, tokens, options.policy().smoothing);
     const speeds = Array.from(
       { length: place.size },
       (_, rank) => statistics.get(rank)?.speed ?? 1,
     );
-    const decision = planMap(committed.map, { tokens: smoothed, speeds }, mapPolicy());
+    caution = planCaution(caution, committed.map, previous, { tokens, speeds });
+    previous = undefined;
+    const load = { tokens: smoothed, speeds };
+    const decision = planMap(committed.map, load, mapPolicy(), caution);
     const skew = `skew ${decision.skewBefore.toFixed(3)} -> ${decision.skewAfter.toFixed(3)}`;
     logDecision(decision.kind, `${decision.reason}; ${skew}; ${decision.moves} moves`);
     if (decision.kind === MapDecisionKind.Keep) return;
-    logDecision('rollout', await rollout.change(decision.map));
+    const outcome = await rollout.change(decision.map);
+    if (outcome === RolloutOutcome.Done) previous = committed.map;
+    logDecision('rollout', outcome);
   }
 
   async function lead(): Promise<void> {
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -36,6 +36,16 @@
   Unknown = 'unknown',
 }
 
+/** How an entry chooses among backend servers. */
+export enum ChoiceRule {
+  /** Prefix affinity bounded by load, else least estimated time. */
+  Estimated = 'estimated',
+  /** Fewest requests in progress; a baseline for measurements. */
+  LeastOutstanding = 'leastOutstanding',
+  /** Each in turn; a baseline for measurements. */
+  RoundRobin = 'roundRobin',
+}
+
 /** Liveness of an instance as one other instance believes it. */
 export enum InstanceState {
   Live = 'live',
