Make control cheaper, treat small accounts fairly, split grown files

Cause 1: 'slopes' showed 0.12% of a core and 350 bytes/s for each connection of a sidecar, and 341 kB/s for an entry at 20 changes a minute of a document with 2300 accounts; at the target that breaks 1.2% and 4 KB/s. Now idle connections beat at a fifth, both sides beat at once when what they carry changes or a request begins, and the state travels deflated.

--- a/packages/admission/src/admission.test.ts
+++ b/packages/admission/src/admission.test.ts
@@ -122,6 +122,18 @@
     expect(first).toContain('small');
   });
 
+  it('alternates between accounts whose requests are short', () => {
+    // With a turn of 256 tokens the large account started eight drafts of 30 tokens before a small
+    // one's next, and the small one's wait was four times as long as without the large one.
+    const queue = createFairQueue();
+    for (let index = 0; index < 100; index += 1) {
+      queue.push({ account: 'large', weight: 1, tokens: 30 });
+      if (index < 10) queue.push({ account: 'small', weight: 1, tokens: 30 });
+    }
+    const first = Array.from({ length: 20 }, () => queue.shift()?.account);
+    expect(first.filter((account) => account === 'small').length).toBeGreaterThanOrEqual(9);
+  });
+
   it('gives tokens in proportion to weights and loses nothing', () => {
     const requests = fc.array(
       fc.record({
--- a/packages/admission/src/fair-queue.ts
+++ b/packages/admission/src/fair-queue.ts
@@ -15,8 +15,11 @@
   readonly waiting: T[];
 }
 
-/** Tokens an account of weight 1 gains at each turn. */
-export const QUANTUM_TOKENS = 256;
+/**
+ * Tokens an account of weight 1 gains at each turn. Small against a usual request: a turn that
+ * is worth many requests lets a large account start them all before a small one's next.
+ */
+export const QUANTUM_TOKENS = 16;
 
 export interface FairQueue<T extends QueuedRequest> {
   readonly size: number;
--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -5,6 +5,7 @@
 import { fairnessExperiment } from './fairness.js';
 import { overheadExperiment } from './overhead.js';
 import { placementExperiment } from './placement.js';
+import { sharesExperiment } from './shares.js';
 import { slopesExperiment } from './slopes.js';
 import { zoneExperiment } from './zone.js';
 
@@ -14,4 +15,5 @@
   fairnessExperiment,
   overheadExperiment,
   slopesExperiment,
+  sharesExperiment,
 ];
--- a/packages/bench/src/proofs/leaving.proof.test.ts
+++ b/packages/bench/src/proofs/leaving.proof.test.ts
@@ -65,6 +65,18 @@
   return counts.reduce((sum, { started }) => sum + started, 0);
 }
 
+/**
+ * Waits until what a zone had admitted before the order has finished, and tells how much was
+ * started there by then. Admitted work may reach an engine a moment after the order.
+ */
+function awaitQuiet(zone: string): Promise<number> {
+  return awaitEvent(`${zone} to finish what it has`, async () => {
+    const counts = await Promise.all(enginesOf(zone).map(({ url }) => engineCounts(url)));
+    if (counts.some(({ running }) => running > 0)) return undefined;
+    return startedIn(zone);
+  });
+}
+
 /** Records each start in a zone since a count as new work given to its servers. */
 async function recordDispatches(zone: string, since: number): Promise<void> {
   const started = (await startedIn(zone)) - since;
@@ -93,7 +105,7 @@
     await orderZone(site, ZONE, ServiceState.Drained);
     const instanceIds = await awaitDraining(site, ZONE, true);
     recorder.history.record({ kind: EventKind.DrainInForce, instanceIds });
-    const before = await startedIn(ZONE);
+    const before = await awaitQuiet(ZONE);
     await awaitDone(load, 3 * CONCURRENCY);
     await recordDispatches(ZONE, before);
     await expect(getJson(`${site.entries[0]?.url}/readyz`)).rejects.toThrow('2007');
@@ -116,7 +128,7 @@
     await orderZone(site, ZONE, ServiceState.Drained);
     const instanceIds = await awaitDraining(site, ZONE, true);
     recorder.history.record({ kind: EventKind.DrainInForce, instanceIds });
-    const before = await startedIn(ZONE);
+    const before = await awaitQuiet(ZONE);
     const waiting = Array.from({ length: 12 }, () =>
       recorder.draft({ entry: 2, maximumTokens: TOKENS }),
     );
--- a/packages/config/src/config.test.ts
+++ b/packages/config/src/config.test.ts
@@ -61,6 +61,14 @@
 });
 
 describe('settings', () => {
+  it.each(['brno', 'wholesale'])('of the example deployment are valid: %s', (name) => {
+    const deployment = JSON.parse(readRoot(`examples/deployments/${name}.json`)) as unknown[];
+    expect(deployment).toHaveLength(21);
+    for (const settings of deployment) {
+      expect(checkSettings(JSON.stringify(settings)).isRight()).toBe(true);
+    }
+  });
+
   it('are refused with the path of what is missing', () => {
     const error = checkSettings('{"role":"entry","listen":{"host":"localhost"}}').swap();
     const paths = error.unsafeCoerce().problems.map(({ path }) => path);
--- a/packages/entry/src/backend-pool.ts
+++ b/packages/entry/src/backend-pool.ts
@@ -5,13 +5,16 @@
  */
 import type { Instance } from '@lapisbridge/instance';
 import type { Member } from '@lapisbridge/membership';
-import { planSubset } from '@lapisbridge/routing';
 import type { Candidate } from '@lapisbridge/routing';
+import { parseDigest } from '@lapisbridge/shared-state';
 import { BackendServerKind, InstanceState } from '@lapisbridge/types';
 import type { InstanceRecord, LoadReport } from '@lapisbridge/types';
 import { dial, MessageKind, openChannel } from '@lapisbridge/wire';
 import type { AttemptName, Channel, KeyAnswer, Message } from '@lapisbridge/wire';
 
+import { groupIsWhole, planConnections } from './plan-connections.js';
+import type { LoadedServer } from './plan-drain-check.js';
+
 /** Receives what belongs to one attempt. */
 export interface AttemptListener {
   onMessage(message: Message): void;
@@ -24,6 +27,8 @@
   /** True from the sidecar's hello on: a frozen process accepts connections and never says it. */
   ready: boolean;
   load: LoadReport | undefined;
+  /** Configuration version in force there, as its last heartbeat said. */
+  version: number;
   sentSinceReport: number;
   leaving: boolean;
   dialing: boolean;
@@ -57,7 +62,7 @@
   ): Promise<readonly (KeyAnswer | undefined)[]>;
   connections(): number;
   /** Connected sidecars with their latest loads. */
-  servers(): readonly { readonly record: InstanceRecord; readonly load: LoadReport }[];
+  servers(): readonly LoadedServer[];
 }
 
 const REDIAL_MILLISECONDS = 200;
@@ -81,6 +86,10 @@
 export function createBackendPool(options: BackendPoolOptions): BackendPool {
   const { instance } = options;
   const connections = new Map<string, Connection>();
+  // Whoever hears a new digest asks for the state at once.
+  instance.state.onChange(() => {
+    for (const { channel } of connections.values()) channel?.beat();
+  });
   const keyWaiters = new Map<number, (answer: KeyAnswer) => void>();
   let queryId = 0;
   let refreshTimer: NodeJS.Timeout | undefined;
@@ -101,6 +110,7 @@
         break;
       case MessageKind.Heartbeat:
         noteLoad(connection, message.load);
+        connection.version = parseDigest(message.stateDigest).version;
         if (connection.channel !== undefined) {
           instance.heardDigest(message.stateDigest, connection.channel);
         }
@@ -180,10 +190,6 @@
     ).unref();
   }
 
-  function isGone(member: Member): boolean {
-    return member.state === InstanceState.Dead || member.state === InstanceState.Leaving;
-  }
-
   function sidecarMembers(): Member[] {
     const members: Member[] = [];
     for (const member of instance.membership.members()) {
@@ -192,28 +198,6 @@
     return members;
   }
 
-  /** Subsets are made per model or service, since each needs enough servers of its own. */
-  function wantedInstances(): Set<string> {
-    const byName = new Map<string, Member[]>();
-    for (const member of sidecarMembers()) {
-      if (isGone(member)) continue;
-      for (const name of member.record.backendServer?.names ?? []) {
-        byName.set(name, [...(byName.get(name) ?? []), member]);
-      }
-    }
-    const wanted = new Set<string>();
-    for (const members of byName.values()) {
-      const subset = planSubset(
-        instance.self.instanceId,
-        instance.self.availabilityZone,
-        members.map(({ record }) => record),
-        options.subsetSize(),
-      );
-      for (const instanceId of subset) wanted.add(instanceId);
-    }
-    return wanted;
-  }
-
   function ensure(record: InstanceRecord): Connection {
     const known = connections.get(record.instanceId);
     if (known !== undefined) {
@@ -225,6 +209,7 @@
       channel: undefined,
       ready: false,
       load: undefined,
+      version: 0,
       sentSinceReport: 0,
       leaving: false,
       dialing: false,
@@ -239,7 +224,7 @@
   }
 
   function refresh(): void {
-    const wanted = wantedInstances();
+    const wanted = planConnections(sidecarMembers(), instance.self, options.subsetSize());
     for (const member of sidecarMembers()) {
       if (wanted.has(member.record.instanceId)) ensure(member.record);
     }
@@ -251,18 +236,6 @@
     }
   }
 
-  /** A group is one health domain: without any one of its ranks no step can finish. */
-  function groupIsWhole(record: InstanceRecord): boolean {
-    const place = record.backendServer?.rankPlace;
-    if (place === undefined) return true;
-    if (place.rank !== 0) return false;
-    for (const member of sidecarMembers()) {
-      const other = member.record.backendServer?.rankPlace;
-      if (other?.group === place.group && member.state === InstanceState.Dead) return false;
-    }
-    return true;
-  }
-
   function mayTakeWork(connection: Connection): boolean {
     if (!connection.ready || connection.leaving || connection.load === undefined) return false;
     if (connection.load.draining || !connection.load.backendReachable) return false;
@@ -270,7 +243,7 @@
     if (instance.state.isDrained(record.instanceId, record.availabilityZone)) return false;
     const member = instance.membership.member(record.instanceId);
     if (member?.listedLeaving === true || member?.state === InstanceState.Leaving) return false;
-    return groupIsWhole(record);
+    return groupIsWhole(record, sidecarMembers());
   }
 
   function serves(record: InstanceRecord, kind: BackendServerKind, name: string): boolean {
@@ -311,10 +284,12 @@
       const connection = connections.get(instanceId);
       if (connection === undefined || !connection.ready) return false;
       connection.listeners.set(listenerKey(name), listener);
+      connection.channel?.acquire();
       return true;
     },
     unlisten(instanceId, name) {
-      connections.get(instanceId)?.listeners.delete(listenerKey(name));
+      const connection = connections.get(instanceId);
+      if (connection?.listeners.delete(listenerKey(name)) === true) connection.channel?.release();
     },
     send(instanceId, message) {
       const channel = connections.get(instanceId)?.channel;
@@ -360,10 +335,10 @@
     },
     connections: () => connections.size,
     servers() {
-      const servers: { record: InstanceRecord; load: LoadReport }[] = [];
-      for (const { record, load, ready } of connections.values()) {
+      const servers: LoadedServer[] = [];
+      for (const { record, load, ready, version } of connections.values()) {
         // The last report of a sidecar that is gone would be shown, and counted, as if it lived.
-        if (load !== undefined && ready) servers.push({ record, load });
+        if (load !== undefined && ready) servers.push({ record, load, version });
       }
       return servers;
     },
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -2,74 +2,24 @@
  * Serves one call of a plain service. Idempotent calls are repeated elsewhere when an answer
  * is lost; at-most-once calls only once it is proved that the lost attempt cannot run.
  */
-import type { Proof, StoredResult } from '@lapisbridge/at-most-once';
-import type { EnvironmentDocument } from '@lapisbridge/config';
-import { LapisError, ResultCode } from '@lapisbridge/errors';
-import type { Logger } from '@lapisbridge/logger';
-import type { Random } from '@lapisbridge/kernel';
+import { ResultCode } from '@lapisbridge/errors';
 import { ChoiceKind, planChoice } from '@lapisbridge/routing';
-import type { Candidate, RetryBudget } from '@lapisbridge/routing';
+import type { Candidate } from '@lapisbridge/routing';
 import { BackendServerKind, OperationKind, Ran, RequestOutcome } from '@lapisbridge/types';
 import { MessageKind } from '@lapisbridge/wire';
 import type { CallStart } from '@lapisbridge/wire';
 
-import type { BackendPool } from './backend-pool.js';
 import { CallOutcomeKind, runCallAttempt } from './call-attempt.js';
 import type { CallOutcome } from './call-attempt.js';
-import type { CallKey, CallOutcomes } from './call-outcome.js';
-import type { Deadline } from './deadline.js';
-
-export interface CallContext {
-  readonly pool: BackendPool;
-  readonly logger: Logger;
-  readonly random: Random;
-  readonly budget: RetryBudget;
-  nextTurn(): number;
-  readonly entryId: string;
-  readonly ownZone: string;
-  readonly outcomes: CallOutcomes;
-}
-
-export interface ServiceCall {
-  readonly requestId: string;
-  readonly account: string;
-  readonly service: string;
-  readonly operation: OperationKind;
-  readonly method: string;
-  readonly path: string;
-  readonly contentType: string;
-  readonly body: Buffer;
-  readonly key: CallKey;
-  readonly document: EnvironmentDocument;
-  readonly deadline: Deadline;
-  readonly callerGone: AbortSignal;
-}
-
-export interface ServiceAnswer {
-  readonly status: number;
-  readonly contentType: string;
-  readonly body: Uint8Array;
-  readonly replayed: boolean;
-  readonly instanceId: string;
-}
+import type { CallContext, CallState, ServiceAnswer, ServiceCall } from './call-types.js';
+import { concludeProof, failure, giveUp } from './conclude-call.js';
+import { isOverload } from './plan-repair.js';
 
 const RECONNECT_MILLISECONDS = 500;
 const MAXIMUM_BREAKAGES = 3;
 /** Kept back from the caller's time, so that a truthful answer can still be found out. */
 const PROOF_MILLISECONDS = 300;
 
-interface CallState {
-  attempt: number;
-  breakages: number;
-  claimVersion: number;
-  /** An attempt was sent and neither answered, refused nor proved not run. */
-  indeterminate: boolean;
-  lastCode: ResultCode;
-  lastReason: string;
-  retryAfterMilliseconds: number;
-  readonly tried: Set<string>;
-}
-
 function choose(context: CallContext, call: ServiceCall, state: CallState): Candidate | undefined {
   let candidates = context.pool.candidates(BackendServerKind.PlainService, call.service);
   if (call.operation === OperationKind.AtMostOnce) {
@@ -155,98 +105,6 @@
   return forgotten ? { kind: CallOutcomeKind.Lost } : resumed;
 }
 
-function toAnswer(result: StoredResult, instanceId: string): ServiceAnswer {
-  return {
-    status: result.status,
-    contentType: result.contentType,
-    body: Buffer.from(result.body, 'base64'),
-    replayed: true,
-    instanceId,
-  };
-}
-
-function ranOf(proof: Proof): Ran {
-  switch (proof.outcome) {
-    case RequestOutcome.NotRun:
-      return Ran.No;
-    case RequestOutcome.Done:
-      return Ran.Yes;
-    case RequestOutcome.Running:
-    case RequestOutcome.Unknown:
-      return Ran.Unknown;
-    default: {
-      const unreachable: never = proof.outcome;
-      return unreachable;
-    }
-  }
-}
-
-function failure(call: ServiceCall, state: CallState, code: ResultCode, ran: Ran): LapisError {
-  const { retryAfterMilliseconds } = call.document.limits;
-  return new LapisError(code, state.lastReason, {
-    ran,
-    retryAfterMilliseconds: Math.max(state.retryAfterMilliseconds, retryAfterMilliseconds),
-  });
-}
-
-/** The answer of a call that has been found out to be done, or the error that says what is known. */
-async function concludeProof(
-  context: CallContext,
-  call: ServiceCall,
-  state: CallState,
-  proof: Proof,
-  codeWhenNotRun: ResultCode,
-): Promise<ServiceAnswer> {
-  context.logger.decision({
-    kind: 'outcome',
-    subject: call.requestId,
-    choice: proof.outcome,
-    reason: proof.known ? 'claim row' : 'not to be found out now',
-  });
-  if (proof.keyReused === true) {
-    throw failure(call, state, ResultCode.IdempotencyKeyReused, ranOf(proof));
-  }
-  switch (proof.outcome) {
-    case RequestOutcome.Done: {
-      const result = await context.outcomes.loadResult(proof);
-      if (result !== undefined) return toAnswer(result, '');
-      throw failure(call, state, ResultCode.OutcomeUnknown, Ran.Yes);
-    }
-    case RequestOutcome.NotRun:
-      throw failure(call, state, codeWhenNotRun, Ran.No);
-    case RequestOutcome.Running:
-      throw failure(call, state, ResultCode.StillRunning, Ran.Unknown);
-    case RequestOutcome.Unknown:
-      throw failure(call, state, ResultCode.OutcomeUnknown, Ran.Unknown);
-    default: {
-      const unreachable: never = proof.outcome;
-      return unreachable;
-    }
-  }
-}
-
-/** No server is left to try. "Not run" is said only if it holds for the key, not just for this attempt. */
-async function giveUp(
-  context: CallContext,
-  call: ServiceCall,
-  state: CallState,
-): Promise<ServiceAnswer> {
-  const { lastCode } = state;
-  if (call.operation === OperationKind.Idempotent) {
-    throw failure(call, state, lastCode, state.indeterminate ? Ran.Unknown : Ran.No);
-  }
-  if (state.indeterminate) {
-    const proof = await context.outcomes.prove(call.key, call.requestId);
-    return concludeProof(context, call, state, proof, ResultCode.EngineFailed);
-  }
-  const seen = await context.outcomes.look(call.key);
-  const proof =
-    seen.outcome === RequestOutcome.Running
-      ? await context.outcomes.follow(call.key, call.deadline)
-      : seen;
-  return concludeProof(context, call, state, proof, lastCode);
-}
-
 /** After a lost attempt at an at-most-once call: certain, or not to be repeated. */
 async function afterLostClaim(
   context: CallContext,
@@ -321,7 +179,7 @@
         noteRefusal(state, outcome);
         // A superseded claim may be tried again on the same server, from the newer version.
         if (outcome.code !== ResultCode.Cancelled) state.tried.add(instanceId);
-        if (outcome.code === ResultCode.Overloaded && !context.budget.spend()) {
+        if (isOverload(outcome.code) && !context.budget.spend()) {
           return giveUp(context, call, state);
         }
         break;
--- a/packages/entry/src/caller-api.ts
+++ b/packages/entry/src/caller-api.ts
@@ -16,7 +16,7 @@
 import { createEventSink, createJsonSink } from './answer-sink.js';
 import type { BackendPool } from './backend-pool.js';
 import { serveCall } from './call.js';
-import type { ServiceAnswer } from './call.js';
+import type { ServiceAnswer } from './call-types.js';
 import type { CallOutcomes } from './call-outcome.js';
 import { createDeadline, parseTimeout } from './deadline.js';
 import { serveDraft } from './draft.js';
--- a/packages/entry/src/draft-request.ts
+++ b/packages/entry/src/draft-request.ts
@@ -1,9 +1,10 @@
 /**
  * Checks the body of a chat completion before anything is sent on.
  */
-import { LapisError, ResultCode } from '@lapisbridge/errors';
 import { z } from 'zod';
 
+import { parseJson } from './parse-json.js';
+
 const message = z.looseObject({
   role: z.string().min(1),
   content: z.union([z.string(), z.array(z.unknown())]),
@@ -18,22 +19,8 @@
 
 export type DraftBody = z.infer<typeof draftSchema>;
 
-export function parseJsonBody(bytes: Buffer): unknown {
-  try {
-    return JSON.parse(bytes.toString('utf8')) as unknown;
-  } catch {
-    throw new LapisError(ResultCode.MalformedJson, 'the body is not JSON');
-  }
-}
-
 export function parseDraft(bytes: Buffer): DraftBody {
-  const parsed = draftSchema.safeParse(parseJsonBody(bytes));
-  if (parsed.success) return parsed.data;
-  const problems = parsed.error.issues.map((issue) => ({
-    path: ['$', ...issue.path.map(String)].join('.'),
-    message: issue.message,
-  }));
-  throw new LapisError(ResultCode.BadRequest, 'the chat completion is not valid', { problems });
+  return parseJson(draftSchema, bytes, 'the chat completion is not valid');
 }
 
 /** Leading text of the prompt, which requests with a shared preamble have in common. */
--- a/packages/entry/src/draft.ts
+++ b/packages/entry/src/draft.ts
@@ -3,94 +3,25 @@
  * connection or a sidecar is lost on the way.
  */
 import type { EventId } from '@lapisbridge/answers';
-import type { EnvironmentDocument, ModelPolicy } from '@lapisbridge/config';
 import { LapisError, ResultCode } from '@lapisbridge/errors';
-import type { Logger } from '@lapisbridge/logger';
 import { sleep } from '@lapisbridge/kernel';
 import type { Random } from '@lapisbridge/kernel';
 import { ChoiceKind, planChoice } from '@lapisbridge/routing';
-import type { RetryBudget } from '@lapisbridge/routing';
 import { BackendServerKind, Ran } from '@lapisbridge/types';
 import { MessageKind } from '@lapisbridge/wire';
 import type { DraftStart, Resume } from '@lapisbridge/wire';
 
-import type { AnswerSink } from './answer-sink.js';
-import type { BackendPool } from './backend-pool.js';
-import type { Deadline } from './deadline.js';
-import { AttemptOutcomeKind, INITIAL_CREDIT, runDraftAttempt } from './draft-attempt.js';
-import type { AttemptOutcome, Progress } from './draft-attempt.js';
+import { AttemptOutcomeKind, runDraftAttempt } from './draft-attempt.js';
+import type { AttemptOutcome } from './draft-attempt.js';
 import { affinityKey } from './draft-request.js';
-import type { DraftBody } from './draft-request.js';
+import { estimateTokens, initialState, resumeMessage, startMessage } from './draft-state.js';
+import type { Draft, DraftContext, DraftState } from './draft-state.js';
 import { planRepair, RepairKind } from './plan-repair.js';
 
-export interface DraftContext {
-  readonly pool: BackendPool;
-  readonly logger: Logger;
-  readonly random: Random;
-  readonly budget: RetryBudget;
-  nextTurn(): number;
-  readonly entryId: string;
-  readonly ownZone: string;
-}
-
-export interface Draft {
-  readonly requestId: string;
-  readonly account: string;
-  readonly body: DraftBody;
-  readonly document: EnvironmentDocument;
-  readonly model: ModelPolicy;
-  readonly deadline: Deadline;
-  readonly sink: AnswerSink;
-  readonly callerGone: AbortSignal;
-  /** Whether the caller could come back for the rest of a broken-off answer. */
-  readonly resumable: boolean;
-  readonly resumeFrom: EventId | undefined;
-  onFirstText(): void;
-}
-
 /** Time for a replaced connection to a sidecar to say hello. */
 const RECONNECT_MILLISECONDS = 400;
 const BACKOFF_MILLISECONDS = 100;
 const MAXIMUM_BACKOFF_MILLISECONDS = 1000;
-/** After the caller's own return, attempts are numbered above those of the lost entry. */
-const TAKE_OVER_ATTEMPT = 1000;
-
-interface DraftState {
-  attempt: number;
-  breakages: number;
-  /** True once a sidecar has admitted the request: from then on it is carried through. */
-  admitted: boolean;
-  resumedHere: boolean;
-  pauses: number;
-  retryAfterMilliseconds: number;
-  lastCode: ResultCode;
-  readonly tried: Set<string>;
-  readonly progress: Progress;
-}
-
-function initialState(resumeFrom: EventId | undefined): DraftState {
-  return {
-    attempt: resumeFrom === undefined ? 0 : TAKE_OVER_ATTEMPT,
-    breakages: 0,
-    admitted: resumeFrom !== undefined,
-    resumedHere: false,
-    pauses: 0,
-    retryAfterMilliseconds: 0,
-    lastCode: ResultCode.NoBackendServer,
-    tried: new Set(),
-    progress: {
-      text: '',
-      offset: resumeFrom?.offset ?? 0,
-      tokens: 0,
-      wholeText: resumeFrom === undefined || resumeFrom.offset === 0,
-    },
-  };
-}
-
-function estimateTokens(draft: Draft): number {
-  return draft.body.max_tokens ?? draft.model.defaultAnswerTokens;
-}
-
 function choose(context: DraftContext, draft: Draft, state: DraftState): string | undefined {
   const { routing } = draft.document;
   const choice = planChoice({
@@ -114,42 +45,6 @@
   return chosen ? choice.candidate.instanceId : undefined;
 }
 
-function startMessage(context: DraftContext, draft: Draft, state: DraftState): DraftStart {
-  return {
-    kind: MessageKind.DraftStart,
-    entryId: context.entryId,
-    requestId: draft.requestId,
-    attempt: state.attempt,
-    account: draft.account,
-    model: draft.model.name,
-    remainingMilliseconds: draft.deadline.remaining(),
-    estimatedTokens: Math.max(1, estimateTokens(draft) - state.progress.tokens),
-    priority: draft.model.priority,
-    body: Buffer.from(JSON.stringify(draft.body)),
-    deliveredText: state.progress.text,
-    deliveredTokens: state.progress.tokens,
-    credit: INITIAL_CREDIT,
-  };
-}
-
-function resumeMessage(
-  context: DraftContext,
-  draft: Draft,
-  state: DraftState,
-  takeOver: boolean,
-): Resume {
-  return {
-    kind: MessageKind.Resume,
-    entryId: context.entryId,
-    requestId: draft.requestId,
-    attempt: state.attempt,
-    account: draft.account,
-    offset: state.progress.offset,
-    credit: INITIAL_CREDIT,
-    takeOver,
-  };
-}
-
 function runOn(
   context: DraftContext,
   draft: Draft,
--- a/packages/entry/src/plan-drain-check.ts
+++ b/packages/entry/src/plan-drain-check.ts
@@ -6,6 +6,8 @@
 export interface LoadedServer {
   readonly record: InstanceRecord;
   readonly load: LoadReport;
+  /** Configuration version in force there. */
+  readonly version: number;
 }
 
 export interface Shortfall {
--- a/packages/entry/src/plan-repair.ts
+++ b/packages/entry/src/plan-repair.ts
@@ -34,6 +34,11 @@
 /** Breakages of one answer after which the fault is taken to lie in the request. */
 const MAXIMUM_BREAKAGES = 4;
 
+/** Refusals that tell of too much load: going elsewhere with them takes from the retry budget. */
+export function isOverload(code: ResultCode): boolean {
+  return code === ResultCode.Overloaded || code === ResultCode.DeadlineTooShort;
+}
+
 function repair(kind: RepairKind, code: ResultCode, needsBudget = false): Repair {
   return { kind, code, needsBudget };
 }
@@ -52,7 +57,7 @@
       return repair(RepairKind.Done, ResultCode.Accepted);
     case AttemptOutcomeKind.Refused:
       // Refusals are what overload looks like: unlimited retries would multiply it.
-      return repair(RepairKind.GoElsewhere, outcome.code, outcome.code === ResultCode.Overloaded);
+      return repair(RepairKind.GoElsewhere, outcome.code, isOverload(outcome.code));
     case AttemptOutcomeKind.Failed:
       if (outcome.code === ResultCode.BadRequest || outcome.code === ResultCode.Cancelled) {
         return repair(RepairKind.GiveUp, outcome.code);
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -130,7 +130,11 @@
     },
     onOwnLeaving: () => handlers.onOwnLeaving(),
   });
-  state.onChange(() => membership.announceVersion(state.configuration?.version ?? 0));
+  // A change must be in force everywhere within seconds, and idle connections beat seldom.
+  state.onChange(() => {
+    membership.announceVersion(state.configuration?.version ?? 0);
+    peerListener.beat();
+  });
 
   const peerListener = createPeerListener({
     host: settings.listen.host,
--- a/packages/instance/src/peer-listener.ts
+++ b/packages/instance/src/peer-listener.ts
@@ -14,9 +14,9 @@
   readonly environment: string;
   hello(): Hello;
   heartbeat(): Omit<Heartbeat, 'kind'>;
-  serializeState(): string;
+  serializeState(): Uint8Array;
   onPeerDigest(digest: string, channel: Channel): void;
-  mergeState(serialized: string): void;
+  mergeState(serialized: Uint8Array): void;
   onMessage(message: Message, channel: Channel): void;
   onClose(channel: Channel): void;
 }
@@ -26,6 +26,8 @@
   stop(): Promise<void>;
   /** Sends to every connected peer. */
   broadcast(message: Message): void;
+  /** Beats on every connection now, because what heartbeats carry has changed. */
+  beat(): void;
 }
 
 export function createPeerListener(options: PeerListenerOptions): PeerListener {
@@ -90,6 +92,9 @@
       for (const channel of channels) channel.close();
       await closed;
     },
+    beat() {
+      for (const channel of channels) channel.beat();
+    },
     broadcast(message) {
       for (const channel of channels) channel.send(message);
     },
--- a/packages/membership/src/prober.ts
+++ b/packages/membership/src/prober.ts
@@ -59,6 +59,8 @@
 const INDIRECT_PROBES = 3;
 /** Updates on one message: keeps a datagram below a usual path's 1,400 bytes. */
 const UPDATES_PER_MESSAGE = 4;
+/** Share of messages that also carry a known member in passing. */
+const PASSING_SHARE = 0.25;
 /** Share of periods in which a dead member is pinged too, so that two sides of a healed cut find each other. */
 const DEAD_PROBE_SHARE = 0.25;
 
@@ -131,7 +133,7 @@
     const updates = [...queue.take(UPDATES_PER_MESSAGE, table.size)];
     const belief = table.get(receiver);
     if (belief !== undefined && belief.state !== InstanceState.Live) updates.unshift(belief);
-    if (updates.length < UPDATES_PER_MESSAGE) {
+    if (updates.length < UPDATES_PER_MESSAGE && options.random() < PASSING_SHARE) {
       const passing = pick([...table.all()]);
       if (passing !== undefined && passing.incarnation > 0) updates.push(passing);
     }
--- a/packages/placement/src/plan-map.ts
+++ b/packages/placement/src/plan-map.ts
@@ -2,8 +2,18 @@
  * Plans the next expert map from the one in force: a few moves that take load off the slowest
  * rank, and only if what they gain over the horizon is worth what they cost.
  */
-import { countReplicas, rankTimes, skewOf } from './expert-map.js';
+import { rankTimes, skewOf } from './expert-map.js';
 import type { ExpertLoad, ExpertMap } from './expert-map.js';
+import {
+  addTo,
+  planEviction,
+  refreshTimes,
+  removeFrom,
+  slowestRank,
+  toDraft,
+  toMap,
+} from './map-draft.js';
+import type { Eviction, MapDraft } from './map-draft.js';
 import { INITIAL_CAUTION } from './plan-caution.js';
 
 export interface MapPolicy {
@@ -44,73 +54,9 @@
   readonly toTime: number;
 }
 
-interface Draft {
-  readonly held: Set<number>[];
-  readonly replicas: number[];
-  readonly times: number[];
-}
-
-function toDraft(map: ExpertMap, load: ExpertLoad): Draft {
-  return {
-    held: map.experts.map((experts) => new Set(experts)),
-    replicas: countReplicas(map, load.tokens.length),
-    times: rankTimes(map, load),
-  };
-}
-
-function slowestRank(times: readonly number[]): number {
-  let slowest = 0;
-  for (const [rank, time] of times.entries()) {
-    if (time > (times[slowest] ?? 0)) slowest = rank;
-  }
-  return slowest;
-}
-
-/** What a full rank can give up, and the slowest other holder of it afterwards. */
-interface Eviction {
-  readonly expert: number;
-  readonly share: number;
-  readonly holdersSlowest: number;
-}
-
-/** Slowest of the other ranks that hold an expert once one of its replicas is gone. */
-function slowestHolderAfter(
-  draft: Draft,
-  load: ExpertLoad,
-  expert: number,
-  without: number,
-): number {
-  const replicas = draft.replicas[expert] ?? 1;
-  const tokens = load.tokens[expert] ?? 0;
-  const added = tokens / (replicas - 1) - tokens / replicas;
-  let slowest = 0;
-  for (const [rank, held] of draft.held.entries()) {
-    if (rank !== without && held.has(expert)) {
-      slowest = Math.max(slowest, (draft.times[rank] ?? 0) + added / (load.speeds[rank] ?? 1));
-    }
-  }
-  return slowest;
-}
-
-/** The replica that a rank can give up at the least harm to the expert's other holders. */
-function planEviction(draft: Draft, load: ExpertLoad, rank: number): Eviction | undefined {
-  let best: Eviction | undefined;
-  for (const expert of draft.held[rank] ?? []) {
-    const replicas = draft.replicas[expert] ?? 1;
-    if (replicas > 1) {
-      const holdersSlowest = slowestHolderAfter(draft, load, expert, rank);
-      const share = (load.tokens[expert] ?? 0) / replicas;
-      if (best === undefined || holdersSlowest < best.holdersSlowest) {
-        best = { expert, share, holdersSlowest };
-      }
-    }
-  }
-  return best;
-}
-
 /** The best form of moving one expert to one rank; undefined when it does not fit. */
 function judge(
-  draft: Draft,
+  draft: MapDraft,
   load: ExpertLoad,
   from: number,
   to: number,
@@ -158,7 +104,7 @@
 }
 
 function bestMove(
-  draft: Draft,
+  draft: MapDraft,
   load: ExpertLoad,
   policy: MapPolicy,
   from: number,
@@ -177,7 +123,7 @@
   return best;
 }
 
-function bestExchange(draft: Draft, load: ExpertLoad, from: number): Exchange | undefined {
+function bestExchange(draft: MapDraft, load: ExpertLoad, from: number): Exchange | undefined {
   let best: Exchange | undefined;
   const fromSpeed = load.speeds[from] ?? 1;
   for (const given of draft.held[from] ?? []) {
@@ -202,31 +148,13 @@
   return best;
 }
 
-function addTo(draft: Draft, rank: number, expert: number): void {
-  draft.held[rank]?.add(expert);
-  draft.replicas[expert] = (draft.replicas[expert] ?? 0) + 1;
-}
-
-function removeFrom(draft: Draft, rank: number, expert: number): void {
-  draft.held[rank]?.delete(expert);
-  draft.replicas[expert] = (draft.replicas[expert] ?? 1) - 1;
-}
-
-function refreshTimes(draft: Draft, load: ExpertLoad): void {
-  for (const [rank, held] of draft.held.entries()) {
-    let tokens = 0;
-    for (const expert of held) tokens += (load.tokens[expert] ?? 0) / (draft.replicas[expert] ?? 1);
-    draft.times[rank] = tokens / (load.speeds[rank] ?? 1);
-  }
-}
-
-function applyMove(draft: Draft, move: Move): void {
+function applyMove(draft: MapDraft, move: Move): void {
   if (move.evicted !== undefined) removeFrom(draft, move.to, move.evicted);
   addTo(draft, move.to, move.expert);
   if (move.from !== undefined) removeFrom(draft, move.from, move.expert);
 }
 
-function applyExchange(draft: Draft, from: number, exchange: Exchange): void {
+function applyExchange(draft: MapDraft, from: number, exchange: Exchange): void {
   removeFrom(draft, from, exchange.given);
   removeFrom(draft, exchange.with, exchange.taken);
   addTo(draft, from, exchange.taken);
@@ -234,7 +162,7 @@
 }
 
 /** Takes load off the slowest rank until nothing helps or the moves are used up. */
-function improve(draft: Draft, load: ExpertLoad, policy: MapPolicy): number {
+function improve(draft: MapDraft, load: ExpertLoad, policy: MapPolicy): number {
   let moves = 0;
   while (moves < policy.maximumMoves) {
     const from = slowestRank(draft.times);
@@ -259,12 +187,6 @@
   return moves;
 }
 
-function toMap(draft: Draft): ExpertMap {
-  return {
-    experts: draft.held.map((held) => [...held].sort((left, right) => left - right)),
-  };
-}
-
 /** `caution` multiplies what a change has to gain; see `planCaution`. */
 export function planMap(
   current: ExpertMap,
--- a/packages/shared-state/src/shared-state.ts
+++ b/packages/shared-state/src/shared-state.ts
@@ -3,6 +3,8 @@
  * in force and the drain orders. Versions only grow; a lower one is refused wherever it
  * comes from, so an accepted configuration never reverts.
  */
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
+
 import { checkDocument } from '@lapisbridge/config';
 import type { EnvironmentDocument } from '@lapisbridge/config';
 import type { Logger } from '@lapisbridge/logger';
@@ -35,8 +37,9 @@
   adopt(version: number, changeId: string, text: string): boolean;
   mergeOrders(orders: DrainOrders): void;
   /** Merges what a peer sent. */
-  merge(serialized: string): void;
-  serialize(): string;
+  merge(serialized: Uint8Array): void;
+  /** Deflated JSON: a document of thousands of accounts is large and is sent to every instance. */
+  serialize(): Uint8Array;
   onChange(listener: () => void): void;
   isDrained(instanceId: string, availabilityZone: string): boolean;
 }
@@ -44,11 +47,13 @@
 export function createSharedState(environment: string, logger: Logger): SharedState {
   let configuration: Configuration | undefined;
   let documentText = '';
+  let serialized: Uint8Array | undefined;
   let orders: DrainOrders = {};
   let digest = formatDigest(0, {});
   const listeners: (() => void)[] = [];
 
   function changed(): void {
+    serialized = undefined;
     digest = formatDigest(configuration?.version ?? 0, orders);
     for (const listener of listeners) listener();
   }
@@ -118,19 +123,21 @@
       logOrders(before);
       changed();
     },
-    merge(serialized) {
-      const wire = JSON.parse(serialized) as WireState;
+    merge(received) {
+      const wire = JSON.parse(inflateRawSync(received).toString('utf8')) as WireState;
       if (wire.version > 0) state.adopt(wire.version, wire.changeId, wire.text);
       state.mergeOrders(wire.orders);
     },
     serialize() {
+      if (serialized !== undefined) return serialized;
       const wire: WireState = {
         version: configuration?.version ?? 0,
         changeId: configuration?.changeId ?? '',
         text: documentText,
         orders,
       };
-      return JSON.stringify(wire);
+      serialized = deflateRawSync(JSON.stringify(wire));
+      return serialized;
     },
     onChange(listener) {
       listeners.push(listener);
--- a/packages/sidecar/src/call-runner.ts
+++ b/packages/sidecar/src/call-runner.ts
@@ -285,6 +285,7 @@
     try {
       run.reply = await execute(message, run);
       run.channel.send(run.reply);
+      run.channel.release();
     } finally {
       active -= 1;
       setTimeout(() => {
@@ -306,6 +307,7 @@
         reply: undefined,
       };
       runs.set(message.requestId, run);
+      channel.acquire();
       void track(message, run);
     },
     resume(message, channel) {
@@ -313,7 +315,8 @@
       if (run === undefined || run.account !== message.account) return false;
       if (run.attempt !== message.attempt) return false;
       run.channel = channel;
-      if (run.reply !== undefined) channel.send(run.reply);
+      if (run.reply === undefined) channel.acquire();
+      else channel.send(run.reply);
       return true;
     },
     cancel(name) {
--- a/packages/sidecar/src/draft-runner.ts
+++ b/packages/sidecar/src/draft-runner.ts
@@ -115,25 +115,39 @@
         throw new Error(`unknown status ${String(unreachable)}`);
       }
     }
+    detachReader(run);
+  }
+
+  /** While somebody reads, the channel beats fast on both sides. */
+  function attachReader(run: Run, reader: Reader): void {
+    detachReader(run);
+    run.reader = reader;
+    reader.channel.acquire();
+  }
+
+  function detachReader(run: Run): void {
+    run.reader?.channel.release();
     run.reader = undefined;
   }
 
   function createRun(message: DraftStart, channel: Channel): Run {
-    return {
+    const run: Run = {
       start: message,
       buffer: createAnswerBuffer(message.account, message.deliveredText),
       abort: new AbortController(),
       owner: message.entryId,
-      reader: {
-        channel,
-        attempt: message.attempt,
-        offset: message.deliveredText.length,
-        credit: message.credit,
-      },
+      reader: undefined,
       tokens: message.deliveredTokens,
       failure: undefined,
       orphanTimer: undefined,
     };
+    attachReader(run, {
+      channel,
+      attempt: message.attempt,
+      offset: message.deliveredText.length,
+      credit: message.credit,
+    });
+    return run;
   }
 
   async function generate(run: Run): Promise<EngineOutcome> {
@@ -188,7 +202,7 @@
 
   /** Nobody reads any more. Without a time limit the engine would go on working for nobody. */
   function orphan(run: Run): void {
-    run.reader = undefined;
+    detachReader(run);
     if (run.buffer.status !== AnswerStatus.Open) return;
     clearTimeout(run.orphanTimer);
     run.orphanTimer = setTimeout(() => run.abort.abort(), options.limits().orphanMilliseconds);
@@ -224,6 +238,7 @@
         reason,
         retryAfterMilliseconds,
       });
+      detachReader(run);
       return;
     }
     const deadline = setTimeout(() => run.abort.abort(), start.remainingMilliseconds);
@@ -259,6 +274,7 @@
         const sameEntry = before.owner === message.entryId;
         if (sameEntry && before.start.attempt >= message.attempt) return;
         before.abort.abort();
+        detachReader(before);
       }
       const run = createRun(message, channel);
       runs.set(message.requestId, run);
@@ -273,12 +289,12 @@
       if (!message.takeOver && run.owner !== message.entryId) return false;
       run.owner = message.entryId;
       clearTimeout(run.orphanTimer);
-      run.reader = {
+      attachReader(run, {
         channel,
         attempt: message.attempt,
         offset: message.offset,
         credit: message.credit,
-      };
+      });
       pump(run);
       return true;
     },
@@ -292,6 +308,7 @@
       const run = runs.get(name.requestId);
       if (run === undefined || (run.reader?.attempt ?? run.start.attempt) > name.attempt) return;
       run.abort.abort();
+      detachReader(run);
       runs.delete(name.requestId);
     },
     detach(message, channel) {
--- a/packages/sidecar/src/gate.ts
+++ b/packages/sidecar/src/gate.ts
@@ -9,6 +9,7 @@
   initialLimit,
   planAdmission,
   planLimit,
+  RefusalReason,
 } from '@lapisbridge/admission';
 import type { Evidence, LimitPolicy, LimitState } from '@lapisbridge/admission';
 import { ResultCode } from '@lapisbridge/errors';
@@ -75,6 +76,10 @@
   isBackendReachable(): boolean;
 }
 
+const REFUSAL_CODES: Readonly<Record<RefusalReason, ResultCode>> = {
+  [RefusalReason.QueueFull]: ResultCode.Overloaded,
+  [RefusalReason.DeadlineTooShort]: ResultCode.DeadlineTooShort,
+};
 const NOT_READY_RETRY_MILLISECONDS = 1000;
 const FRESH_MILLISECONDS = 2000;
 const UNKNOWN_POLICY: LimitPolicy = {
@@ -195,7 +200,11 @@
         case AdmissionKind.Queue:
           return wait(request, policy, admission.expectedWaitMilliseconds, signal);
         case AdmissionKind.Refuse:
-          return refused(ResultCode.Overloaded, admission.reason, admission.retryAfterMilliseconds);
+          return refused(
+            REFUSAL_CODES[admission.reason],
+            admission.reason,
+            admission.retryAfterMilliseconds,
+          );
         default: {
           const unreachable: never = admission;
           return unreachable;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -43,6 +43,7 @@
 const LINGER_MILLISECONDS = 200;
 const REGISTER_RETRY_MILLISECONDS = 500;
 const LIVES_MILLISECONDS = 2000;
+const AVAILABILITY_MILLISECONDS = 250;
 
 export function createSidecar(settings: SidecarSettings): Sidecar {
   const { backendServer, instanceId } = settings;
@@ -212,6 +213,29 @@
     return agent;
   }
 
+  /** Tells entries at once when this sidecar becomes, or ceases to be, of use to them. */
+  function createAvailabilityWatch(): { start(): void; stop(): void } {
+    let timer: NodeJS.Timeout | undefined;
+    let told = '';
+    const describe = (): string => {
+      const { warm, backendReachable, storeReachable, draining } = load();
+      return [warm, backendReachable, storeReachable, draining].join();
+    };
+    return {
+      start() {
+        timer = setInterval(() => {
+          const now = describe();
+          if (now === told) return;
+          told = now;
+          instance.peerListener.beat();
+        }, AVAILABILITY_MILLISECONDS);
+      },
+      stop() {
+        clearInterval(timer);
+      },
+    };
+  }
+
   async function register(): Promise<void> {
     if (backendServer.kind !== BackendServerKind.PlainService) return;
     const { environment } = settings;
@@ -243,6 +267,7 @@
   }
 
   const rankAgent = createRankParts();
+  kernel.register('availability', createAvailabilityWatch());
   kernel.register('loadWatcher', loadWatcher);
   kernel.register('backend', {
     stop() {
--- a/packages/wire/src/channel.ts
+++ b/packages/wire/src/channel.ts
@@ -10,6 +10,8 @@
 
 export const HEARTBEAT_MILLISECONDS = 500;
 export const SILENCE_MILLISECONDS = 1500;
+/** Most channels of a large fleet carry no request at a given time; they beat this much less often. */
+export const IDLE_FACTOR = 5;
 
 export enum CloseReason {
   Ended = 'ended',
@@ -21,6 +23,11 @@
 export interface Channel {
   readonly closed: boolean;
   send(message: Message): void;
+  /** Beats now instead of at the next turn, because its content has changed. */
+  beat(): void;
+  /** Counts a request in: while any is in progress, silence is noticed fast. */
+  acquire(): void;
+  release(): void;
   close(): void;
 }
 
@@ -36,25 +43,28 @@
   readonly silenceMilliseconds?: number;
 }
 
+interface SilenceWatch {
+  heard(): void;
+  stop(): void;
+}
+
+/** `allowed` tells the silence that is allowed now; it is asked at each turn. */
 function watchSilence(
-  silenceMilliseconds: number,
+  turnMilliseconds: number,
+  allowed: () => number,
   onSilent: () => void,
-): { heard(): void; stop(): void } {
+): SilenceWatch {
   let lastHeard = performance.now();
-  let lastTick = lastHeard;
-  const period = silenceMilliseconds / 3;
+  let lastTurn = lastHeard;
   const timer = setInterval(() => {
     const now = performance.now();
     // When this process itself was paused, the peer's frames wait unread in the socket. Judging
-    // silence from the pause would close every connection at once; so a late tick only re-arms.
-    const paused = now - lastTick > period * 2;
-    lastTick = now;
-    if (paused) {
-      lastHeard = now;
-      return;
-    }
-    if (now - lastHeard > silenceMilliseconds) onSilent();
-  }, period);
+    // silence from the pause would close every connection at once; so a late turn only re-arms.
+    const paused = now - lastTurn > turnMilliseconds * 2;
+    lastTurn = now;
+    if (paused) lastHeard = now;
+    else if (now - lastHeard > allowed()) onSilent();
+  }, turnMilliseconds);
   return {
     heard() {
       lastHeard = performance.now();
@@ -79,6 +89,10 @@
   let closed = false;
   let corked = false;
   const state = { reason: CloseReason.Ended };
+  const heartbeatMilliseconds = options.heartbeatMilliseconds ?? HEARTBEAT_MILLISECONDS;
+  const silenceMilliseconds = options.silenceMilliseconds ?? SILENCE_MILLISECONDS;
+  let requests = 0;
+  let turnsSinceBeat = 0;
 
   const channel: Channel = {
     get closed() {
@@ -96,17 +110,32 @@
       }
       socket.write(encodeFrame(message));
     },
+    beat() {
+      turnsSinceBeat = 0;
+      channel.send({ kind: MessageKind.Heartbeat, ...handlers.heartbeat() });
+    },
+    acquire() {
+      // From an idle peer nothing may have come for a while: its fast beats begin only now.
+      if (requests === 0) silence.heard();
+      requests += 1;
+    },
+    release() {
+      requests = Math.max(0, requests - 1);
+    },
     close() {
       end(CloseReason.Local);
     },
   };
 
-  const silence = watchSilence(options.silenceMilliseconds ?? SILENCE_MILLISECONDS, () =>
+  const allowedSilence = (): number =>
+    requests > 0 ? silenceMilliseconds : silenceMilliseconds * IDLE_FACTOR;
+  const silence = watchSilence(silenceMilliseconds / 3, allowedSilence, () =>
     end(CloseReason.Silent),
   );
   const beat = setInterval(() => {
-    channel.send({ kind: MessageKind.Heartbeat, ...handlers.heartbeat() });
-  }, options.heartbeatMilliseconds ?? HEARTBEAT_MILLISECONDS);
+    turnsSinceBeat += 1;
+    if (requests > 0 || turnsSinceBeat >= IDLE_FACTOR) channel.beat();
+  }, heartbeatMilliseconds);
 
   function finish(): void {
     if (closed) return;
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -59,10 +59,10 @@
   readonly kind: MessageKind.StateRequest;
 }
 
-/** The sender's whole shared state as JSON text; the receiver merges it. */
+/** The sender's whole shared state as deflated JSON text; the receiver merges it. */
 export interface StateReply {
   readonly kind: MessageKind.StateReply;
-  readonly state: string;
+  readonly state: Uint8Array;
 }
 
 /** Names one attempt at one request; late frames of an older attempt are dropped by it. */
--- a/packages/wire/src/wire.test.ts
+++ b/packages/wire/src/wire.test.ts
@@ -82,11 +82,40 @@
     sockets.push(socket);
     const reason = await new Promise<CloseReason>((resolve) => {
       const handlers = { onMessage: () => undefined, onClose: resolve, ...QUIET };
-      openChannel(socket, handlers, { silenceMilliseconds: 150, heartbeatMilliseconds: 50 });
+      const options = { silenceMilliseconds: 150, heartbeatMilliseconds: 50 };
+      openChannel(socket, handlers, options).acquire();
     });
     expect(reason).toBe(CloseReason.Silent);
   });
 
+  it('stays open while idle, although its peer beats less often than a busy one must', async () => {
+    // Both ends idle: the peer beats at a fifth of the busy rate. Judged by the busy limit each
+    // connection would be closed and dialed again all the time.
+    const port = await listen((socket) => {
+      openChannel(
+        socket,
+        { onMessage: () => undefined, onClose: () => undefined, ...QUIET },
+        { heartbeatMilliseconds: 50 },
+      );
+    });
+    const socket = await dial('127.0.0.1', port);
+    sockets.push(socket);
+    let beats = 0;
+    const closed: CloseReason[] = [];
+    await new Promise<void>((resolve) => {
+      const handlers = {
+        onMessage() {
+          beats += 1;
+          if (beats === 3) resolve();
+        },
+        onClose: (reason: CloseReason) => void closed.push(reason),
+        ...QUIET,
+      };
+      openChannel(socket, handlers, { silenceMilliseconds: 150, heartbeatMilliseconds: 50 });
+    });
+    expect(closed).toEqual([]);
+  });
+
   it('is closed on a frame that cannot be read', async () => {
     const port = await listen((socket) => socket.write(Buffer.alloc(8, 0xff)));
     const socket = await dial('127.0.0.1', port);
