Hedge late look-ups, keep the leader's connections, split what had grown

Cause 1: an idempotent call on a stalled server waited for its whole deadline. It is now sent to a second server after the 95th percentile of its service, within the retry budget (DESIGN §7). It now asks once in a window over kept connections; ruled out: asking only after changes of membership, since an engine can restart under a living sidecar. Idle load is read half as often now.

--- a/packages/bench/src/experiments/index.ts
+++ b/packages/bench/src/experiments/index.ts
@@ -5,6 +5,7 @@
 import { fairnessExperiment } from './fairness.js';
 import { overheadExperiment } from './overhead.js';
 import { placementExperiment } from './placement.js';
+import { routingExperiment } from './routing.js';
 import { sharesExperiment } from './shares.js';
 import { slopesExperiment } from './slopes.js';
 import { zoneExperiment } from './zone.js';
@@ -12,6 +13,7 @@
 export const EXPERIMENTS: readonly Experiment[] = [
   placementExperiment,
   zoneExperiment,
+  routingExperiment,
   fairnessExperiment,
   overheadExperiment,
   slopesExperiment,
--- a/packages/bench/src/experiments/zone.ts
+++ b/packages/bench/src/experiments/zone.ts
@@ -86,7 +86,7 @@
       useEntries([0, 1]);
       await sleep(PHASE_MILLISECONDS);
       const returnedAt = performance.now();
-      await Promise.all(victims.map(({ id }) => site.restart(id)));
+      for (const { id } of victims) site.restart(id);
       await awaitReady(site);
       return { leftAt, returnedAt };
     }
--- a/packages/entry/src/call-types.ts
+++ b/packages/entry/src/call-types.ts
@@ -11,6 +11,7 @@
 import type { BackendPool } from './backend-pool.js';
 import type { CallKey, CallOutcomes } from './call-outcome.js';
 import type { Deadline } from './deadline.js';
+import type { HedgeTimer } from './hedge-timer.js';
 
 export interface CallContext {
   readonly pool: BackendPool;
@@ -21,6 +22,7 @@
   readonly entryId: string;
   readonly ownZone: string;
   readonly outcomes: CallOutcomes;
+  readonly hedgeTimer: HedgeTimer;
 }
 
 export interface ServiceCall {
@@ -48,7 +50,7 @@
 
 export interface CallState {
   attempt: number;
-  breakages: number;
+  rounds: number;
   claimVersion: number;
   /** An attempt was sent and neither answered, refused nor proved not run. */
   indeterminate: boolean;
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -13,10 +13,13 @@
 import type { CallOutcome } from './call-attempt.js';
 import type { CallContext, CallState, ServiceAnswer, ServiceCall } from './call-types.js';
 import { concludeProof, failure, giveUp } from './conclude-call.js';
+import { runHedged } from './hedged-attempt.js';
+import type { HedgedOutcome } from './hedged-attempt.js';
 import { isOverload } from './plan-repair.js';
 
 const RECONNECT_MILLISECONDS = 500;
-const MAXIMUM_BREAKAGES = 3;
+/** Attempts at one call, however many servers there are. */
+const MAXIMUM_ROUNDS = 12;
 /** Kept back from the caller's time, so that a truthful answer can still be found out. */
 const PROOF_MILLISECONDS = 300;
 
@@ -47,11 +50,11 @@
   return chosen;
 }
 
-function startMessage(call: ServiceCall, state: CallState): CallStart {
+function startMessage(call: ServiceCall, state: CallState, attempt: number): CallStart {
   return {
     kind: MessageKind.CallStart,
     requestId: call.requestId,
-    attempt: state.attempt,
+    attempt,
     account: call.account,
     service: call.service,
     operation: call.operation,
@@ -76,11 +79,12 @@
   call: ServiceCall,
   state: CallState,
   instanceId: string,
+  attempt: number,
 ): Promise<CallOutcome> {
   const input = { pool: context.pool, instanceId, callerGone: call.callerGone };
   const first = await runCallAttempt({
     ...input,
-    message: startMessage(call, state),
+    message: startMessage(call, state, attempt),
     timeoutMilliseconds: attemptTimeout(call),
   });
   if (first.kind !== CallOutcomeKind.Lost) return first;
@@ -91,7 +95,7 @@
       kind: MessageKind.Resume,
       entryId: context.entryId,
       requestId: call.requestId,
-      attempt: state.attempt,
+      attempt,
       account: call.account,
       offset: 0,
       credit: 0,
@@ -105,6 +109,40 @@
   return forgotten ? { kind: CallOutcomeKind.Lost } : resumed;
 }
 
+/** One attempt, and for idempotent calls a second one elsewhere when the first is late. */
+async function attemptMaybeTwice(
+  context: CallContext,
+  call: ServiceCall,
+  state: CallState,
+  instanceId: string,
+): Promise<HedgedOutcome> {
+  const startedAt = performance.now();
+  const idempotent = call.operation === OperationKind.Idempotent;
+  const hedged = await runHedged(
+    {
+      run: (name, attempt) => attemptOn(context, call, state, name, attempt),
+      second() {
+        const excluded = new Set([...state.tried, instanceId]);
+        const other = choose(context, call, { ...state, tried: excluded });
+        if (other === undefined || !context.budget.spend()) return undefined;
+        state.attempt += 1;
+        context.pool.noteSent(other.instanceId);
+        return { instanceId: other.instanceId, attempt: state.attempt };
+      },
+      cancel(name, message) {
+        context.pool.send(name, { ...message, requestId: call.requestId });
+      },
+      hedgeAfterMilliseconds: idempotent ? context.hedgeTimer.hedgeAfter(call.service) : undefined,
+    },
+    instanceId,
+    state.attempt,
+  );
+  if (idempotent && hedged.outcome.kind === CallOutcomeKind.Answered) {
+    context.hedgeTimer.observe(call.service, performance.now() - startedAt);
+  }
+  return hedged;
+}
+
 /** After a lost attempt at an at-most-once call: certain, or not to be repeated. */
 async function afterLostClaim(
   context: CallContext,
@@ -154,7 +192,7 @@
 export async function serveCall(context: CallContext, call: ServiceCall): Promise<ServiceAnswer> {
   const state: CallState = {
     attempt: 0,
-    breakages: 0,
+    rounds: 0,
     claimVersion: 0,
     indeterminate: false,
     lastCode: ResultCode.NoBackendServer,
@@ -166,10 +204,14 @@
   for (;;) {
     const candidate = choose(context, call, state);
     if (candidate === undefined) return giveUp(context, call, state);
-    const { instanceId } = candidate;
     state.attempt += 1;
-    context.pool.noteSent(instanceId);
-    const outcome = await attemptOn(context, call, state, instanceId);
+    context.pool.noteSent(candidate.instanceId);
+    const { instanceId, outcome } = await attemptMaybeTwice(
+      context,
+      call,
+      state,
+      candidate.instanceId,
+    );
     switch (outcome.kind) {
       case CallOutcomeKind.Answered: {
         const { status, contentType, body, replayed } = outcome.answer;
@@ -217,7 +259,7 @@
         throw new Error(String(unreachable));
       }
     }
-    state.breakages += 1;
-    if (state.breakages > MAXIMUM_BREAKAGES * 4) return giveUp(context, call, state);
+    state.rounds += 1;
+    if (state.rounds > MAXIMUM_ROUNDS) return giveUp(context, call, state);
   }
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -15,7 +15,9 @@
 import { createBackendPool } from './backend-pool.js';
 import type { BackendPool } from './backend-pool.js';
 import { createCallOutcomes } from './call-outcome.js';
+import type { CallContext } from './call-types.js';
 import { createCallerApi } from './caller-api.js';
+import { createHedgeTimer } from './hedge-timer.js';
 import { createHttpListener } from './http-listener.js';
 import { createInFlightLimits } from './in-flight-limits.js';
 import { createMetrics } from './metrics.js';
@@ -73,18 +75,35 @@
     budget = createRetryBudget(ratio);
   });
 
+  function createContext(): CallContext {
+    let turn = 0;
+    return {
+      pool,
+      logger,
+      random: instance.random,
+      // Read anew at each use, since a change of the document replaces it.
+      budget: { earn: () => budget.earn(), spend: () => budget.spend() },
+      nextTurn() {
+        turn += 1;
+        return turn;
+      },
+      entryId: self.instanceId,
+      ownZone: self.availabilityZone,
+      outcomes: createCallOutcomes(platform, pool, storeWatcher),
+      hedgeTimer: createHedgeTimer(),
+    };
+  }
+
   const callers = createHttpListener(
     settings.listen.host,
     settings.listen.callerPort,
     settings.transportSecurity,
     createCallerApi({
       instance,
-      pool,
       accounts: createAccounts(self.environment, state, instance.store),
-      budget: { earn: () => budget.earn(), spend: () => budget.spend() },
-      outcomes: createCallOutcomes(platform, pool, storeWatcher),
       inFlight,
       metrics,
+      context: createContext(),
       isReady,
     }),
   );
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -3,8 +3,10 @@
  */
 export { createMemberTable, isNews } from './member-table.js';
 export type { Member, MemberTable, MemberUpdate } from './member-table.js';
-export { createProber, DEFAULT_TIMING, GossipKind } from './prober.js';
-export type { GossipMessage, Prober, ProberOptions, ProberTiming } from './prober.js';
+export { DEFAULT_TIMING, GossipKind } from './gossip.js';
+export type { GossipMessage, ProberOptions, ProberTiming } from './gossip.js';
+export { createProber } from './prober.js';
+export type { Prober } from './prober.js';
 export { createMembership } from './udp-membership.js';
 export type {
   ListedInstanceView,
--- a/packages/membership/src/prober.ts
+++ b/packages/membership/src/prober.ts
@@ -8,54 +8,12 @@
 import { InstanceState } from '@lapisbridge/types';
 import type { InstanceRecord } from '@lapisbridge/types';
 
+import { DEFAULT_TIMING, GossipKind } from './gossip.js';
+import type { GossipMessage, ProberOptions } from './gossip.js';
 import { createMemberTable } from './member-table.js';
 import type { Member, MemberUpdate } from './member-table.js';
 import { createUpdateQueue } from './update-queue.js';
 
-export enum GossipKind {
-  Ping,
-  Ack,
-  PingRequest,
-}
-
-export interface GossipMessage {
-  readonly kind: GossipKind;
-  readonly sequence: number;
-  /** The sender's own state, so that any message also introduces its sender. */
-  readonly from: MemberUpdate;
-  /** For a ping request: whom to ping. */
-  readonly target?: string;
-  readonly updates: readonly MemberUpdate[];
-  readonly stateDigest: string;
-}
-
-export interface ProberOptions {
-  readonly self: InstanceRecord;
-  readonly incarnation: number;
-  readonly random: () => number;
-  send(to: InstanceRecord, message: GossipMessage): void;
-  stateDigest(): string;
-  /** A member's state, version or existence changed. */
-  onChange(member: Member): void;
-  onPeerDigest(peer: InstanceRecord, digest: string): void;
-  readonly timing?: Partial<ProberTiming>;
-}
-
-export interface ProberTiming {
-  readonly periodMilliseconds: number;
-  readonly ackMilliseconds: number;
-  readonly suspicionMilliseconds: number;
-  /** How long a dead member is remembered and now and then probed. */
-  readonly forgetMilliseconds: number;
-}
-
-export const DEFAULT_TIMING: ProberTiming = {
-  periodMilliseconds: 1000,
-  ackMilliseconds: 300,
-  suspicionMilliseconds: 3000,
-  forgetMilliseconds: 24 * 3600 * 1000,
-};
-
 const INDIRECT_PROBES = 3;
 /** Updates on one message: keeps a datagram below a usual path's 1,400 bytes. */
 const UPDATES_PER_MESSAGE = 4;
--- a/packages/membership/src/udp-membership.ts
+++ b/packages/membership/src/udp-membership.ts
@@ -9,11 +9,12 @@
 import { InstanceState as State } from '@lapisbridge/types';
 import { Encoder } from 'cbor-x';
 
+import type { GossipMessage } from './gossip.js';
 import type { Member } from './member-table.js';
 import { createProber } from './prober.js';
-import type { GossipMessage, Prober } from './prober.js';
+import type { Prober } from './prober.js';
 
-const TICK_MILLISECONDS = 100;
+const TICK_MILLISECONDS = 250;
 const LIST_MILLISECONDS = 2500;
 /** Messages sent while leaving, so that one lost datagram does not hide it. */
 const GOODBYE_TICKS = 3;
--- a/packages/sidecar/src/group-leader.ts
+++ b/packages/sidecar/src/group-leader.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from 'node:crypto';
 
 import type { PlacementPolicy } from '@lapisbridge/config';
-import { askPeer } from '@lapisbridge/instance';
+import { createPeerCalls } from '@lapisbridge/instance';
 import type { Instance } from '@lapisbridge/instance';
 import { sleep } from '@lapisbridge/kernel';
 import {
@@ -20,11 +20,17 @@
   RolloutOutcome,
   smoothTokens,
 } from '@lapisbridge/placement';
-import type { ExpertMap, MapPolicy, RankAnswer, RankOrderMessage } from '@lapisbridge/placement';
+import type {
+  ExpertMap,
+  MapPolicy,
+  MapRecord,
+  RankAnswer,
+  RankOrderMessage,
+} from '@lapisbridge/placement';
 import { InstanceState } from '@lapisbridge/types';
 import type { InstanceRecord, RankPlace } from '@lapisbridge/types';
 import { MessageKind } from '@lapisbridge/wire';
-import type { RankOrder, RankReply } from '@lapisbridge/wire';
+import type { RankOrder } from '@lapisbridge/wire';
 
 import type { RankAgent } from './rank-agent.js';
 import type { RankStatistics } from './rank-engine.js';
@@ -58,6 +64,7 @@
   let caution = INITIAL_CAUTION;
   let lastWindowAt = -Infinity;
   let orderId = 0;
+  const peerCalls = createPeerCalls(() => instance.hello());
   const statistics = new Map<number, RankStatistics>();
 
   function recordOf(rank: number): InstanceRecord | undefined {
@@ -93,9 +100,7 @@
     const record = recordOf(rank);
     if (record === undefined) throw new Error(`rank ${rank} is not there`);
     const reply =
-      rank === place.rank
-        ? await agent.obey(order)
-        : await askPeer<RankReply>(record, instance.hello(), order, MessageKind.RankReply);
+      rank === place.rank ? await agent.obey(order) : await peerCalls.order(record, order);
     if (given.step === RankStep.Query && reply.statistics !== '') {
       statistics.set(rank, JSON.parse(reply.statistics) as RankStatistics);
     }
@@ -145,9 +150,8 @@
     logger.decision({ kind: 'placement', subject: place.group, choice, reason });
   }
 
-  async function planWindow(): Promise<void> {
-    const committed = await rollout.committed();
-    if (committed === undefined || statistics.size < place.size) return;
+  async function planWindow(committed: MapRecord): Promise<void> {
+    if (statistics.size < place.size) return;
     const tokens = sumTokens();
     smoothed = smoothTokens(smoothed, tokens, options.policy().smoothing);
     const speeds = Array.from(
@@ -166,8 +170,14 @@
     logDecision('rollout', outcome);
   }
 
+  /**
+   * Once in each window every rank is asked for its state and its load; between windows only the
+   * lease is renewed, since asking a hundred ranks costs this instance more than anything else.
+   */
   async function lead(): Promise<void> {
     const policy = options.policy();
+    if (clock() - lastWindowAt < policy.windowMilliseconds) return;
+    lastWindowAt = clock();
     const committed = await rollout.committed();
     if (committed === undefined) {
       const outcome = await rollout.change(initialMap(policy.experts, place.size));
@@ -175,13 +185,13 @@
       return;
     }
     const outcome = await rollout.reconcile();
-    if (outcome !== RolloutOutcome.Done) {
-      logDecision('reconcile', outcome);
+    if (outcome === RolloutOutcome.Done) {
+      await planWindow(committed);
       return;
     }
-    if (clock() - lastWindowAt < policy.windowMilliseconds) return;
-    lastWindowAt = clock();
-    await planWindow();
+    logDecision('reconcile', outcome);
+    // A group that is not on one map stands still: look again with the next renewal.
+    lastWindowAt = -Infinity;
   }
 
   async function tick(): Promise<void> {
@@ -189,6 +199,7 @@
     const held = await lease.tend(clock());
     if (held === undefined) {
       smoothed = undefined;
+      lastWindowAt = -Infinity;
       return;
     }
     await lead();
@@ -210,6 +221,7 @@
     },
     stop() {
       stopped = true;
+      peerCalls.stop();
     },
   };
 }
--- a/packages/sidecar/src/load-watcher.ts
+++ b/packages/sidecar/src/load-watcher.ts
@@ -7,7 +7,9 @@
 import type { Evidence } from '@lapisbridge/admission';
 import { Agent, request } from 'undici';
 
-const PERIOD_MILLISECONDS = 250;
+/** While requests run or the server is not known to be well. */
+const BUSY_MILLISECONDS = 250;
+const IDLE_MILLISECONDS = 500;
 const TIMEOUT_MILLISECONDS = 1000;
 
 /** `GET /load` of a backend server. */
@@ -24,7 +26,11 @@
   stop(): void;
 }
 
-export function createLoadWatcher(url: string, observe: (evidence: Evidence) => void): LoadWatcher {
+export function createLoadWatcher(
+  url: string,
+  observe: (evidence: Evidence) => void,
+  isIdle: () => boolean,
+): LoadWatcher {
   let agent = new Agent({ connections: 1 });
   let timer: NodeJS.Timeout | undefined;
   let stopped = false;
@@ -53,7 +59,8 @@
 
   function schedule(): void {
     if (stopped) return;
-    timer = setTimeout(() => void read().then(schedule), PERIOD_MILLISECONDS);
+    const period = reachable && isIdle() ? IDLE_MILLISECONDS : BUSY_MILLISECONDS;
+    timer = setTimeout(() => void read().then(schedule), period);
   }
 
   return {
--- a/packages/sidecar/src/sidecar-lives.ts
+++ b/packages/sidecar/src/sidecar-lives.ts
@@ -4,8 +4,13 @@
  * whether they have seen a key: only if every life that could have run it says no is "not
  * run" proved.
  */
+import { randomUUID } from 'node:crypto';
+
+import type { SidecarSettings } from '@lapisbridge/config';
+import type { Random, Service } from '@lapisbridge/kernel';
 import { writeConditionally, WriteOutcome } from '@lapisbridge/platform';
 import type { Table } from '@lapisbridge/platform';
+import { BackendServerKind } from '@lapisbridge/types';
 
 export interface SidecarLife {
   readonly life: string;
@@ -22,7 +27,7 @@
 }
 
 /** Reads the names of all lives that are registered now. */
-export async function readLives(
+async function readLives(
   table: Table,
   environment: string,
   service: string,
@@ -32,7 +37,7 @@
 }
 
 /** Adds a life and returns the names of all known ones; undefined while the table is away. */
-export async function registerLife(
+async function registerLife(
   table: Table,
   environment: string,
   service: string,
@@ -58,3 +63,46 @@
   }
   return undefined;
 }
+
+const REGISTER_MILLISECONDS = 500;
+const REFRESH_MILLISECONDS = 2000;
+
+export interface Lives extends Service {
+  /** Name of this life. */
+  readonly own: string;
+  /** All lives that are registered, as last read; undefined until this one is. */
+  known(): readonly string[] | undefined;
+}
+
+export interface LivesOptions {
+  readonly table: Table;
+  readonly settings: SidecarSettings;
+  readonly random: Random;
+}
+
+/** Registers this life and keeps reading the others; only plain services need it. */
+export function createLives({ table, settings, random }: LivesOptions): Lives {
+  const { backendServer, environment, instanceId } = settings;
+  const own = `${instanceId}/${randomUUID()}`;
+  let known: readonly string[] | undefined;
+  let timer: NodeJS.Timeout | undefined;
+
+  async function look(service: string): Promise<void> {
+    if (known === undefined) known = await registerLife(table, environment, service, own);
+    // Sidecars that start later and die before an outage must be known to the others too.
+    else known = await readLives(table, environment, service).catch(() => known);
+    const pause = known === undefined ? REGISTER_MILLISECONDS : REFRESH_MILLISECONDS;
+    timer = setTimeout(() => void look(service), pause * (0.5 + random()));
+  }
+
+  return {
+    own,
+    known: () => known,
+    async start() {
+      if (backendServer.kind === BackendServerKind.PlainService) await look(backendServer.service);
+    },
+    stop() {
+      clearTimeout(timer);
+    },
+  };
+}
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -11,26 +11,22 @@
 import type { Instance } from '@lapisbridge/instance';
 import { sleep } from '@lapisbridge/kernel';
 import { createStoreWatcher } from '@lapisbridge/platform';
-import { leaseKey } from '@lapisbridge/placement';
-import type { LeaseRecord } from '@lapisbridge/placement';
-import { BackendServerKind, Ran } from '@lapisbridge/types';
+import { Ran } from '@lapisbridge/types';
 import type { LoadReport } from '@lapisbridge/types';
 import { MessageKind } from '@lapisbridge/wire';
-import type { AttemptName, Channel, KeyQuery, Message, Resume } from '@lapisbridge/wire';
+import type { AttemptName, Channel, KeyQuery, Message, RankOrder, Resume } from '@lapisbridge/wire';
 
+import { createAvailabilityWatch } from './availability-watch.js';
 import { createBackgroundRetry } from './background-retry.js';
 import { createCallRunner } from './call-runner.js';
 import { createDraftRunner } from './draft-runner.js';
 import { createEngineClient } from './engine-client.js';
 import { createGate } from './gate.js';
-import { createGroupLeader } from './group-leader.js';
 import { createLoadWatcher } from './load-watcher.js';
 import { gatePolicyOf, limitsOf, placementOf, weightOf } from './policies.js';
-import { createRankAgent } from './rank-agent.js';
-import type { RankAgent } from './rank-agent.js';
-import { createRankEngine } from './rank-engine.js';
+import { createRankParts } from './rank-parts.js';
 import { createServiceClient } from './service-client.js';
-import { readLives, registerLife } from './sidecar-lives.js';
+import { createLives } from './sidecar-lives.js';
 
 export interface Sidecar {
   start(): Promise<void>;
@@ -41,16 +37,11 @@
 const DRAIN_POLL_MILLISECONDS = 50;
 /** After the last answer: time for its bytes to leave. */
 const LINGER_MILLISECONDS = 200;
-const REGISTER_RETRY_MILLISECONDS = 500;
-const LIVES_MILLISECONDS = 2000;
-const AVAILABILITY_MILLISECONDS = 250;
 
 export function createSidecar(settings: SidecarSettings): Sidecar {
   const { backendServer, instanceId } = settings;
   let stopping = false;
   let listedLeaving = false;
-  let knownLives: readonly string[] | undefined;
-  const life = `${instanceId}/${randomUUID()}`;
 
   const instance: Instance = createInstance(settings, {
     onMessage,
@@ -86,9 +77,14 @@
   const background = createBackgroundRetry(random);
   const storeWatcher = createStoreWatcher(platform.table, random);
   const seenKeys = createSeenKeys();
+  const lives = createLives({ table: platform.table, settings, random });
   const engine = createEngineClient(backendServer.url);
   const service = createServiceClient(backendServer.url, () => limits().maximumAnswerBytes);
-  const loadWatcher = createLoadWatcher(backendServer.url, (evidence) => gate.observe(evidence));
+  const loadWatcher = createLoadWatcher(
+    backendServer.url,
+    (evidence) => gate.observe(evidence),
+    () => gate.load().running === 0 && gate.load().warm,
+  );
 
   const common = {
     gate,
@@ -112,7 +108,7 @@
     seenKeys,
     background,
     // Unregistered, this sidecar would run calls that a proof by memory could not know of.
-    storeReachable: () => storeWatcher.reachable && knownLives !== undefined,
+    storeReachable: () => storeWatcher.reachable && lives.known() !== undefined,
     noteStore: (reachable) => storeWatcher.note(reachable),
   });
 
@@ -148,12 +144,21 @@
       kind: MessageKind.KeyAnswer,
       queryId: message.queryId,
       // Without a registered life the memory proves nothing, so the key counts as seen.
-      seen: seen || knownLives === undefined,
-      knownLives: knownLives ?? [],
-      life,
+      seen: seen || lives.known() === undefined,
+      knownLives: lives.known() ?? [],
+      life: lives.own,
     });
   }
 
+  async function obeyRankOrder(order: RankOrder, channel: Channel): Promise<void> {
+    if (rankAgent === undefined) return;
+    // Loading weights takes long, and the leader takes a silent rank for a lost one.
+    channel.acquire();
+    const reply = await rankAgent.obey(order);
+    channel.send(reply);
+    channel.release();
+  }
+
   function onMessage(message: Message, channel: Channel): void {
     switch (message.kind) {
       case MessageKind.DraftStart:
@@ -179,84 +184,13 @@
         answerKeyQuery(message, channel);
         break;
       case MessageKind.RankOrder:
-        void rankAgent?.obey(message).then((reply) => channel.send(reply));
+        void obeyRankOrder(message, channel);
         break;
       default:
         logger.warn('unexpected message', { kind: message.kind });
     }
   }
 
-  /** The parts of a sidecar whose backend server is one rank of a group. */
-  function createRankParts(): RankAgent | undefined {
-    if (backendServer.kind !== BackendServerKind.ModelRunner) return undefined;
-    const place = backendServer.rankPlace;
-    if (place === undefined) return undefined;
-    const rankEngine = createRankEngine(backendServer.url);
-    const agent = createRankAgent({
-      engine: rankEngine,
-      logger,
-      async seenFencingNumber() {
-        const key = leaseKey(settings.environment, place.group);
-        const row = await platform.table.read(key).catch(() => undefined);
-        if (row === undefined) return undefined;
-        return (row?.value as LeaseRecord | undefined)?.fencingNumber ?? 0;
-      },
-    });
-    const leader = createGroupLeader({
-      instance,
-      place,
-      agent,
-      policy: () => placementOf(documentInForce()),
-    });
-    kernel.register('rankEngine', { stop: () => rankEngine.close() });
-    kernel.register('groupLeader', leader);
-    return agent;
-  }
-
-  /** Tells entries at once when this sidecar becomes, or ceases to be, of use to them. */
-  function createAvailabilityWatch(): { start(): void; stop(): void } {
-    let timer: NodeJS.Timeout | undefined;
-    let told = '';
-    const describe = (): string => {
-      const { warm, backendReachable, storeReachable, draining } = load();
-      return [warm, backendReachable, storeReachable, draining].join();
-    };
-    return {
-      start() {
-        timer = setInterval(() => {
-          const now = describe();
-          if (now === told) return;
-          told = now;
-          instance.peerListener.beat();
-        }, AVAILABILITY_MILLISECONDS);
-      },
-      stop() {
-        clearInterval(timer);
-      },
-    };
-  }
-
-  async function register(): Promise<void> {
-    if (backendServer.kind !== BackendServerKind.PlainService) return;
-    const { environment } = settings;
-    knownLives = await registerLife(platform.table, environment, backendServer.service, life);
-    if (stopping) return;
-    const next = knownLives === undefined ? register : refreshLives;
-    setTimeout(() => void next(), REGISTER_RETRY_MILLISECONDS * (0.5 + random())).unref();
-  }
-
-  /** Sidecars that start later and die before an outage must be known to the others too. */
-  async function refreshLives(): Promise<void> {
-    if (backendServer.kind !== BackendServerKind.PlainService) return;
-    const { environment } = settings;
-    const lives = await readLives(platform.table, environment, backendServer.service).catch(
-      () => knownLives,
-    );
-    knownLives = lives;
-    if (stopping) return;
-    setTimeout(() => void refreshLives(), LIVES_MILLISECONDS * (0.5 + random())).unref();
-  }
-
   async function finishWork(): Promise<void> {
     const deadline = instance.clock() + limits().maximumTimeoutMilliseconds;
     while ((drafts.isBusy() || calls.isBusy()) && instance.clock() < deadline) {
@@ -266,8 +200,12 @@
     await sleep(LINGER_MILLISECONDS);
   }
 
-  const rankAgent = createRankParts();
-  kernel.register('availability', createAvailabilityWatch());
+  const rankAgent = createRankParts(instance, settings, () => placementOf(documentInForce()));
+  kernel.register(
+    'availability',
+    createAvailabilityWatch(load, () => instance.peerListener.beat()),
+  );
+  kernel.register('lives', lives);
   kernel.register('loadWatcher', loadWatcher);
   kernel.register('backend', {
     stop() {
@@ -281,7 +219,6 @@
   return {
     async start() {
       await kernel.start();
-      await register();
       logger.info('started', { role: settings.role, backendServer: backendServer.kind });
     },
     async stop() {
