Keep slots for accounts below their share

Cause: with the small quantum a small account's p99 was still 503 ms beside a large one, 259 ms without: slots come free in bursts, and a request that comes after one waits for a whole answer. Ruled out: preempting, which would cut off answers in progress. One slot in eight is now kept for accounts below their share while another one was active in the last 5 s; an account that is alone may use all.

--- a/packages/admission/src/admission.test.ts
+++ b/packages/admission/src/admission.test.ts
@@ -7,6 +7,7 @@
 import {
   AdmissionKind,
   createFairQueue,
+  createSlotShares,
   EvidenceKind,
   initialLimit,
   planAdmission,
@@ -74,7 +75,7 @@
 });
 
 const IDLE: AdmissionInput = {
-  running: 0,
+  slotFree: true,
   limit: 4,
   queued: 0,
   queuedTokens: 0,
@@ -90,7 +91,7 @@
 describe('admission', () => {
   it('starts, queues, or refuses at once with when to come back', () => {
     expect(planAdmission(IDLE).kind).toBe(AdmissionKind.Start);
-    const full = { ...IDLE, running: 4, runningTokens: 400 };
+    const full = { ...IDLE, slotFree: false, runningTokens: 400 };
     expect(planAdmission(full).kind).toBe(AdmissionKind.Queue);
     const crowded = planAdmission({ ...full, queued: 8, queuedTokens: 800 });
     expect(crowded).toMatchObject({
@@ -111,6 +112,30 @@
   });
 });
 
+describe('the shares of slots', () => {
+  it('keep a slot for a small account while a large one asks for all of them', () => {
+    // Eight drafts of one account fill a server and end together. A small account's request that
+    // comes right after their start would wait for all of them.
+    const shares = createSlotShares();
+    shares.seen('small', 0);
+    let running = 0;
+    while (shares.mayStart('large', running, 8, 1)) {
+      shares.started('large', 1);
+      running += 1;
+    }
+    expect(running).toBe(7);
+    expect(shares.mayStart('small', running, 8, 1)).toBe(true);
+  });
+
+  it('leave all slots to an account that is alone', () => {
+    const shares = createSlotShares();
+    shares.seen('small', 0);
+    shares.started('large', 20_000);
+    expect(shares.mayStart('large', 7, 8, 20_000)).toBe(true);
+    expect(shares.mayStart('large', 8, 8, 20_000)).toBe(false);
+  });
+});
+
 describe('the fair queue', () => {
   it('serves a small account soon although a large one has queued a thousand requests', () => {
     const queue = createFairQueue();
--- a/packages/admission/src/fair-queue.ts
+++ b/packages/admission/src/fair-queue.ts
@@ -25,8 +25,10 @@
   readonly size: number;
   readonly tokens: number;
   push(request: T): void;
-  /** The next request in fair order. */
-  shift(): T | undefined;
+  /** The next request in fair order, of an account that may start one now. */
+  shift(mayStart?: (account: string) => boolean): T | undefined;
+  /** Whether any account that waits may start a request now. */
+  hasStartable(mayStart: (account: string) => boolean): boolean;
   /** Takes one request out of turn, because it was cancelled or its time is up. */
   remove(request: T): boolean;
   /** Tokens of one account that wait. */
@@ -70,9 +72,14 @@
       size += 1;
       tokens += request.tokens;
     },
-    shift() {
+    shift(mayStart = () => true) {
+      if (!turns.some(mayStart)) return undefined;
       while (turns.length > 0) {
-        const account = turns[0];
+        const [account = ''] = turns;
+        if (!mayStart(account)) {
+          turns.push(...turns.splice(0, 1));
+          continue;
+        }
         const queue = queues.get(account) as AccountQueue<T>;
         const head = queue.waiting[0];
         if (queue.deficit >= head.tokens) {
@@ -85,6 +92,7 @@
       }
       return undefined;
     },
+    hasStartable: (mayStart) => turns.some(mayStart),
     remove(request) {
       const queue = queues.get(request.account);
       const index = queue?.waiting.indexOf(request) ?? -1;
--- a/packages/admission/src/plan-admission.ts
+++ b/packages/admission/src/plan-admission.ts
@@ -22,7 +22,8 @@
     };
 
 export interface AdmissionInput {
-  readonly running: number;
+  /** Whether a slot is free for the request's account. */
+  readonly slotFree: boolean;
   readonly limit: number;
   readonly queued: number;
   readonly queuedTokens: number;
@@ -48,7 +49,7 @@
  */
 export function planAdmission(input: AdmissionInput): Admission {
   const own = input.requestTokens * input.stepMilliseconds;
-  if (input.queued === 0 && input.running < input.limit) {
+  if (input.slotFree) {
     if (own <= input.remainingMilliseconds) return { kind: AdmissionKind.Start };
     return refuse(RefusalReason.DeadlineTooShort, 0, input);
   }
--- a/packages/sidecar/src/gate.ts
+++ b/packages/sidecar/src/gate.ts
@@ -5,6 +5,7 @@
 import {
   AdmissionKind,
   createFairQueue,
+  createSlotShares,
   EvidenceKind,
   initialLimit,
   planAdmission,
@@ -94,6 +95,7 @@
 
 export function createGate(options: GateOptions): Gate {
   const queue = createFairQueue<Waiting>();
+  const shares = createSlotShares();
   let running = 0;
   let runningTokens = 0;
   let limit: LimitState | undefined;
@@ -114,15 +116,20 @@
     return performance.now() - lastStepAt < FRESH_MILLISECONDS;
   }
 
+  function mayStart(account: string): boolean {
+    return shares.mayStart(account, running, limitState().limit, performance.now());
+  }
+
   function startWaiting(): void {
-    while (running < limitState().limit) {
-      const next = queue.shift();
+    for (;;) {
+      const next = queue.shift(mayStart);
       if (next === undefined) return;
       next.start();
     }
   }
 
-  function admit(tokens: number): Entrance {
+  function admit({ account, tokens }: Pick<GateRequest, 'account' | 'tokens'>): Entrance {
+    shares.started(account, performance.now());
     running += 1;
     runningTokens += tokens;
     let released = false;
@@ -131,6 +138,7 @@
       release() {
         if (released) return;
         released = true;
+        shares.ended(account);
         running -= 1;
         runningTokens -= tokens;
         startWaiting();
@@ -152,7 +160,7 @@
         start() {
           clearTimeout(timer);
           signal.removeEventListener('abort', giveUp);
-          resolve(admit(request.tokens));
+          resolve(admit(request));
         },
       };
       const giveUp = (): void => {
@@ -181,8 +189,10 @@
         return refused(ResultCode.NotReady, 'no configuration', NOT_READY_RETRY_MILLISECONDS);
       }
       const state = limitState();
+      shares.seen(request.account, performance.now());
       const admission = planAdmission({
-        running,
+        // Whoever waits already goes first, unless this account may use a slot that they may not.
+        slotFree: !queue.hasStartable(mayStart) && mayStart(request.account),
         limit: state.limit,
         queued: queue.size,
         queuedTokens: queue.tokens,
@@ -196,7 +206,7 @@
       });
       switch (admission.kind) {
         case AdmissionKind.Start:
-          return admit(request.tokens);
+          return admit(request);
         case AdmissionKind.Queue:
           return wait(request, policy, admission.expectedWaitMilliseconds, signal);
         case AdmissionKind.Refuse:
