Keep a streamed answer's entry and sidecar in different zones; correct loads by own requests

Ruled out: copies of the text at a third instance, a replicated store of our own. Now streamed answers take a sidecar of another zone while one has room (routing.keepStreamsApart). Loads now ride on every last message, own requests are counted exactly, ties are random, and waiting counts in from 80%. Cause 3: an entry remembered a sidecar's goodbye although another process had taken its place.

--- a/packages/bench/src/experiments/group-cost.ts
+++ b/packages/bench/src/experiments/group-cost.ts
@@ -41,9 +41,7 @@
     const countsBefore = await getJson<Counts>(`${site.platformUrl}/counts`);
     await sleep(MEASURE_MILLISECONDS);
     const counts = await getJson<Counts>(`${site.platformUrl}/counts`);
-    const rates = sidecars.map(({ pid }, index) =>
-      rateBetween(before[index], readUsage(pid)),
-    );
+    const rates = sidecars.map(({ pid }, index) => rateBetween(before[index], readUsage(pid)));
     const leader = rates.filter((_rate, index) => sidecars[index]?.id === value.holder);
     const others = rates.filter((_rate, index) => sidecars[index]?.id !== value.holder);
     const seconds = MEASURE_MILLISECONDS / 1000;
--- a/packages/bench/src/experiments/overhead.ts
+++ b/packages/bench/src/experiments/overhead.ts
@@ -7,6 +7,8 @@
 import { createParser } from 'eventsource-parser';
 import { Agent, request } from 'undici';
 
+import type { Random } from '@lapisbridge/kernel';
+
 import type { Cell, Experiment } from '../report/experiment.js';
 import { percentilesOf } from '../report/percentiles.js';
 import { createCaller } from '../site/caller.js';
@@ -14,8 +16,19 @@
 import type { Site } from '../site/site.js';
 import { rateBetween, readUsage } from './process-usage.js';
 
-const TOKENS = 50;
-const ROUNDS: Readonly<Record<number, number>> = { 1: 120, 32: 8, 256: 2 };
+/** Answers are longer where more streams are open, so that arrivals stay below what a core can take. */
+interface StreamPlan {
+  readonly streams: number;
+  readonly tokens: number;
+  readonly rounds: number;
+}
+
+const STREAM_PLANS: readonly StreamPlan[] = [
+  { streams: 1, tokens: 50, rounds: 60 },
+  { streams: 32, tokens: 200, rounds: 5 },
+  { streams: 256, tokens: 600, rounds: 2 },
+];
+const STEP_MILLISECONDS = 4;
 const LOOK_UP_CONCURRENCY = 64;
 const LOOK_UP_MILLISECONDS = 4000;
 const OPEN_STREAMS = 400;
@@ -32,6 +45,7 @@
   url: string,
   model: string,
   account: string,
+  tokenCount: number,
   index: number,
 ): Promise<Timing> {
   const startedAt = performance.now();
@@ -53,7 +67,7 @@
     body: JSON.stringify({
       model,
       stream: true,
-      max_tokens: TOKENS,
+      max_tokens: tokenCount,
       messages: [{ role: 'user', content: `measure ${index} ${startedAt}` }],
     }),
   });
@@ -64,21 +78,28 @@
   return { first, perToken: (last - startedAt - first) / Math.max(1, tokens - 1) };
 }
 
+/**
+ * Keeps so many streams open at once. Their starts are spread over the time of one answer, as
+ * those of independent callers are; all at one instant would measure the queue they form.
+ */
 async function timeMany(
   url: string,
   site: Site,
-  streams: number,
-): Promise<{ readonly first: number; readonly perToken: number }> {
+  { streams, tokens, rounds }: StreamPlan,
+  random: Random,
+): Promise<Timing> {
   const agent = new Agent({ connections: 1024, pipelining: 1, bodyTimeout: 0 });
   const model = site.document.models[0]?.name ?? '';
   const account = site.document.accounts[0]?.name ?? '';
   const timings: Timing[] = [];
-  for (let round = 0; round < (ROUNDS[streams] ?? 1); round += 1) {
-    const all = Array.from({ length: streams }, (_, index) =>
-      timeStream(agent, url, model, account, index),
-    );
-    timings.push(...(await Promise.all(all)));
+  async function loop(index: number): Promise<void> {
+    await sleep(random() * tokens * STEP_MILLISECONDS);
+    for (let round = 0; round < rounds; round += 1) {
+      timings.push(await timeStream(agent, url, model, account, tokens, index));
+      await sleep(random() * STEP_MILLISECONDS * 2);
+    }
   }
+  await Promise.all(Array.from({ length: streams }, (_, index) => loop(index)));
   await agent.destroy();
   return {
     first: percentilesOf(timings.map(({ first }) => first)).p50,
@@ -136,11 +157,16 @@
 
 export const overheadExperiment: Experiment = {
   name: 'overhead',
-  description: `Streams of ${TOKENS} tokens from one engine stand-in, through one entry and directly.`,
-  async run({ progress }) {
+  description:
+    'Streams of one engine stand-in that steps each 4 ms, through one entry and directly; starts spread over time.',
+  async run({ progress, random }) {
     const site = await launchSite({
       example: 'brno',
-      engine: { warmUpTokens: 0, stepMilliseconds: 4, prefillMillisecondsPerBlock: 0 },
+      engine: {
+        warmUpTokens: 0,
+        stepMilliseconds: STEP_MILLISECONDS,
+        prefillMillisecondsPerBlock: 0,
+      },
       adjust: (document) => ({
         ...document,
         models: document.models.map((model) => ({
@@ -148,6 +174,7 @@
           coldConcurrency: 1024,
           maximumConcurrency: 1024,
         })),
+        // All streams go to one engine, as all direct ones do.
         routing: { ...document.routing, affinityCharacters: 8, boundedLoadFactor: 100 },
         accounts: document.accounts.map((account) => ({
           ...account,
@@ -157,12 +184,13 @@
     });
     const rows: Cell[][] = [];
     try {
-      for (const streams of [1, 32, 256]) {
-        progress(`${streams} streams`);
-        const through = await timeMany(site.entries[0]?.url ?? '', site, streams);
-        const direct = await timeMany(site.engines[0]?.url ?? '', site, streams);
+      for (const plan of STREAM_PLANS) {
+        progress(`${plan.streams} streams`);
+        const through = await timeMany(site.entries[0]?.url ?? '', site, plan, random);
+        const direct = await timeMany(site.engines[0]?.url ?? '', site, plan, random);
         rows.push([
-          streams,
+          plan.streams,
+          plan.tokens,
           direct.first,
           through.first,
           through.first - direct.first,
@@ -182,6 +210,7 @@
             title: 'Medians, ms',
             columns: [
               'streams',
+              'tokens each',
               'first token, direct',
               'through lapisbridge',
               'added',
--- a/packages/bench/src/proofs/leaving.proof.test.ts
+++ b/packages/bench/src/proofs/leaving.proof.test.ts
@@ -197,9 +197,14 @@
     const cutOff = (await engineCounts(engine?.url ?? '')).cancelled - cancelledBefore;
     recorder.history.record({ kind: EventKind.Stopped, instanceId, cutOff });
     await awaitDone(load, CONCURRENCY);
-    await finish(load);
     site.restart(instanceId);
     await site.waitForServers(MODEL, ZONES);
+    // Entries remember the goodbye; the process that took the old one's place must get work.
+    const before = await startedIn('brno-b');
+    await awaitEvent('work for the new process', async () =>
+      (await startedIn('brno-b')) > before ? true : undefined,
+    );
+    await finish(load);
   });
 
   it('of an entry cuts off no answer', async () => {
--- a/packages/config/src/document.ts
+++ b/packages/config/src/document.ts
@@ -78,6 +78,8 @@
     choiceRule: z.enum(ChoiceRule).default(ChoiceRule.Estimated),
     /** Wait that a hop into another availability zone is worth. */
     hopCostMilliseconds: z.number().min(0).max(10_000).default(2),
+    /** Take streamed answers from other zones than the entry's, so that no zone's loss takes both. */
+    keepStreamsApart: z.boolean().default(true),
     /** Characters of leading prompt that are hashed for prefix affinity. */
     affinityCharacters: z.int().min(0).max(100_000).default(256),
     /** Affinity yields once the preferred server carries this multiple of the mean. */
--- a/packages/entry/src/backend-pool.ts
+++ b/packages/entry/src/backend-pool.ts
@@ -12,6 +12,7 @@
 import { dial, MessageKind, openChannel } from '@lapisbridge/wire';
 import type { AttemptName, Channel, KeyAnswer, Message } from '@lapisbridge/wire';
 
+import { createKeyQueries } from './key-queries.js';
 import { groupIsWhole, planConnections } from './plan-connections.js';
 import type { LoadedServer } from './plan-drain-check.js';
 
@@ -29,12 +30,11 @@
   load: LoadReport | undefined;
   /** Configuration version in force there, as its last heartbeat said. */
   version: number;
-  sentSinceReport: number;
+  /** Requests of this entry there at the time of the report. */
+  ownAtReport: number;
   leaving: boolean;
   dialing: boolean;
   failures: number;
-  /** Kept although it is outside the subset, because a resumed answer is held there. */
-  wanted: boolean;
   readonly listeners: Map<string, AttemptListener>;
   readonly waiters: Set<(ready: boolean) => void>;
 }
@@ -44,14 +44,10 @@
   stop(): void;
   /** Sidecars that may take new work for a model or service, as far as this entry knows. */
   candidates(kind: BackendServerKind, name: string): readonly Candidate[];
-  /** Whether any sidecar of that name is known at all. */
-  isKnown(kind: BackendServerKind, name: string): boolean;
-  zoneOf(instanceId: string): string;
   /** Registers for an attempt's messages; false when the sidecar is not connected. */
   listen(instanceId: string, name: AttemptName, listener: AttemptListener): boolean;
   unlisten(instanceId: string, name: AttemptName): void;
   send(instanceId: string, message: Message): boolean;
-  noteSent(instanceId: string): void;
   /** Waits for a usable connection, dialing when needed. */
   connect(instanceId: string, timeoutMilliseconds: number): Promise<boolean>;
   /** Asks the sidecars of a service for their memory of a key; undefined where no answer came. */
@@ -68,7 +64,6 @@
 const REDIAL_MILLISECONDS = 200;
 const MAXIMUM_REDIAL_MILLISECONDS = 2000;
 const REFRESH_MILLISECONDS = 1000;
-const KEY_QUERY_MILLISECONDS = 500;
 
 function listenerKey({ requestId, attempt }: AttemptName): string {
   return `${requestId}#${attempt}`;
@@ -90,8 +85,10 @@
   instance.state.onChange(() => {
     for (const { channel } of connections.values()) channel?.beat();
   });
-  const keyWaiters = new Map<number, (answer: KeyAnswer) => void>();
-  let queryId = 0;
+  const keyQueries = createKeyQueries((instanceId, query) => {
+    const connection = connections.get(instanceId);
+    if (connection?.ready === true) connection.channel?.send(query);
+  });
   let refreshTimer: NodeJS.Timeout | undefined;
   let stopped = false;
 
@@ -105,6 +102,8 @@
       case MessageKind.Hello:
         connection.ready = true;
         connection.failures = 0;
+        // A goodbye holds for the process that said it, not for the one that took its place.
+        connection.leaving = false;
         noteLoad(connection, message.load);
         settleWaiters(connection, true);
         break;
@@ -128,19 +127,23 @@
         connection.leaving = true;
         break;
       case MessageKind.KeyAnswer:
-        keyWaiters.get(message.queryId)?.(message);
+        keyQueries.answered(message);
         break;
       default:
-        if (belongsToAttempt(message)) {
-          connection.listeners.get(listenerKey(message))?.onMessage(message);
-        }
+        if (belongsToAttempt(message)) onAttemptMessage(connection, message);
     }
   }
 
+  function onAttemptMessage(connection: Connection, message: Message & AttemptName): void {
+    connection.listeners.get(listenerKey(message))?.onMessage(message);
+    // After the listener: an ended attempt no longer counts among this entry's own.
+    if ('load' in message) noteLoad(connection, message.load);
+  }
+
   function noteLoad(connection: Connection, load: LoadReport | undefined): void {
     if (load === undefined) return;
     connection.load = load;
-    connection.sentSinceReport = 0;
+    connection.ownAtReport = connection.listeners.size;
   }
 
   function onClose(connection: Connection): void {
@@ -210,11 +213,10 @@
       ready: false,
       load: undefined,
       version: 0,
-      sentSinceReport: 0,
+      ownAtReport: 0,
       leaving: false,
       dialing: false,
       failures: 0,
-      wanted: false,
       listeners: new Map(),
       waiters: new Set(),
     };
@@ -230,7 +232,7 @@
     }
     for (const [instanceId, connection] of connections) {
       const idle = connection.listeners.size === 0 && connection.waiters.size === 0;
-      if (wanted.has(instanceId) || connection.wanted || !idle) continue;
+      if (wanted.has(instanceId) || !idle) continue;
       connections.delete(instanceId);
       connection.channel?.close();
     }
@@ -269,17 +271,11 @@
           instanceId: record.instanceId,
           availabilityZone: record.availabilityZone,
           load,
-          sentSinceReport: connection.sentSinceReport,
+          changeSinceReport: connection.listeners.size - connection.ownAtReport,
         });
       }
       return found;
     },
-    isKnown(kind, name) {
-      return sidecarMembers().some(({ record }) => serves(record, kind, name));
-    },
-    zoneOf(instanceId) {
-      return connections.get(instanceId)?.record.availabilityZone ?? '';
-    },
     listen(instanceId, name, listener) {
       const connection = connections.get(instanceId);
       if (connection === undefined || !connection.ready) return false;
@@ -297,10 +293,6 @@
       channel.send(message);
       return true;
     },
-    noteSent(instanceId) {
-      const connection = connections.get(instanceId);
-      if (connection !== undefined) connection.sentSinceReport += 1;
-    },
     async connect(instanceId, timeoutMilliseconds) {
       const member = instance.membership.member(instanceId);
       const known = connections.get(instanceId);
@@ -316,22 +308,15 @@
         void dialNow(connection);
       });
     },
-    async queryKey(service, account, idempotencyKey) {
-      const asked: Promise<KeyAnswer | undefined>[] = [];
-      for (const { record } of sidecarMembers()) {
-        if (!serves(record, BackendServerKind.PlainService, service)) continue;
-        queryId += 1;
-        const id = queryId;
-        const answer = new Promise<KeyAnswer | undefined>((resolve) => {
-          keyWaiters.set(id, resolve);
-          setTimeout(() => resolve(undefined), KEY_QUERY_MILLISECONDS);
-        });
-        asked.push(answer.finally(() => keyWaiters.delete(id)));
-        const query = { kind: MessageKind.KeyQuery, queryId: id, account, idempotencyKey } as const;
-        const connection = connections.get(record.instanceId);
-        if (connection?.ready === true) connection.channel?.send(query);
-      }
-      return Promise.all(asked);
+    queryKey(service, account, idempotencyKey) {
+      const asked = sidecarMembers().filter(({ record }) =>
+        serves(record, BackendServerKind.PlainService, service),
+      );
+      return keyQueries.ask(
+        asked.map(({ record }) => record.instanceId),
+        account,
+        idempotencyKey,
+      );
     },
     connections: () => connections.size,
     servers() {
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -32,6 +32,7 @@
   const choice = planChoice({
     candidates,
     ownZone: context.ownZone,
+    avoidedZone: '',
     affinityKey: '',
     estimatedTokens: 1,
     excluded: state.tried,
@@ -126,7 +127,6 @@
         const other = choose(context, call, { ...state, tried: excluded });
         if (other === undefined || !context.budget.spend()) return undefined;
         state.attempt += 1;
-        context.pool.noteSent(other.instanceId);
         return { instanceId: other.instanceId, attempt: state.attempt };
       },
       cancel(name, message) {
@@ -205,7 +205,6 @@
     const candidate = choose(context, call, state);
     if (candidate === undefined) return giveUp(context, call, state);
     state.attempt += 1;
-    context.pool.noteSent(candidate.instanceId);
     const { instanceId, outcome } = await attemptMaybeTwice(
       context,
       call,
--- a/packages/entry/src/draft.ts
+++ b/packages/entry/src/draft.ts
@@ -27,6 +27,7 @@
   const choice = planChoice({
     candidates: context.pool.candidates(BackendServerKind.ModelRunner, draft.model.name),
     ownZone: context.ownZone,
+    avoidedZone: draft.resumable && routing.keepStreamsApart ? context.ownZone : '',
     affinityKey: affinityKey(draft.body, routing.affinityCharacters),
     estimatedTokens: estimateTokens(draft),
     excluded: state.tried,
@@ -119,7 +120,6 @@
   if (instanceId === undefined) return undefined;
   state.attempt += 1;
   state.resumedHere = false;
-  context.pool.noteSent(instanceId);
   const message = startMessage(context, draft, state);
   return { instanceId, outcome: await runOn(context, draft, state, instanceId, message) };
 }
--- a/packages/routing/src/plan-choice.ts
+++ b/packages/routing/src/plan-choice.ts
@@ -7,13 +7,13 @@
 
 import { rendezvousWeight } from './rendezvous.js';
 
-/** What an entry knows of one backend server. Reports lag; `sentSinceReport` corrects them. */
+/** What an entry knows of one backend server. Reports lag; `changeSinceReport` corrects them. */
 export interface Candidate {
   readonly instanceId: string;
   readonly availabilityZone: string;
   readonly load: LoadReport;
-  /** Requests this entry sent there since the report. */
-  readonly sentSinceReport: number;
+  /** How many more requests of this entry are there now than at the report; it may be negative. */
+  readonly changeSinceReport: number;
 }
 
 export interface ChoicePolicy {
@@ -32,6 +32,8 @@
   /** Servers that this request has already tried. */
   readonly excluded: ReadonlySet<string>;
   readonly policy: ChoicePolicy;
+  /** Zone whose servers are avoided while others have room; empty for none. */
+  readonly avoidedZone: string;
   /** Number of the choice at this entry, for choosing in turn. */
   readonly turn: number;
   readonly random: () => number;
@@ -79,12 +81,16 @@
 /** Share of the server's limit in use, above 1 when requests queue there. */
 export function occupancyOf(candidate: Candidate): number {
   const { running, queued, limit } = candidate.load;
-  return (running + queued + candidate.sentSinceReport) / Math.max(1, limit);
+  return (running + queued + candidate.changeSinceReport) / Math.max(1, limit);
 }
 
+/** Share of its limit from which a server counts as likely to make a request wait. */
+const NEARLY_FULL = 0.8;
+
 /**
- * Estimated milliseconds until the last token. Below its limit a server only decodes;
- * above it, each whole limit's worth of requests ahead adds one answer's time.
+ * Estimated milliseconds until the last token. Well below its limit a server only decodes;
+ * above it, each whole limit's worth of requests ahead adds one answer's time. Other entries
+ * choose at the same moment, so the wait counts in from a little below the limit.
  */
 export function estimateMilliseconds(
   candidate: Candidate,
@@ -95,12 +101,17 @@
   const step = candidate.load.stepMilliseconds || fastestStep;
   const decode = step * Math.max(1, input.estimatedTokens);
   const occupancy = occupancyOf(candidate);
-  const wait = Math.max(0, occupancy - 1) * decode;
+  const wait = Math.max(0, occupancy + oneRequest(candidate) - NEARLY_FULL) * decode;
   const contention = Math.min(1, occupancy) * step;
   const hop = candidate.availabilityZone === input.ownZone ? 0 : input.policy.hopCostMilliseconds;
   return decode + wait + contention + hop;
 }
 
+/** Share of its limit that one request takes. */
+function oneRequest({ load }: Candidate): number {
+  return 1 / Math.max(1, load.limit);
+}
+
 function preferredByPrefix(
   candidates: readonly Candidate[],
   affinityKey: string,
@@ -127,9 +138,10 @@
   let sum = 0;
   for (const candidate of candidates) sum += occupancyOf(candidate);
   const mean = sum / candidates.length;
-  const oneRequest = 1 / Math.max(1, preferred.load.limit);
   const healthy = preferred.load.stepMilliseconds <= fastestStep * SLOW_FACTOR;
-  return healthy && occupancyOf(preferred) + oneRequest <= mean * factor + oneRequest * 2;
+  const one = oneRequest(preferred);
+  const fits = occupancyOf(preferred) + one <= Math.min(1, mean * factor + one * 2);
+  return healthy && fits;
 }
 
 function sample(
@@ -175,7 +187,10 @@
   }
   const sampled = sample(open, policy.sampledChoices, input.random);
   const scores = sampled.map((candidate) => scoreOf(candidate, input, fastestStep));
-  const best = indexOfSmallest(scores.map(({ estimatedMilliseconds }) => estimatedMilliseconds));
+  const best = indexOfSmallest(
+    scores.map(({ estimatedMilliseconds }) => estimatedMilliseconds),
+    input.random,
+  );
   return {
     kind: ChoiceKind.Chosen,
     candidate: sampled[best],
@@ -184,19 +199,22 @@
   };
 }
 
-function indexOfSmallest(values: readonly number[]): number {
-  let smallest = 0;
-  for (const [index, value] of values.entries()) {
-    if (value < (values[smallest] ?? Infinity)) smallest = index;
+/** Ties go to a random one: entries that all took the first would send their requests together. */
+function indexOfSmallest(values: readonly number[], random: () => number): number {
+  const start = Math.floor(random() * values.length);
+  let smallest = start;
+  for (let step = 1; step < values.length; step += 1) {
+    const index = (start + step) % values.length;
+    if ((values[index] ?? Infinity) < (values[smallest] ?? Infinity)) smallest = index;
   }
   return smallest;
 }
 
-function chooseLeastOutstanding(open: readonly Candidate[]): Choice {
+function chooseLeastOutstanding(open: readonly Candidate[], input: ChoiceInput): Choice {
   const outstanding = open.map(
-    ({ load, sentSinceReport }) => load.running + load.queued + sentSinceReport,
+    ({ load, changeSinceReport }) => load.running + load.queued + changeSinceReport,
   );
-  const candidate = open[indexOfSmallest(outstanding)];
+  const candidate = open[indexOfSmallest(outstanding, input.random)];
   const reason = ChoiceReason.LeastOutstanding;
   return { kind: ChoiceKind.Chosen, candidate, reason, scores: [] };
 }
@@ -206,15 +224,29 @@
   return { kind: ChoiceKind.Chosen, candidate, reason: ChoiceReason.InTurn, scores: [] };
 }
 
+/**
+ * A streamed answer survives the loss of its entry or of its sidecar, and not of both at once.
+ * So its sidecar is taken from another zone than the entry's while one there has room.
+ */
+function outsideZone(open: readonly Candidate[], avoidedZone: string): readonly Candidate[] {
+  if (avoidedZone === '') return open;
+  const apart = open.filter(
+    (candidate) =>
+      candidate.availabilityZone !== avoidedZone &&
+      occupancyOf(candidate) + oneRequest(candidate) <= NEARLY_FULL,
+  );
+  return apart.length > 0 ? apart : open;
+}
+
 export function planChoice(input: ChoiceInput): Choice {
   const { candidates, excluded, policy } = input;
   const open = candidates.filter((candidate) => !excluded.has(candidate.instanceId));
   if (open.length === 0) return { kind: ChoiceKind.NoneLeft, tried: excluded.size };
   switch (policy.choiceRule) {
     case ChoiceRule.Estimated:
-      return chooseEstimated(open, input);
+      return chooseEstimated(outsideZone(open, input.avoidedZone), input);
     case ChoiceRule.LeastOutstanding:
-      return chooseLeastOutstanding(open);
+      return chooseLeastOutstanding(open, input);
     case ChoiceRule.RoundRobin:
       return chooseInTurn(open, input);
     default: {
--- a/packages/routing/src/routing.test.ts
+++ b/packages/routing/src/routing.test.ts
@@ -26,7 +26,7 @@
     instanceId,
     availabilityZone: instanceId.slice(0, 1),
     load: { ...LOAD, ...load },
-    sentSinceReport: sent,
+    changeSinceReport: sent,
   };
 }
 
@@ -34,6 +34,7 @@
   return {
     candidates,
     ownZone: 'a',
+    avoidedZone: '',
     affinityKey: '',
     estimatedTokens: 10,
     excluded: new Set(),
@@ -96,6 +97,15 @@
     expect(chosen(input([busy, candidate('a2', { stepMilliseconds: 0 })]))).toBe('a2');
   });
 
+  it('keeps a streamed answer out of its entry’s own zone while others have room', () => {
+    // A zone dies at once. If entry and sidecar of an answer stood in it together, nobody would
+    // hold the text that the caller already has, and the answer could not be resumed.
+    const far = input([candidate('a1'), candidate('b1', { running: 3 })], { avoidedZone: 'a' });
+    expect(chosen(far)).toBe('b1');
+    const full = input([candidate('a1'), candidate('b1', { running: 9 })], { avoidedZone: 'a' });
+    expect(chosen(full)).toBe('a1');
+  });
+
   it('never chooses what was tried already', () => {
     const given = input([candidate('a1')], { excluded: new Set(['a1']) });
     expect(planChoice(given)).toEqual({ kind: ChoiceKind.NoneLeft, tried: 1 });
--- a/packages/sidecar/src/call-runner.ts
+++ b/packages/sidecar/src/call-runner.ts
@@ -10,25 +10,17 @@
 import { ResultCode } from '@lapisbridge/errors';
 import type { Logger } from '@lapisbridge/logger';
 import { OperationKind, Ran } from '@lapisbridge/types';
-import { MessageKind } from '@lapisbridge/wire';
-import type {
-  AttemptName,
-  CallAnswer,
-  CallStart,
-  Channel,
-  Failed,
-  Refused,
-  Resume,
-} from '@lapisbridge/wire';
+import type { LoadReport } from '@lapisbridge/types';
+import type { AttemptName, CallStart, Channel, Resume } from '@lapisbridge/wire';
 
 import type { BackgroundRetry } from './background-retry.js';
+import { answer, failure, refusal } from './call-replies.js';
+import type { Reply } from './call-replies.js';
 import { EntranceKind } from './gate.js';
-import type { Gate, Refusal } from './gate.js';
+import type { Gate } from './gate.js';
 import { ServiceOutcomeKind } from './service-client.js';
 import type { ServiceClient, ServiceOutcome } from './service-client.js';
 
-type Reply = CallAnswer | Failed | Refused;
-
 export interface CallRunnerOptions {
   readonly gate: Gate;
   readonly service: ServiceClient;
@@ -40,6 +32,7 @@
   weightOf(account: string): number;
   running(): number;
   noteUnreachable(): void;
+  load(): LoadReport;
   storeReachable(): boolean;
   noteStore(reachable: boolean): void;
 }
@@ -73,38 +66,8 @@
   const runs = new Map<string, Run>();
   let active = 0;
 
-  function refusal(message: CallStart, given: Refusal): Refused {
-    return {
-      kind: MessageKind.Refused,
-      requestId: message.requestId,
-      attempt: message.attempt,
-      ...given,
-    };
-  }
-
-  function failure(message: CallStart, code: ResultCode, reason: string, ran: Ran): Failed {
-    const { retryAfterMilliseconds } = options.limits();
-    return {
-      kind: MessageKind.Failed,
-      requestId: message.requestId,
-      attempt: message.attempt,
-      code,
-      reason,
-      ran,
-      retryAfterMilliseconds,
-    };
-  }
-
-  function answer(message: CallStart, result: StoredResult, replayed: boolean): CallAnswer {
-    return {
-      kind: MessageKind.CallAnswer,
-      requestId: message.requestId,
-      attempt: message.attempt,
-      status: result.status,
-      contentType: result.contentType,
-      body: Buffer.from(result.body, 'base64'),
-      replayed,
-    };
+  function fail(message: CallStart, code: ResultCode, reason: string, ran: Ran): Reply {
+    return failure(message, code, reason, ran, options.limits().retryAfterMilliseconds);
   }
 
   async function dispatch(message: CallStart): Promise<ServiceOutcome> {
@@ -143,9 +106,9 @@
       case ServiceOutcomeKind.Answered:
         return answer(message, toStored(outcome), false);
       case ServiceOutcomeKind.NotSent:
-        return failure(message, ResultCode.EngineFailed, outcome.reason, Ran.No);
+        return fail(message, ResultCode.EngineFailed, outcome.reason, Ran.No);
       case ServiceOutcomeKind.Lost:
-        return failure(message, ResultCode.EngineFailed, outcome.reason, Ran.Unknown);
+        return fail(message, ResultCode.EngineFailed, outcome.reason, Ran.Unknown);
       default: {
         const unreachable: never = outcome;
         return unreachable;
@@ -168,7 +131,7 @@
       case ServiceOutcomeKind.Lost: {
         const settled = await claims.settle(claim, ClaimState.InDoubt);
         if (!settled) background.add(() => claims.settle(claim, ClaimState.InDoubt));
-        return failure(message, ResultCode.OutcomeUnknown, outcome.reason, Ran.Unknown);
+        return fail(message, ResultCode.OutcomeUnknown, outcome.reason, Ran.Unknown);
       }
       default: {
         const unreachable: never = outcome;
@@ -184,7 +147,7 @@
       return { ...refusal(message, given), claimVersion: claim.version + 1 };
     }
     background.add(() => claims.release(claim));
-    return failure(message, ResultCode.StoreUnavailable, 'the claim is not yet back', Ran.No);
+    return fail(message, ResultCode.StoreUnavailable, 'the claim is not yet back', Ran.No);
   }
 
   function callOf(message: CallStart): Call {
@@ -219,7 +182,7 @@
       case ClaimResultKind.KeyReused: {
         const ran = result.ran ? Ran.Yes : Ran.Unknown;
         const reason = 'the key stands for another body';
-        return failure(message, ResultCode.IdempotencyKeyReused, reason, ran);
+        return fail(message, ResultCode.IdempotencyKeyReused, reason, ran);
       }
       case ClaimResultKind.Superseded: {
         const reason = 'the call was proved not run after this attempt began';
@@ -227,10 +190,10 @@
         return { ...refusal(message, given), claimVersion: result.version };
       }
       case ClaimResultKind.Running:
-        return failure(message, ResultCode.StillRunning, 'another attempt runs it', Ran.Unknown);
+        return fail(message, ResultCode.StillRunning, 'another attempt runs it', Ran.Unknown);
       case ClaimResultKind.InDoubt: {
         const reason = 'an earlier attempt got no answer';
-        return failure(message, ResultCode.OutcomeUnknown, reason, Ran.Unknown);
+        return fail(message, ResultCode.OutcomeUnknown, reason, Ran.Unknown);
       }
       case ClaimResultKind.Unavailable:
         background.add(() => claims.abandon(call));
@@ -283,8 +246,12 @@
   async function track(message: CallStart, run: Run): Promise<void> {
     active += 1;
     try {
-      run.reply = await execute(message, run);
-      run.channel.send(run.reply);
+      run.reply = await execute(message, run).catch((thrown: unknown) => {
+        // A fault in one call must not take the process along; what ran is not known then.
+        logger.error('call run failed', { requestId: message.requestId, reason: String(thrown) });
+        return fail(message, ResultCode.OutcomeUnknown, 'internal error', Ran.Unknown);
+      });
+      run.channel.send({ ...run.reply, load: options.load() });
       run.channel.release();
     } finally {
       active -= 1;
--- a/packages/sidecar/src/draft-run.ts
+++ b/packages/sidecar/src/draft-run.ts
@@ -6,6 +6,7 @@
 import type { AnswerBuffer } from '@lapisbridge/answers';
 import { ResultCode } from '@lapisbridge/errors';
 import { Ran } from '@lapisbridge/types';
+import type { LoadReport } from '@lapisbridge/types';
 import { MessageKind } from '@lapisbridge/wire';
 import type { AttemptName, Channel, DraftStart } from '@lapisbridge/wire';
 
@@ -32,7 +33,8 @@
   orphanTimer: NodeJS.Timeout | undefined;
 }
 
-export function pump(run: Run): void {
+/** `load` rides on the last message, so that the entry knows of the free slot at once. */
+export function pump(run: Run, load: () => LoadReport): void {
   const { reader, buffer } = run;
   if (reader === undefined || reader.channel.closed) return;
   const name = { requestId: run.start.requestId, attempt: reader.attempt };
@@ -48,10 +50,10 @@
     reader.offset += text.length;
     reader.credit -= text.length;
   }
-  if (reader.offset === buffer.length) sendEnding(run, reader, name);
+  if (reader.offset === buffer.length) sendEnding(run, reader, name, load);
 }
 
-function sendEnding(run: Run, reader: Reader, name: AttemptName): void {
+function sendEnding(run: Run, reader: Reader, name: AttemptName, load: () => LoadReport): void {
   const { buffer, failure } = run;
   switch (buffer.status) {
     case AnswerStatus.Open:
@@ -63,6 +65,7 @@
         totalCharacters: buffer.length,
         finishReason: buffer.ending?.finishReason ?? 'stop',
         completionTokens: buffer.ending?.completionTokens ?? 0,
+        load: load(),
       });
       break;
     case AnswerStatus.Failed:
@@ -76,6 +79,7 @@
         reason: failure !== undefined && 'reason' in failure ? failure.reason : 'engine failed',
         ran: failure?.kind === EngineOutcomeKind.NotStarted ? Ran.No : Ran.Unknown,
         retryAfterMilliseconds: 0,
+        load: load(),
       });
       break;
     default: {
--- a/packages/sidecar/src/draft-runner.ts
+++ b/packages/sidecar/src/draft-runner.ts
@@ -7,6 +7,7 @@
 import { AnswerStatus, createAnswerBuffer } from '@lapisbridge/answers';
 import type { Limits } from '@lapisbridge/config';
 import type { Logger } from '@lapisbridge/logger';
+import type { LoadReport } from '@lapisbridge/types';
 import { MessageKind } from '@lapisbridge/wire';
 import type { AttemptName, Channel, Credit, Detach, DraftStart, Resume } from '@lapisbridge/wire';
 
@@ -25,6 +26,7 @@
   weightOf(account: string): number;
   running(): number;
   noteUnreachable(): void;
+  readonly load: () => LoadReport;
 }
 
 export interface DraftRunner {
@@ -81,7 +83,7 @@
         lastTextAt = now;
         run.tokens += 1;
         run.buffer.append(text);
-        pump(run);
+        pump(run, options.load);
       },
     });
   }
@@ -102,7 +104,7 @@
         reason: outcome.reason,
       });
     }
-    pump(run);
+    pump(run, options.load);
     forgetLater(run);
   }
 
@@ -150,13 +152,17 @@
         code,
         reason,
         retryAfterMilliseconds,
+        load: options.load(),
       });
       detachReader(run);
       return;
     }
     const deadline = setTimeout(() => run.abort.abort(), start.remainingMilliseconds);
     try {
-      conclude(run, await generate(run));
+      const outcome = await generate(run);
+      // Released first, so that the load on the last message counts the slot as free.
+      entrance.release();
+      conclude(run, outcome);
     } finally {
       clearTimeout(deadline);
       clearTimeout(run.orphanTimer);
@@ -168,6 +174,10 @@
     active += 1;
     try {
       await execute(run);
+    } catch (thrown) {
+      // A fault in one run must not take the process, and with it every other answer, along.
+      logger.error('draft run failed', { requestId: run.start.requestId, reason: String(thrown) });
+      conclude(run, { kind: EngineOutcomeKind.Broken, reason: 'internal error' });
     } finally {
       active -= 1;
     }
@@ -208,14 +218,14 @@
         offset: message.offset,
         credit: message.credit,
       });
-      pump(run);
+      pump(run, options.load);
       return true;
     },
     credit(message) {
       const run = runs.get(message.requestId);
       if (run?.reader === undefined || run.reader.attempt !== message.attempt) return;
       run.reader.credit += message.characters;
-      pump(run);
+      pump(run, options.load);
     },
     cancel(name) {
       const run = runs.get(name.requestId);
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -89,6 +89,7 @@
   const common = {
     gate,
     noteUnreachable: () => loadWatcher.noteUnreachable(),
+    load,
     logger,
     limits,
     weightOf: (account: string) => weightOf(documentInForce(), account),
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -147,6 +147,7 @@
   readonly retryAfterMilliseconds: number;
   /** The claim row has moved on to this version; a new attempt may go on from there. */
   readonly claimVersion?: number;
+  readonly load?: LoadReport;
 }
 
 export interface Chunk extends AttemptName {
@@ -163,6 +164,7 @@
   readonly totalCharacters: number;
   readonly finishReason: string;
   readonly completionTokens: number;
+  readonly load?: LoadReport;
 }
 
 export interface CallAnswer extends AttemptName {
@@ -171,6 +173,7 @@
   readonly contentType: string;
   readonly body: Uint8Array;
   readonly replayed: boolean;
+  readonly load?: LoadReport;
 }
 
 /** The attempt ended without a whole answer. */
@@ -180,6 +183,7 @@
   readonly reason: string;
   readonly ran: Ran;
   readonly retryAfterMilliseconds: number;
+  readonly load?: LoadReport;
 }
 
 export interface KeyAnswer {
