Prove the sidecar's own refusal, and send maps only to prepare

Cause 2: 'group-cost' showed the leader writing 300 bytes/s for each rank (14.7 kB/s at 48), since every question carried the map.

--- a/packages/bench/src/experiments/overhead.ts
+++ b/packages/bench/src/experiments/overhead.ts
@@ -184,6 +184,9 @@
     });
     const rows: Cell[][] = [];
     try {
+      progress('open streams');
+      // First of all: later, streams would fit into memory that earlier requests had left free.
+      const memory = await memoryPerStream(site);
       for (const plan of STREAM_PLANS) {
         progress(`${plan.streams} streams`);
         const through = await timeMany(site.entries[0]?.url ?? '', site, plan, random);
@@ -202,8 +205,6 @@
       }
       progress('look-ups');
       const lookUps = await lookUpRate(site);
-      progress('open streams');
-      const memory = await memoryPerStream(site);
       return {
         tables: [
           {
--- a/packages/bench/src/proofs/leaving.proof.test.ts
+++ b/packages/bench/src/proofs/leaving.proof.test.ts
@@ -2,9 +2,11 @@
  * Zones and instances taken out, planned stops and sudden deaths, under load: no request in
  * progress is cut off, nothing new starts where an order is in force, nobody's answer is lost.
  */
+import { ResultCode } from '@lapisbridge/errors';
 import { checkAll, EventKind } from '@lapisbridge/history';
 import { OutageKind } from '@lapisbridge/stand-ins';
 import { InstanceState, ServiceState } from '@lapisbridge/types';
+import { MessageKind } from '@lapisbridge/wire';
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 
 import { getJson } from '../site/http-json.js';
@@ -21,6 +23,7 @@
   statusOf,
 } from '../load/operator.js';
 import { createRecorder } from '../load/recorder.js';
+import { startAsStaleEntry } from '../load/stale-entry.js';
 import type { Recorder } from '../load/recorder.js';
 
 const MODEL = 'inspection-draft';
@@ -145,6 +148,17 @@
     await finish(load);
   });
 
+  it('refuses work from an entry that never heard of the order', async () => {
+    // An entry that is cut off from its peers and the table still reaches a sidecar of the zone. It
+    // believes the zone to be in service; only the sidecar itself can keep its work out.
+    await orderZone(site, ZONE, ServiceState.Drained);
+    const [instanceId = ''] = await awaitDraining(site, ZONE, true);
+    const before = await awaitQuiet(ZONE);
+    const refused = await startAsStaleEntry(site, instanceId, MODEL);
+    expect(refused).toMatchObject({ kind: MessageKind.Refused, code: ResultCode.Draining });
+    expect(await startedIn(ZONE)).toBe(before);
+  });
+
   it('is drained at once while the store is down, and the operator is told it is not durable', async () => {
     // Operators need drains most when the platform is in trouble. Waiting for the table would
     // leave the zone in service; calling the order durable would be a lie until it is written.
--- a/packages/sidecar/src/group-leader.ts
+++ b/packages/sidecar/src/group-leader.ts
@@ -95,7 +95,8 @@
       fencingNumber: given.fencingNumber,
       rollout: given.rollout,
       mapVersion: given.mapVersion,
-      map: JSON.stringify(given.map),
+      // Only preparing needs the map, and every rank is asked in every window.
+      map: given.step === RankStep.Prepare ? JSON.stringify(given.map) : '',
     };
     const record = recordOf(rank);
     if (record === undefined) throw new Error(`rank ${rank} is not there`);
--- a/packages/sidecar/src/rank-agent.ts
+++ b/packages/sidecar/src/rank-agent.ts
@@ -22,6 +22,8 @@
   obey(order: RankOrder): Promise<RankReply>;
 }
 
+/** Sent along with the orders that need none. */
+const NO_MAP: ExpertMap = { experts: [] };
 /** Marks a pause that this sidecar knows nothing of: no rollout may go on from it. */
 const UNKNOWN_ROLLOUT = 1;
 
@@ -81,7 +83,7 @@
       });
     }
     if (decision.effect !== undefined) {
-      const map = JSON.parse(order.map) as ExpertMap;
+      const map = order.map === '' ? NO_MAP : (JSON.parse(order.map) as ExpertMap);
       await engine.order(decision.effect, order.mapVersion, map, order.fencingNumber);
     }
     state = decision.state;
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -205,6 +205,7 @@
   readonly fencingNumber: number;
   readonly rollout: number;
   readonly mapVersion: number;
+  /** The map as JSON text; empty but for the order to prepare. */
   readonly map: string;
 }
 
