Believe measured step times at once, and beat only where nothing else was sent

Servers that had seen few calls still showed most of the document's 200 ms, so the one that had seen many got nearly all. Cause 2: at the peak most connections are busy and beat twice a second although text flows on them; a connection that has sent anything in a turn no longer beats. Not measured at size.

--- a/packages/admission/src/admission.test.ts
+++ b/packages/admission/src/admission.test.ts
@@ -54,6 +54,13 @@
     expect(follow(steps(2, 90, 32), grown).limit).toBe(32);
   });
 
+  it('believes the first step it sees, not the document’s guess', () => {
+    // Servers that had seen few calls still showed most of the document's 200 ms and looked far
+    // slower than one that had seen many, so that one server got nearly all calls of a service.
+    expect(follow(steps(1, 3, 1)).stepMilliseconds).toBe(3);
+    expect(follow([...steps(1, 3, 1), ...steps(1, 5, 1)]).stepMilliseconds).toBe(4);
+  });
+
   it('never leaves its bounds', () => {
     const evidence = fc.oneof(
       fc.record({ kind: fc.constant(EvidenceKind.Reported as const), warm: fc.boolean() }),
--- a/packages/admission/src/plan-limit.ts
+++ b/packages/admission/src/plan-limit.ts
@@ -34,6 +34,8 @@
   readonly reportedWarm: boolean;
   /** Smoothed time of one step, in milliseconds. */
   readonly stepMilliseconds: number;
+  /** Steps seen so far; the first ones weigh more, so that the document's guess is soon forgotten. */
+  readonly seenSteps: number;
   readonly goodSteps: number;
   readonly badSteps: number;
 }
@@ -55,13 +57,15 @@
     limit: Math.min(policy.coldConcurrency, policy.maximumConcurrency),
     reportedWarm: false,
     stepMilliseconds: policy.expectedStepMilliseconds,
+    seenSteps: 0,
     goodSteps: 0,
     badSteps: 0,
   };
 }
 
 function reset(state: LimitState, policy: LimitPolicy): LimitState {
-  return { ...initialLimit(policy), stepMilliseconds: state.stepMilliseconds };
+  const { stepMilliseconds, seenSteps } = state;
+  return { ...initialLimit(policy), stepMilliseconds, seenSteps };
 }
 
 function planStep(
@@ -70,17 +74,20 @@
   running: number,
   policy: LimitPolicy,
 ): LimitState {
+  const weight = Math.max(SMOOTHING, 1 / (state.seenSteps + 1));
   const stepMilliseconds =
-    state.stepMilliseconds + (milliseconds - state.stepMilliseconds) * SMOOTHING;
+    state.stepMilliseconds + (milliseconds - state.stepMilliseconds) * weight;
+  const seenSteps = state.seenSteps + 1;
   if (milliseconds > policy.expectedStepMilliseconds * BAD_FACTOR) {
     const badSteps = state.badSteps + 1;
-    if (badSteps < BAD_STEPS) return { ...state, stepMilliseconds, badSteps, goodSteps: 0 };
+    if (badSteps < BAD_STEPS)
+      return { ...state, stepMilliseconds, seenSteps, badSteps, goodSteps: 0 };
     const limit = Math.max(policy.coldConcurrency, Math.floor(state.limit * SHRINK));
-    return { ...state, stepMilliseconds, limit, goodSteps: 0, badSteps: 0 };
+    return { ...state, stepMilliseconds, seenSteps, limit, goodSteps: 0, badSteps: 0 };
   }
   const used = running >= state.limit * USED_SHARE;
   const goodSteps = used ? state.goodSteps + 1 : state.goodSteps;
-  const grown = { ...state, stepMilliseconds, goodSteps, badSteps: 0 };
+  const grown = { ...state, stepMilliseconds, seenSteps, goodSteps, badSteps: 0 };
   if (!state.reportedWarm || goodSteps < state.limit * STEPS_PER_GROWTH) return grown;
   const limit = Math.min(
     policy.maximumConcurrency,
--- a/packages/wire/src/channel.ts
+++ b/packages/wire/src/channel.ts
@@ -93,6 +93,7 @@
   const silenceMilliseconds = options.silenceMilliseconds ?? SILENCE_MILLISECONDS;
   let requests = 0;
   let turnsSinceBeat = 0;
+  let sentSinceTurn = false;
 
   const channel: Channel = {
     get closed() {
@@ -100,6 +101,7 @@
     },
     send(message) {
       if (closed) return;
+      sentSinceTurn = true;
       if (!corked) {
         corked = true;
         socket.cork();
@@ -134,7 +136,10 @@
   );
   const beat = setInterval(() => {
     turnsSinceBeat += 1;
-    if (requests > 0 || turnsSinceBeat >= IDLE_FACTOR) channel.beat();
+    // Whatever else was sent proves the connection as well as a beat does.
+    const quiet = requests > 0 && !sentSinceTurn;
+    if (quiet || turnsSinceBeat >= IDLE_FACTOR) channel.beat();
+    sentSinceTurn = false;
   }, heartbeatMilliseconds);
 
   function finish(): void {
