Let a zone be drained that holds servers of no model, and tell news at once

Ruled out: dropping the check where nothing is in progress, since the last server of a served model may be idle for a moment. Only names of the document count now.

--- a/packages/entry/src/operator/order-drain.ts
+++ b/packages/entry/src/operator/order-drain.ts
@@ -48,9 +48,21 @@
   }
 }
 
-function requireCapacity(servers: readonly LoadedServer[], request: DrainRequest): void {
+function servedNames({ state }: Instance): ReadonlySet<string> {
+  const document = state.configuration?.document;
+  const served = [...(document?.models ?? []), ...(document?.services ?? [])];
+  return new Set(served.map(({ name }) => name));
+}
+
+function requireCapacity(
+  instance: Instance,
+  servers: readonly LoadedServer[],
+  request: DrainRequest,
+): void {
   if (request.state === ServiceState.InService || request.force) return;
-  const shortfalls = planDrainCheck(servers, (record) => isTarget(record, request));
+  const shortfalls = planDrainCheck(servers, servedNames(instance), (record) =>
+    isTarget(record, request),
+  );
   if (shortfalls.length === 0) return;
   const problems = shortfalls.map(({ name, needed, left }) => ({
     path: name,
@@ -66,7 +78,7 @@
 ): Promise<PlacedOrder> {
   const { state, store, self, sync } = instance;
   requireTarget(instance, request);
-  requireCapacity(servers, request);
+  requireCapacity(instance, servers, request);
   // Orders that other entries have taken may not have arrived here yet. Without them this order
   // could get a counter that loses to an older one, although its operator was told it is in force.
   await sync.poll();
--- a/packages/membership/src/prober.ts
+++ b/packages/membership/src/prober.ts
@@ -109,6 +109,18 @@
     });
   }
 
+  /** Pings a few members out of turn, because there is news. */
+  function tellSome(): void {
+    const members = [...table.all()].filter(isProbed);
+    for (let count = 0; count < INDIRECT_PROBES && members.length > 0; count += 1) {
+      const [member] = members.splice(Math.floor(options.random() * members.length), 1);
+      if (member !== undefined) {
+        sequence += 1;
+        send(member.record, GossipKind.Ping, sequence);
+      }
+    }
+  }
+
   function nextTarget(): Member | undefined {
     while (order.length > 0) {
       const member = table.get(order.pop() as string);
@@ -243,20 +255,15 @@
     leave(now) {
       own = { ...own, state: InstanceState.Leaving };
       queue.add(own);
-      let told = 0;
-      for (const member of table.all()) {
-        if (isProbed(member) && told < INDIRECT_PROBES) {
-          sequence += 1;
-          send(member.record, GossipKind.Ping, sequence);
-          told += 1;
-        }
-      }
+      tellSome();
       nextProbeAt = now;
     },
     announceVersion(version) {
       if (version <= own.version) return;
       own = { ...own, version };
       queue.add(own);
+      // Operators wait to see their change in force everywhere; the next probe may be a second off.
+      tellSome();
     },
   };
 }
