Fix: a change told right after another question came into force seconds late

Cause: one question to peers at a time, and a digest that arrived in the 300 ms after a question was dropped; an idle peer tells it again only with its next heartbeat. Now the digest waits for the pause to end.

--- /dev/null
+++ b/packages/shared-state/src/state-sync.test.ts
@@ -0,0 +1,36 @@
+/**
+ * Asking peers for the state.
+ */
+import { createSilentLogger } from '@lapisbridge/logger';
+import { createFakeTable } from '@lapisbridge/test-support';
+import { describe, expect, it } from 'vitest';
+
+import { createSharedState } from './shared-state.js';
+import { createStateStore } from './state-store.js';
+import { createStateSync } from './state-sync.js';
+
+describe('a digest of a peer that is ahead', () => {
+  it('is not forgotten when it comes right after another question', async () => {
+    // A drain and a change come within a moment. The second digest arrived during the pause after
+    // the first question and was dropped, and the change came into force up to five seconds later.
+    const logger = createSilentLogger();
+    const sync = createStateSync({
+      environment: 'test',
+      state: createSharedState('test', logger),
+      store: createStateStore(createFakeTable()),
+      logger,
+      random: () => 0.5,
+      writesOrders: false,
+    });
+    const asked: string[] = [];
+    await new Promise<void>((resolve) => {
+      sync.heard('1:x', () => void asked.push('first'));
+      sync.heard('2:x', () => {
+        asked.push('second');
+        resolve();
+      });
+    });
+    sync.stop();
+    expect(asked).toEqual(['first', 'second']);
+  });
+});
--- a/packages/shared-state/src/state-sync.ts
+++ b/packages/shared-state/src/state-sync.ts
@@ -42,6 +42,7 @@
   let timer: NodeJS.Timeout | undefined;
   let stopped = false;
   let lastFetch = -Infinity;
+  let waiting: NodeJS.Timeout | undefined;
 
   async function poll(): Promise<boolean> {
     try {
@@ -60,6 +61,23 @@
     }
   }
 
+  /**
+   * Asks at once, or as soon as the pause since the last question is over. A digest that was
+   * dropped instead would be heard again only with the peer's next heartbeat, seconds later.
+   */
+  function heard(peerDigest: string, fetch: () => void): void {
+    if (!peerIsAhead(state.digest, peerDigest)) return;
+    const now = performance.now();
+    const pause = lastFetch + FETCH_MILLISECONDS - now;
+    if (pause <= 0) {
+      lastFetch = now;
+      fetch();
+      return;
+    }
+    clearTimeout(waiting);
+    waiting = setTimeout(() => heard(peerDigest, fetch), pause);
+  }
+
   function schedule(): void {
     if (stopped) return;
     const known = state.configuration !== undefined;
@@ -76,14 +94,9 @@
     stop() {
       stopped = true;
       clearTimeout(timer);
+      clearTimeout(waiting);
     },
-    heard(peerDigest, fetch) {
-      if (!peerIsAhead(state.digest, peerDigest)) return;
-      const now = performance.now();
-      if (now - lastFetch < FETCH_MILLISECONDS) return;
-      lastFetch = now;
-      fetch();
-    },
+    heard,
     poll,
   };
 }
