--- a/packages/entry/src/backend-pool.ts
+++ b/packages/entry/src/backend-pool.ts
@@ -10,35 +10,14 @@
 import { BackendServerKind, InstanceState } from '@lapisbridge/types';
 import type { InstanceRecord, LoadReport } from '@lapisbridge/types';
 import { dial, MessageKind, openChannel } from '@lapisbridge/wire';
-import type { AttemptName, Channel, KeyAnswer, Message } from '@lapisbridge/wire';
+import type { AttemptName, KeyAnswer, Message } from '@lapisbridge/wire';
 
+import { createConnection } from './backend-connection.js';
+import type { AttemptListener, Connection } from './backend-connection.js';
 import { createKeyQueries } from './key-queries.js';
 import { groupIsWhole, planConnections } from './plan-connections.js';
 import type { LoadedServer } from './plan-drain-check.js';
 
-/** Receives what belongs to one attempt. */
-export interface AttemptListener {
-  onMessage(message: Message): void;
-  onLost(): void;
-}
-
-interface Connection {
-  record: InstanceRecord;
-  channel: Channel | undefined;
-  /** True from the sidecar's hello on: a frozen process accepts connections and never says it. */
-  ready: boolean;
-  load: LoadReport | undefined;
-  /** Configuration version in force there, as its last heartbeat said. */
-  version: number;
-  /** Requests of this entry there at the time of the report. */
-  ownAtReport: number;
-  leaving: boolean;
-  dialing: boolean;
-  failures: number;
-  readonly listeners: Map<string, AttemptListener>;
-  readonly waiters: Set<(ready: boolean) => void>;
-}
-
 export interface BackendPool {
   start(): void;
   stop(): void;
@@ -207,19 +186,7 @@
       known.record = record;
       return known;
     }
-    const connection: Connection = {
-      record,
-      channel: undefined,
-      ready: false,
-      load: undefined,
-      version: 0,
-      ownAtReport: 0,
-      leaving: false,
-      dialing: false,
-      failures: 0,
-      listeners: new Map(),
-      waiters: new Set(),
-    };
+    const connection = createConnection(record);
     connections.set(record.instanceId, connection);
     void dialNow(connection);
     return connection;
--- a/packages/entry/src/call-attempt.ts
+++ b/packages/entry/src/call-attempt.ts
@@ -4,9 +4,10 @@
 import type { ResultCode } from '@lapisbridge/errors';
 import type { Ran } from '@lapisbridge/types';
 import { MessageKind } from '@lapisbridge/wire';
-import type { CallAnswer, CallStart, Message, Resume } from '@lapisbridge/wire';
+import type { CallAnswer, CallStart, Resume } from '@lapisbridge/wire';
 
-import type { BackendPool } from './backend-pool.js';
+import { runAttempt } from './run-attempt.js';
+import type { AttemptInput } from './run-attempt.js';
 
 export enum CallOutcomeKind {
   Answered = 'answered',
@@ -36,55 +37,33 @@
   | { readonly kind: CallOutcomeKind.TimedOut }
   | { readonly kind: CallOutcomeKind.CallerGone };
 
-export interface CallAttemptInput {
-  readonly pool: BackendPool;
-  readonly instanceId: string;
+export interface CallAttemptInput extends AttemptInput {
   readonly message: CallStart | Resume;
-  readonly timeoutMilliseconds: number;
-  readonly callerGone: AbortSignal;
 }
 
 export function runCallAttempt(input: CallAttemptInput): Promise<CallOutcome> {
-  const { pool, instanceId, message, callerGone } = input;
-  return new Promise((resolve) => {
-    function end(outcome: CallOutcome): void {
-      clearTimeout(timer);
-      callerGone.removeEventListener('abort', onGone);
-      pool.unlisten(instanceId, message);
-      resolve(outcome);
-    }
-
-    function onMessage(received: Message): void {
+  return runAttempt<CallOutcome>({
+    ...input,
+    whenLost: { kind: CallOutcomeKind.Lost },
+    whenTimedOut: { kind: CallOutcomeKind.TimedOut },
+    whenCallerGone: { kind: CallOutcomeKind.CallerGone },
+    onMessage(received, end) {
       switch (received.kind) {
         case MessageKind.CallAnswer:
           end({ kind: CallOutcomeKind.Answered, answer: received });
           break;
-        case MessageKind.Refused:
-          end({
-            kind: CallOutcomeKind.Refused,
-            code: received.code,
-            reason: received.reason,
-            retryAfterMilliseconds: received.retryAfterMilliseconds,
-            claimVersion: received.claimVersion,
-          });
+        case MessageKind.Refused: {
+          const { code, reason, retryAfterMilliseconds, claimVersion } = received;
+          const kind = CallOutcomeKind.Refused;
+          end({ kind, code, reason, retryAfterMilliseconds, claimVersion });
           break;
+        }
         case MessageKind.Failed:
           end({ ...received, kind: CallOutcomeKind.Failed });
           break;
         default:
           break;
       }
-    }
-
-    const onGone = (): void => end({ kind: CallOutcomeKind.CallerGone });
-    const timer = setTimeout(
-      () => end({ kind: CallOutcomeKind.TimedOut }),
-      input.timeoutMilliseconds,
-    );
-    callerGone.addEventListener('abort', onGone);
-    const onLost = (): void => end({ kind: CallOutcomeKind.Lost });
-    const listening = pool.listen(instanceId, message, { onMessage, onLost });
-    if (callerGone.aborted) onGone();
-    else if (!listening || !pool.send(instanceId, message)) onLost();
+    },
   });
 }
--- a/packages/entry/src/draft-attempt.ts
+++ b/packages/entry/src/draft-attempt.ts
@@ -6,11 +6,11 @@
 import type { ResultCode } from '@lapisbridge/errors';
 import type { Ran } from '@lapisbridge/types';
 import { MessageKind } from '@lapisbridge/wire';
-import type { AttemptName, Chunk, DraftStart, Message, Resume } from '@lapisbridge/wire';
+import type { End as AnswerEnd, Chunk, DraftStart, Resume } from '@lapisbridge/wire';
 
 import type { AnswerSink } from './answer-sink.js';
-import type { BackendPool } from './backend-pool.js';
-import type { Deadline } from './deadline.js';
+import { runAttempt } from './run-attempt.js';
+import type { AttemptInput } from './run-attempt.js';
 
 /** What the caller has got so far, over all attempts. */
 export interface Progress {
@@ -54,15 +54,11 @@
   | { readonly kind: AttemptOutcomeKind.TimedOut }
   | { readonly kind: AttemptOutcomeKind.CallerGone };
 
-export interface AttemptInput {
-  readonly pool: BackendPool;
-  readonly instanceId: string;
+export interface DraftAttemptInput extends AttemptInput {
   readonly message: DraftStart | Resume;
   readonly progress: Progress;
   readonly sink: AnswerSink;
-  readonly deadline: Deadline;
-  readonly callerGone: AbortSignal;
-  /** Called at the first text of the whole answer. */
+  /** Called whenever text has been passed on. */
   onText(): void;
 }
 
@@ -70,81 +66,84 @@
 export const INITIAL_CREDIT = 32_768;
 const CREDIT_STEP = 8192;
 
-export function runDraftAttempt(input: AttemptInput): Promise<AttemptOutcome> {
-  const { pool, instanceId, message, progress, sink, deadline, callerGone } = input;
-  const name: AttemptName = { requestId: message.requestId, attempt: message.attempt };
+type End = (outcome: AttemptOutcome) => void;
 
-  return new Promise((resolve) => {
-    let owedCredit = 0;
-    let paused = false;
-    let ended = false;
+/** Passes text on and gives the sidecar credit for it, as fast as the caller reads. */
+function createPasser(input: DraftAttemptInput): (text: string, tokens: number) => void {
+  const { pool, instanceId, message, progress, sink } = input;
+  const { requestId, attempt } = message;
+  let owedCredit = 0;
+  let paused = false;
 
-    function end(outcome: AttemptOutcome): void {
-      if (ended) return;
-      ended = true;
-      clearTimeout(timer);
-      callerGone.removeEventListener('abort', onGone);
-      pool.unlisten(instanceId, name);
-      resolve(outcome);
-    }
+  function grantCredit(): void {
+    if (paused || owedCredit < CREDIT_STEP) return;
+    const kind = MessageKind.Credit;
+    pool.send(instanceId, { kind, requestId, attempt, characters: owedCredit });
+    owedCredit = 0;
+  }
 
-    function grantCredit(): void {
-      if (paused || ended || owedCredit < CREDIT_STEP) return;
-      pool.send(instanceId, { kind: MessageKind.Credit, ...name, characters: owedCredit });
-      owedCredit = 0;
+  return (text, tokens) => {
+    const flowing = sink.write(text, progress.offset, instanceId);
+    if (progress.wholeText) progress.text += text;
+    progress.offset += text.length;
+    progress.tokens = tokens;
+    input.onText();
+    owedCredit += text.length;
+    if (!flowing && !paused) {
+      paused = true;
+      sink.onDrain(() => {
+        paused = false;
+        grantCredit();
+      });
     }
+    grantCredit();
+  };
+}
+
+export function runDraftAttempt(input: DraftAttemptInput): Promise<AttemptOutcome> {
+  const { progress } = input;
+  const pass = createPasser(input);
 
-    function pass(text: string, tokens: number): void {
-      const flowing = sink.write(text, progress.offset, instanceId);
-      if (progress.wholeText) progress.text += text;
-      progress.offset += text.length;
-      progress.tokens = tokens;
-      input.onText();
-      owedCredit += text.length;
-      if (!flowing && !paused) {
-        paused = true;
-        sink.onDrain(() => {
-          paused = false;
-          grantCredit();
-        });
+  function onChunk(chunk: Chunk, end: End): void {
+    const append = planAppend(progress.offset, chunk.offset, chunk.text);
+    switch (append.kind) {
+      case AppendKind.Append:
+        pass(append.text, chunk.tokens);
+        break;
+      case AppendKind.Duplicate:
+        break;
+      case AppendKind.Gap:
+        end({ kind: AttemptOutcomeKind.Lost });
+        break;
+      default: {
+        const unreachable: never = append;
+        throw new Error(String(unreachable));
       }
-      grantCredit();
     }
+  }
 
-    function onChunk(chunk: Chunk): void {
-      const append = planAppend(progress.offset, chunk.offset, chunk.text);
-      switch (append.kind) {
-        case AppendKind.Append:
-          pass(append.text, chunk.tokens);
-          break;
-        case AppendKind.Duplicate:
-          break;
-        case AppendKind.Gap:
-          end({ kind: AttemptOutcomeKind.Lost });
-          break;
-        default: {
-          const unreachable: never = append;
-          throw new Error(String(unreachable));
-        }
-      }
+  function onEnd(message: AnswerEnd, end: End): void {
+    // An end whose total differs from what was passed on would make a gap look whole.
+    if (message.totalCharacters !== progress.offset) {
+      end({ kind: AttemptOutcomeKind.Lost });
+      return;
     }
+    const { finishReason, completionTokens } = message;
+    end({ kind: AttemptOutcomeKind.Complete, finishReason, completionTokens });
+  }
 
-    function onMessage(received: Message): void {
+  return runAttempt<AttemptOutcome>({
+    ...input,
+    whenLost: { kind: AttemptOutcomeKind.Lost },
+    whenTimedOut: { kind: AttemptOutcomeKind.TimedOut },
+    whenCallerGone: { kind: AttemptOutcomeKind.CallerGone },
+    onMessage(received, end) {
       switch (received.kind) {
         case MessageKind.Chunk:
-          onChunk(received);
+          onChunk(received, end);
           break;
         case MessageKind.End:
-          // An end whose total differs from what was passed on would make a gap look whole.
-          if (received.totalCharacters !== progress.offset) {
-            end({ kind: AttemptOutcomeKind.Lost });
-            return;
-          }
-          end({
-            kind: AttemptOutcomeKind.Complete,
-            finishReason: received.finishReason,
-            completionTokens: received.completionTokens,
-          });
+          onEnd(received, end);
           break;
         case MessageKind.Refused:
           end({ ...received, kind: AttemptOutcomeKind.Refused });
@@ -155,17 +154,6 @@
         default:
           break;
       }
-    }
-
-    const onGone = (): void => end({ kind: AttemptOutcomeKind.CallerGone });
-    const timer = setTimeout(
-      () => end({ kind: AttemptOutcomeKind.TimedOut }),
-      deadline.remaining(),
-    );
-    callerGone.addEventListener('abort', onGone);
-    const onLost = (): void => end({ kind: AttemptOutcomeKind.Lost });
-    const listening = pool.listen(instanceId, name, { onMessage, onLost });
-    if (callerGone.aborted) onGone();
-    else if (!listening || !pool.send(instanceId, message)) onLost();
+    },
   });
 }
--- a/packages/entry/src/draft.ts
+++ b/packages/entry/src/draft.ts
@@ -59,7 +59,7 @@
     message,
     progress: state.progress,
     sink: draft.sink,
-    deadline: draft.deadline,
+    timeoutMilliseconds: draft.deadline.remaining(),
     callerGone: draft.callerGone,
     onText() {
       state.admitted = true;
