Fix: a continued answer could be a token too long, or end early for a slow reader

Ruled out: a splice of two generations (the text was right up to its 60th token). Now an answer that has used up its limit ends as 'length' without another engine. Cause 2, found beside it: pieces told the tokens generated so far, not those the reader has, so an answer of a slow reader that went on elsewhere could end early as if whole. Token ends are now kept.

--- a/packages/sidecar/src/draft-run.ts
+++ b/packages/sidecar/src/draft-run.ts
@@ -18,6 +18,8 @@
   readonly channel: Channel;
   readonly attempt: number;
   offset: number;
+  /** Tokens of this run that end at or before the offset. */
+  passedTokens: number;
   credit: number;
 }
 
@@ -28,11 +30,21 @@
   /** The entry that may resume without the caller's coming back. */
   owner: string;
   reader: Reader | undefined;
-  tokens: number;
+  /** Where each token of this run ends, in characters of the whole answer. */
+  readonly tokenEnds: number[];
   failure: EngineOutcome | undefined;
   orphanTimer: NodeJS.Timeout | undefined;
 }
 
+/**
+ * Tokens that the reader has once it stands at an offset. Counting those that are merely
+ * generated would let a slow reader's answer end too early when it goes on elsewhere.
+ */
+function passTokens(run: Run, reader: Reader, offset: number): number {
+  while ((run.tokenEnds[reader.passedTokens] ?? Infinity) <= offset) reader.passedTokens += 1;
+  return run.start.deliveredTokens + reader.passedTokens;
+}
+
 /** `load` rides on the last message, so that the entry knows of the free slot at once. */
 export function pump(run: Run, load: () => LoadReport): void {
   const { reader, buffer } = run;
@@ -45,7 +57,7 @@
       ...name,
       offset: reader.offset,
       text,
-      tokens: run.tokens,
+      tokens: passTokens(run, reader, reader.offset + text.length),
     });
     reader.offset += text.length;
     reader.credit -= text.length;
--- a/packages/sidecar/src/draft-runner.ts
+++ b/packages/sidecar/src/draft-runner.ts
@@ -52,7 +52,7 @@
       abort: new AbortController(),
       owner: message.entryId,
       reader: undefined,
-      tokens: message.deliveredTokens,
+      tokenEnds: [],
       failure: undefined,
       orphanTimer: undefined,
     };
@@ -60,6 +60,7 @@
       channel,
       attempt: message.attempt,
       offset: message.deliveredText.length,
+      passedTokens: 0,
       credit: message.credit,
     });
     return run;
@@ -81,8 +82,8 @@
           gate.observe({ kind: EvidenceKind.Step, milliseconds, running: options.running() });
         }
         lastTextAt = now;
-        run.tokens += 1;
         run.buffer.append(text);
+        run.tokenEnds.push(run.buffer.length);
         pump(run, options.load);
       },
     });
@@ -90,7 +91,10 @@
 
   function conclude(run: Run, outcome: EngineOutcome): void {
     if (outcome.kind === EngineOutcomeKind.Complete) {
-      run.buffer.complete({ finishReason: outcome.finishReason, completionTokens: run.tokens });
+      run.buffer.complete({
+        finishReason: outcome.finishReason,
+        completionTokens: run.start.deliveredTokens + run.tokenEnds.length,
+      });
     } else {
       run.failure = outcome;
       run.buffer.fail();
@@ -216,6 +220,7 @@
         channel,
         attempt: message.attempt,
         offset: message.offset,
+        passedTokens: 0,
         credit: message.credit,
       });
       pump(run, options.load);
--- a/packages/sidecar/src/engine-client.ts
+++ b/packages/sidecar/src/engine-client.ts
@@ -49,6 +49,15 @@
 const UNSENT_ERRORS = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
 const END_MARK = '[DONE]';
 
+/**
+ * An engine can break off between the last token and its end mark. Asked to go on from there it
+ * would have to generate at least one token more than the caller allowed.
+ */
+function isUsedUp({ body, deliveredTokens }: EngineRequest): boolean {
+  const limit = body.max_tokens;
+  return typeof limit === 'number' && deliveredTokens >= limit;
+}
+
 /** The body for the engine: a continued answer hands over the text that callers already have. */
 function engineBody(given: EngineRequest): Record<string, unknown> {
   const body: Record<string, unknown> = {
@@ -62,7 +71,7 @@
   body.continue_final_message = true;
   body.add_generation_prompt = false;
   const limit = given.body.max_tokens;
-  if (typeof limit === 'number') body.max_tokens = Math.max(1, limit - given.deliveredTokens);
+  if (typeof limit === 'number') body.max_tokens = limit - given.deliveredTokens;
   return body;
 }
 
@@ -101,6 +110,7 @@
 
   return {
     async stream(given) {
+      if (isUsedUp(given)) return { kind: EngineOutcomeKind.Complete, finishReason: 'length' };
       const silence = new AbortController();
       const signal = AbortSignal.any([given.signal, silence.signal]);
       // A connection can go silent for good in mid-answer. Aborting also discards the
