--- /dev/null
+++ b/packages/catalog/src/follow-table.ts
@@ -0,0 +1,106 @@
+/**
+ * Keeps a copy of one table of the store: read whole once, then followed by its changes. A call
+ * that fails is tried again after a pause that grows; a history that is gone is read whole
+ * again; a store that answers from behind what is known already is asked again.
+ */
+import { FeedKind } from './store.js';
+import type { Store, StoreRow } from './store.js';
+
+export interface FollowOptions {
+  readonly store: Store;
+  readonly table: string;
+  readonly part: string;
+  /** How long one call waits at the store for a change. */
+  readonly waitMilliseconds: number;
+  /** Pause between two calls, for tables that change all the time: calls are what costs. */
+  readonly pauseMilliseconds: number;
+  readonly random: () => number;
+  /** All rows, as of a revision, whenever something changed. */
+  onRows(rows: ReadonlyMap<string, StoreRow>, revision: number): void;
+  /** Called after each call. */
+  onContact(succeeded: boolean, reason: string): void;
+}
+
+export interface TableFollower {
+  start(): void;
+  stop(): void;
+}
+
+/** First pause after a failure, in milliseconds: short, since changes must be seen in 2 s. */
+const FIRST_RETRY_MILLISECONDS = 100;
+const LONGEST_RETRY_MILLISECONDS = 800;
+
+export function followTable(options: FollowOptions): TableFollower {
+  const { store, table, part } = options;
+  const rows = new Map<string, StoreRow>();
+  let revision = 0;
+  let isWhole = false;
+  let stopped = false;
+  let failures = 0;
+  let timer: NodeJS.Timeout | undefined;
+
+  async function readWhole(): Promise<void> {
+    const list = await store.list(table, part);
+    if (list.revision < revision) throw new Error('the store answers from behind');
+    rows.clear();
+    for (const row of list.rows) rows.set(row.key, row);
+    revision = list.revision;
+    isWhole = true;
+    options.onRows(rows, revision);
+  }
+
+  async function readChanges(): Promise<void> {
+    const feed = await store.feed(table, revision, options.waitMilliseconds);
+    switch (feed.kind) {
+      case FeedKind.HistoryGone:
+        isWhole = false;
+        await readWhole();
+        return;
+      case FeedKind.Changes:
+        break;
+      default: {
+        const unreachable: never = feed;
+        throw new Error(String(unreachable));
+      }
+    }
+    if (feed.revision < revision) throw new Error('the store answers from behind');
+    let changed = false;
+    for (const row of feed.rows) {
+      if (row.part !== part) continue;
+      changed = true;
+      if (row.value === undefined) rows.delete(row.key);
+      else rows.set(row.key, row);
+    }
+    revision = feed.revision;
+    if (changed) options.onRows(rows, revision);
+  }
+
+  async function step(): Promise<void> {
+    let pause = options.pauseMilliseconds;
+    try {
+      if (isWhole) await readChanges();
+      else await readWhole();
+      failures = 0;
+      options.onContact(true, '');
+    } catch (thrown) {
+      options.onContact(false, thrown instanceof Error ? thrown.message : String(thrown));
+      const longest = Math.min(
+        LONGEST_RETRY_MILLISECONDS,
+        FIRST_RETRY_MILLISECONDS * 2 ** Math.min(failures, 6),
+      );
+      failures += 1;
+      pause = longest * (0.5 + options.random() / 2);
+    }
+    if (!stopped) timer = setTimeout(() => void step(), pause);
+  }
+
+  return {
+    start() {
+      void step();
+    },
+    stop() {
+      stopped = true;
+      clearTimeout(timer);
+    },
+  };
+}
--- /dev/null
+++ b/packages/catalog/src/index.ts
@@ -0,0 +1,24 @@
+/**
+ * Knowledge of a deployment: configuration, drained zones and backend servers, each as of one
+ * revision.
+ */
+export { createCatalog } from './catalog.js';
+export type { Catalog, OperatorOrders, ServerList } from './catalog.js';
+export { AccessKind, checkAccess, findRoute, pickService } from './find-route.js';
+export type { Access } from './find-route.js';
+export { RequestKind } from './types.js';
+export type {
+  BackendServer,
+  CallerLimits,
+  ClientAccount,
+  Configuration,
+  EngineProfile,
+  GroupRank,
+  Route,
+  ServiceProfile,
+  WeightedService,
+} from './types.js';
+export { followTable } from './follow-table.js';
+export type { FollowOptions, TableFollower } from './follow-table.js';
+export { FeedKind, TransactionKind } from './store.js';
+export type { Feed, RowList, RowWrite, Store, StoreRow, TransactionResult } from './store.js';
--- /dev/null
+++ b/packages/forwarding/src/caller-protocol.ts
@@ -0,0 +1,68 @@
+/**
+ * What the forwarding core asks of an adapter: to read a caller's request, to name the headers
+ * that go to a backend server, and to read what a backend server says of itself. Names on the
+ * wire stay behind this port.
+ */
+import type { IncomingMessage } from 'node:http';
+
+import type { BackendServer, ClientAccount, Route } from '@lapisbridge/catalog';
+
+/** A caller's request without its body. Headers are raw pairs: name, value, name, value. */
+export interface CallerRequest {
+  /** Id of this attempt of the caller; undefined when it sent none. */
+  readonly requestId: string | undefined;
+  readonly method: string;
+  /** Host without a port, in lower case. */
+  readonly host: string;
+  /** Path and query as sent. */
+  readonly target: string;
+  readonly key: string | undefined;
+  /** How long the caller will wait, from the arrival of the request. */
+  readonly patienceMilliseconds: number | undefined;
+  /** Last event the caller already has of a stream that it goes on with. */
+  readonly lastEventId: number | undefined;
+  readonly promptTokens: number;
+  readonly headers: readonly string[];
+}
+
+export interface ForwardInput {
+  readonly request: CallerRequest;
+  readonly route: Route;
+  readonly server: BackendServer;
+  readonly account: ClientAccount | undefined;
+  readonly remainingMilliseconds: number;
+  readonly lastEventId: number | undefined;
+  readonly bodyBytes: number;
+}
+
+/** What a backend server tells of its load with an answer. */
+export interface ReportedLoad {
+  readonly running: number;
+  readonly waiting: number;
+}
+
+export interface AnswerHead {
+  readonly status: number;
+  readonly requestId: string | undefined;
+  /** The backend server vouches for the answer. */
+  readonly isSigned: boolean;
+  /** The backend server states that it did not run the request. */
+  readonly notRun: boolean;
+  /** Another backend server has the address now. */
+  readonly isMisdirected: boolean;
+  readonly load: ReportedLoad | undefined;
+  /** End-to-end headers as raw pairs. */
+  readonly headers: readonly string[];
+}
+
+export interface CallerProtocol {
+  decodeRequest(incoming: IncomingMessage): CallerRequest;
+  /** Raw header pairs for a backend server. */
+  encodeForward(input: ForwardInput): string[];
+  decodeAnswer(incoming: IncomingMessage): AnswerHead;
+  /** Headers of an answer of our own. */
+  encodeOwnAnswer(
+    requestId: string | undefined,
+    retryAfterMilliseconds: number | undefined,
+  ): string[];
+}
--- /dev/null
+++ b/packages/forwarding/src/choose-server.ts
@@ -0,0 +1,65 @@
+/**
+ * Picks the backend server for the next attempt and writes down why.
+ */
+import type { BackendServer } from '@lapisbridge/catalog';
+import { planServer, ServerChoiceKind } from '@lapisbridge/routing';
+import type { ServerChoice, ServerView } from '@lapisbridge/routing';
+
+import type { AcceptedRequest, ForwardContext, Progress } from './forward-context.js';
+
+/** Reading speed of services without a model, which have no prompts. */
+const NO_PROMPTS = 1;
+
+function viewsOf(
+  context: ForwardContext,
+  accepted: AcceptedRequest,
+): { views: ServerView[]; byId: ReadonlyMap<string, BackendServer> } {
+  const profile = accepted.configuration.services.get(accepted.service);
+  const { drainedZones } = context.catalog.operators();
+  const byId = context.catalog.servers().servers;
+  const views: ServerView[] = [];
+  for (const server of byId.values()) {
+    if (server.service !== accepted.service || server.draining) continue;
+    if (drainedZones.has(server.availabilityZone)) continue;
+    const coldRate = profile?.coldRequestsPerSecond ?? 0;
+    views.push(context.ledger.view(server, context.coldShare.maySend(server.instanceId, coldRate)));
+  }
+  return { views, byId };
+}
+
+export interface ChosenServer {
+  readonly choice: ServerChoice;
+  readonly server: BackendServer | undefined;
+}
+
+export function chooseServer(
+  context: ForwardContext,
+  accepted: AcceptedRequest,
+  progress: Progress,
+): ChosenServer {
+  const { views, byId } = viewsOf(context, accepted);
+  const engine = accepted.configuration.services.get(accepted.service)?.engine;
+  const choice = planServer({
+    views,
+    ownZone: context.ownZone,
+    excluded: progress.tried,
+    readTokensPerMillisecond: engine === undefined ? NO_PROMPTS : engine.readTokensPerSecond / 1000,
+    random: context.random,
+  });
+  const chosen = choice.kind === ServerChoiceKind.Chosen;
+  context.logger.decision({
+    kind: 'routing',
+    subject: accepted.requestId,
+    choice: chosen ? choice.view.instanceId : choice.kind,
+    reason: `attempt ${progress.sends + 1} of ${accepted.route.name}`,
+    facts: {
+      configurationVersion: accepted.configuration.version,
+      serversRevision: context.catalog.servers().revision,
+      candidates: views.length,
+      cost: chosen ? Math.round(choice.cost) : undefined,
+      outstanding: chosen ? choice.view.outstanding : undefined,
+      suspicion: chosen ? Number(choice.view.suspicion.toFixed(2)) : undefined,
+    },
+  });
+  return { choice, server: chosen ? byId.get(choice.view.instanceId) : undefined };
+}
--- /dev/null
+++ b/packages/forwarding/src/event-splitter.ts
@@ -0,0 +1,58 @@
+/**
+ * Cuts a stream of server-sent events into whole events. A backend server may stop in the
+ * middle of one; the part must never reach the caller, or the event that a continued stream
+ * sends again would be glued to it.
+ */
+export interface StreamEvent {
+  /** Undefined when the event names none. */
+  readonly id: number | undefined;
+  /** The event with its closing blank line, byte for byte. */
+  readonly bytes: Buffer;
+}
+
+export interface EventSplitter {
+  push(chunk: Buffer): StreamEvent[];
+  /** Whether bytes of an unfinished event are held. */
+  hasRest(): boolean;
+}
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+
+/** Index behind the blank line that closes the first event; -1 when it is not closed yet. */
+function findEventEnd(bytes: Buffer, from: number): number {
+  let position = bytes.indexOf(LINE_FEED, from);
+  while (position >= 0) {
+    let next = position + 1;
+    if (bytes[next] === CARRIAGE_RETURN) next += 1;
+    if (bytes[next] === LINE_FEED) return next + 1;
+    position = bytes.indexOf(LINE_FEED, position + 1);
+  }
+  return -1;
+}
+
+function readId(bytes: Buffer): number | undefined {
+  const match = /^id: ?(\d+)\r?$/m.exec(bytes.toString('latin1'));
+  return match === null ? undefined : Number(match[1]);
+}
+
+export function createEventSplitter(): EventSplitter {
+  let rest: Buffer = Buffer.alloc(0);
+  return {
+    push(chunk) {
+      const bytes = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+      const events: StreamEvent[] = [];
+      let start = 0;
+      for (;;) {
+        const end = findEventEnd(bytes, start);
+        if (end < 0) break;
+        const event = bytes.subarray(start, end);
+        events.push({ id: readId(event), bytes: event });
+        start = end;
+      }
+      rest = bytes.subarray(start);
+      return events;
+    },
+    hasRest: () => rest.length > 0,
+  };
+}
--- /dev/null
+++ b/packages/forwarding/src/exchange.ts
@@ -0,0 +1,129 @@
+/**
+ * One HTTP exchange with a backend server, on a connection of its own. A kept connection may
+ * carry bytes of an earlier exchange, or may have been lost silently; nobody could then tell
+ * whether the request was taken. A fresh one costs a round trip and rules both out. As long as
+ * it is not established no byte has left, so a failure until then proves that nothing ran.
+ */
+import { request as httpRequest } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+
+export enum ExchangeEndKind {
+  /** The whole answer arrived, delimited as HTTP demands. */
+  Complete = 'complete',
+  /** The request never left this process. */
+  NotSent = 'notSent',
+  /** The request may have run; the answer is missing or broken off. */
+  Broken = 'broken',
+  /** This process gave the exchange up. */
+  Cancelled = 'cancelled',
+}
+
+export interface ExchangeEnd {
+  readonly kind: ExchangeEndKind;
+  readonly reason: string;
+}
+
+export interface ExchangeListener {
+  /** Head of the answer. */
+  onHead(incoming: IncomingMessage): void;
+  onData(chunk: Buffer): void;
+  /** Called once, last. */
+  onEnd(end: ExchangeEnd): void;
+}
+
+export interface ExchangeOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly method: string;
+  readonly target: string;
+  /** Raw pairs. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  readonly connectMilliseconds: number;
+}
+
+export interface Exchange {
+  cancel(reason: string): void;
+  pause(): void;
+  resume(): void;
+}
+
+/** First probe of an idle connection; a peer without power never answers on its own. */
+const KEEP_ALIVE_MILLISECONDS = 1000;
+
+export function openExchange(options: ExchangeOptions, listener: ExchangeListener): Exchange {
+  let ended = false;
+  let connected = false;
+  let answer: IncomingMessage | undefined;
+  let connectTimer: NodeJS.Timeout | undefined;
+  let request: ClientRequest | undefined;
+
+  function end(kind: ExchangeEndKind, reason: string): void {
+    if (ended) return;
+    ended = true;
+    clearTimeout(connectTimer);
+    request?.destroy();
+    listener.onEnd({ kind, reason });
+  }
+
+  function fail(reason: string): void {
+    end(connected ? ExchangeEndKind.Broken : ExchangeEndKind.NotSent, reason);
+  }
+
+  function onSocket(socket: Socket): void {
+    socket.setNoDelay(true);
+    socket.setKeepAlive(true, KEEP_ALIVE_MILLISECONDS);
+    socket.once('connect', () => {
+      connected = true;
+      clearTimeout(connectTimer);
+    });
+  }
+
+  function onAnswer(incoming: IncomingMessage): void {
+    if (ended) return;
+    answer = incoming;
+    incoming.on('data', (chunk: Buffer) => {
+      if (!ended) listener.onData(chunk);
+    });
+    incoming.on('end', () => {
+      if (incoming.complete) end(ExchangeEndKind.Complete, 'whole answer');
+      else fail('answer broken off');
+    });
+    incoming.on('error', (error) => fail(error.message));
+    incoming.on('close', () => fail('connection closed within the answer'));
+    listener.onHead(incoming);
+  }
+
+  try {
+    request = httpRequest({
+      host: options.host,
+      port: options.port,
+      method: options.method,
+      path: options.target,
+      headers: [...options.headers, 'Connection', 'close'] as unknown as Record<string, string>,
+      setHost: false,
+      agent: false,
+    });
+  } catch (thrown) {
+    queueMicrotask(() => fail(String(thrown)));
+    return { cancel: () => undefined, pause: () => undefined, resume: () => undefined };
+  }
+  connectTimer = setTimeout(() => fail('no connection in time'), options.connectMilliseconds);
+  request.on('socket', onSocket);
+  request.on('response', onAnswer);
+  request.on('error', (error) => fail(error.message));
+  request.on('close', () => fail('connection closed without an answer'));
+  request.end(options.body);
+  return {
+    cancel(reason) {
+      end(connected ? ExchangeEndKind.Cancelled : ExchangeEndKind.NotSent, reason);
+    },
+    pause() {
+      answer?.pause();
+    },
+    resume() {
+      answer?.resume();
+    },
+  };
+}
--- /dev/null
+++ b/packages/forwarding/src/forward-context.ts
@@ -0,0 +1,60 @@
+/**
+ * What serving one request needs: the services it uses and the request as it was accepted.
+ */
+import type { Catalog, ClientAccount, Configuration, Route } from '@lapisbridge/catalog';
+import type { Logger } from '@lapisbridge/logger';
+
+import type { CallerAnswer } from './caller-answer.js';
+import type { CallerProtocol, CallerRequest } from './caller-protocol.js';
+import type { ColdShare } from './cold-share.js';
+import type { Outcome } from './outcome.js';
+import type { Pulse } from './pulse.js';
+import type { RetryShare } from './retry-share.js';
+import type { ServerLedger } from './server-ledger.js';
+
+export interface ForwardContext {
+  readonly protocol: CallerProtocol;
+  readonly catalog: Catalog;
+  readonly ledger: ServerLedger;
+  readonly retryShare: RetryShare;
+  readonly coldShare: ColdShare;
+  readonly pulse: Pulse;
+  readonly logger: Logger;
+  readonly ownZone: string;
+  now(): number;
+  random(): number;
+  /** Whether the lock-step group of a server is known to be broken right now. */
+  isGroupBroken(instanceId: string): boolean;
+}
+
+/** A request that was found to be proper, decided on one version of the configuration. */
+export interface AcceptedRequest {
+  readonly request: CallerRequest;
+  readonly requestId: string;
+  readonly configuration: Configuration;
+  readonly route: Route;
+  readonly service: string;
+  readonly account: ClientAccount | undefined;
+  readonly body: Buffer;
+  readonly arrivedAt: number;
+  /** The route's timeout or the end of the caller's patience, whichever comes first. */
+  readonly expiresAt: number;
+  readonly answer: CallerAnswer;
+}
+
+/** What has been tried so far. */
+export interface Progress {
+  readonly tried: Set<string>;
+  readonly outcomes: Outcome[];
+  /** Attempts that reached a backend server and were not refused by it. */
+  runs: number;
+  sends: number;
+}
+
+export function startProgress(): Progress {
+  return { tried: new Set(), outcomes: [], runs: 0, sends: 0 };
+}
+
+export function remainingOf(context: ForwardContext, accepted: AcceptedRequest): number {
+  return Math.max(0, Math.floor(accepted.expiresAt - context.now()));
+}
--- /dev/null
+++ b/packages/forwarding/src/index.ts
@@ -0,0 +1,20 @@
+/**
+ * Serves callers' requests on backend servers that are called directly.
+ */
+export { createCallerListener } from './caller-listener.js';
+export type { CallerListener, CallerListenerOptions } from './caller-listener.js';
+export type {
+  AnswerHead,
+  CallerProtocol,
+  CallerRequest,
+  ForwardInput,
+  ReportedLoad,
+} from './caller-protocol.js';
+export { createColdShare } from './cold-share.js';
+export type { ColdShare } from './cold-share.js';
+export type { ForwardContext } from './forward-context.js';
+export { createPulse } from './pulse.js';
+export { createRetryShare } from './retry-share.js';
+export type { RetryBounds, RetryShare } from './retry-share.js';
+export { createServerLedger } from './server-ledger.js';
+export type { ServerLedger } from './server-ledger.js';
--- /dev/null
+++ b/packages/forwarding/src/outcome.ts
@@ -0,0 +1,53 @@
+/**
+ * How one attempt on a backend server ended. `NotRun` is made only from proof: the request
+ * never left, or the server itself says that it did not run it. Everything else that is not an
+ * answer is `Unknown`. A refusal that promises "not run" takes a `NotRunProof`, which cannot be
+ * had from an unknown outcome.
+ */
+import type { AnswerHead } from './caller-protocol.js';
+
+export enum OutcomeKind {
+  Answered = 'answered',
+  NotRun = 'notRun',
+  Unknown = 'unknown',
+}
+
+export interface NotRun {
+  readonly kind: OutcomeKind.NotRun;
+  readonly reason: string;
+  /** The server was reached and refused, rather than being out of reach. */
+  readonly wasRefused: boolean;
+}
+
+export interface Unknown {
+  readonly kind: OutcomeKind.Unknown;
+  readonly reason: string;
+}
+
+export interface Answered {
+  readonly kind: OutcomeKind.Answered;
+  readonly head: AnswerHead;
+  readonly body: Buffer;
+}
+
+export type Outcome = Answered | NotRun | Unknown;
+
+export function describeOutcome(outcome: Outcome): string {
+  return outcome.kind === OutcomeKind.Answered ? `status ${outcome.head.status}` : outcome.reason;
+}
+
+declare const proof: unique symbol;
+
+/** Evidence that no attempt at a request has run or can run. */
+export interface NotRunProof {
+  readonly [proof]: true;
+  readonly reason: string;
+}
+
+/** Proves "not run" over all attempts at a request; undefined as soon as one is unknown. */
+export function proveNotRun(outcomes: readonly Outcome[], reason: string): NotRunProof | undefined {
+  for (const outcome of outcomes) {
+    if (outcome.kind !== OutcomeKind.NotRun) return undefined;
+  }
+  return { reason } as NotRunProof;
+}
--- /dev/null
+++ b/packages/forwarding/src/own-answer.ts
@@ -0,0 +1,58 @@
+/**
+ * Answers of this entry's own. Statuses that promise "not run" take the proof of it.
+ */
+import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import type { NotRunProof } from './outcome.js';
+import { planRetryAfter } from './plan-retry-after.js';
+import type { RefusalCause } from './plan-retry-after.js';
+import { remainingOf } from './forward-context.js';
+
+const SERVICE_UNAVAILABLE = 503;
+const BAD_GATEWAY = 502;
+const GATEWAY_TIMEOUT = 504;
+
+function sendOwn(
+  context: ForwardContext,
+  accepted: AcceptedRequest,
+  status: number,
+  retryAfterMilliseconds: number | undefined,
+): void {
+  const headers = context.protocol.encodeOwnAnswer(accepted.requestId, retryAfterMilliseconds);
+  accepted.answer.send(status, headers, Buffer.alloc(0));
+}
+
+/** Refuses a request that has not run, and says when it is likely to be served. */
+export function refuse(
+  context: ForwardContext,
+  accepted: AcceptedRequest,
+  cause: RefusalCause,
+  proof: NotRunProof,
+): void {
+  const remaining = remainingOf(context, accepted);
+  const retryAfter = planRetryAfter(cause, remaining, context.random());
+  context.logger.decision({
+    kind: 'refusal',
+    subject: accepted.requestId,
+    choice: cause,
+    reason: proof.reason,
+    facts: { remaining, retryAfter },
+  });
+  sendOwn(context, accepted, SERVICE_UNAVAILABLE, retryAfter);
+}
+
+/** Fails a request that may have run. */
+export function fail(
+  context: ForwardContext,
+  accepted: AcceptedRequest,
+  reason: string,
+  isTimeout: boolean,
+): void {
+  context.logger.decision({
+    kind: 'failure',
+    subject: accepted.requestId,
+    choice: isTimeout ? 'timeout' : 'unknown',
+    reason,
+  });
+  if (accepted.answer.hasBegun) accepted.answer.breakOff();
+  else sendOwn(context, accepted, isTimeout ? GATEWAY_TIMEOUT : BAD_GATEWAY, undefined);
+}
--- /dev/null
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -0,0 +1,144 @@
+/**
+ * One attempt at a request whose answer is passed on as a whole. The answer is held until it
+ * is complete, so that one that breaks off can still be repeated where the request allows it.
+ */
+import type { BackendServer } from '@lapisbridge/catalog';
+
+import type { AnswerHead } from './caller-protocol.js';
+import { ExchangeEndKind, openExchange } from './exchange.js';
+import type { Exchange, ExchangeEnd } from './exchange.js';
+import { remainingOf } from './forward-context.js';
+import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { OutcomeKind } from './outcome.js';
+import type { Outcome } from './outcome.js';
+
+export interface RunningAttempt {
+  readonly server: BackendServer;
+  readonly outcome: Promise<Outcome>;
+  cancel(reason: string): void;
+}
+
+/** Time for a connection within a region: some round trips of a few milliseconds. */
+export const CONNECT_MILLISECONDS = 300;
+/** Largest answer that is held; beyond it the backend server is taken to be at fault. */
+const MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
+const SUCCESS_FROM = 200;
+const SUCCESS_TO = 300;
+
+export function isSuccess(status: number): boolean {
+  return status >= SUCCESS_FROM && status < SUCCESS_TO;
+}
+
+/** Reasons for which the head of an answer is not believed; undefined when it is sound. */
+export function doubtHead(head: AnswerHead, requestId: string): string | undefined {
+  if (head.requestId !== requestId) return 'answer to another request';
+  if (isSuccess(head.status) && !head.isSigned) return 'success without a signature';
+  return undefined;
+}
+
+/** Whether the head proves that the request did not run. */
+export function provesNotRun(head: AnswerHead): boolean {
+  return head.notRun || head.isMisdirected;
+}
+
+function judge(
+  end: ExchangeEnd,
+  head: AnswerHead | undefined,
+  body: Buffer,
+  requestId: string,
+): Outcome {
+  switch (end.kind) {
+    case ExchangeEndKind.NotSent:
+      return { kind: OutcomeKind.NotRun, reason: end.reason, wasRefused: false };
+    case ExchangeEndKind.Broken:
+    case ExchangeEndKind.Cancelled:
+      return { kind: OutcomeKind.Unknown, reason: end.reason };
+    case ExchangeEndKind.Complete: {
+      if (head === undefined) return { kind: OutcomeKind.Unknown, reason: 'no head' };
+      if (provesNotRun(head)) {
+        const reason = head.isMisdirected ? 'another server has the address' : 'refused by it';
+        return { kind: OutcomeKind.NotRun, reason, wasRefused: !head.isMisdirected };
+      }
+      const doubt = doubtHead(head, requestId);
+      if (doubt !== undefined) return { kind: OutcomeKind.Unknown, reason: doubt };
+      return { kind: OutcomeKind.Answered, head, body };
+    }
+    default: {
+      const unreachable: never = end.kind;
+      return unreachable;
+    }
+  }
+}
+
+/** Server errors speak against the server, refusals do not: a full server is sound. */
+function isSound(outcome: Outcome): boolean {
+  switch (outcome.kind) {
+    case OutcomeKind.Answered:
+      return outcome.head.status < 500;
+    case OutcomeKind.NotRun:
+      return outcome.wasRefused;
+    case OutcomeKind.Unknown:
+      return false;
+    default: {
+      const unreachable: never = outcome;
+      return unreachable;
+    }
+  }
+}
+
+export function startPlainAttempt(
+  context: ForwardContext,
+  accepted: AcceptedRequest,
+  server: BackendServer,
+): RunningAttempt {
+  const { ledger, protocol } = context;
+  const { request, requestId, body } = accepted;
+  const startedAt = context.now();
+  let head: AnswerHead | undefined;
+  const chunks: Buffer[] = [];
+  let size = 0;
+  let exchange: Exchange | undefined;
+  ledger.sent(server.instanceId, 0);
+  context.coldShare.noteSent(server.instanceId);
+  const outcome = new Promise<Outcome>((resolve) => {
+    exchange = openExchange(
+      {
+        host: server.host,
+        port: server.port,
+        method: request.method,
+        target: request.target,
+        headers: protocol.encodeForward({
+          request,
+          route: accepted.route,
+          server,
+          account: accepted.account,
+          remainingMilliseconds: remainingOf(context, accepted),
+          lastEventId: request.lastEventId,
+          bodyBytes: body.length,
+        }),
+        body,
+        connectMilliseconds: CONNECT_MILLISECONDS,
+      },
+      {
+        onHead(incoming) {
+          head = protocol.decodeAnswer(incoming);
+          if (head.load !== undefined) ledger.reported(server.instanceId, head.load);
+        },
+        onData(chunk) {
+          size += chunk.length;
+          if (size > MAXIMUM_ANSWER_BYTES) exchange?.cancel('answer too large');
+          else chunks.push(chunk);
+        },
+        onEnd(end) {
+          const judged = judge(end, head, Buffer.concat(chunks), requestId);
+          const wasAnswered = judged.kind === OutcomeKind.Answered;
+          if (wasAnswered) ledger.answered(server.instanceId, context.now() - startedAt, 0);
+          const sound = end.kind === ExchangeEndKind.Cancelled || isSound(judged);
+          ledger.ended(server.instanceId, sound, 0, wasAnswered);
+          resolve(judged);
+        },
+      },
+    );
+  });
+  return { server, outcome, cancel: (reason) => exchange?.cancel(reason) };
+}
--- /dev/null
+++ b/packages/forwarding/src/plan-retry-after.ts
@@ -0,0 +1,48 @@
+/**
+ * When a refused caller should come back. Callers wait as told, up to a third of the time they
+ * have left, and come back once; a time that is too short spends that one try, and equal times
+ * bring them all back together.
+ */
+export enum RefusalCause {
+  /** This entry does not know the configuration yet. */
+  NoConfiguration = 'noConfiguration',
+  /** No backend server of the service is known or reachable. */
+  NoServer = 'noServer',
+  /** Every server that could be tried is full. */
+  Full = 'full',
+  /** The lock-step group is broken and forms anew. */
+  GroupBroken = 'groupBroken',
+  /** Repeating it now would exceed the retry budget. */
+  BudgetSpent = 'budgetSpent',
+  /** The time was up before it could be sent. */
+  Expired = 'expired',
+}
+
+/** Time after which each cause has usually passed, in milliseconds. */
+const USUAL_MILLISECONDS: Readonly<Record<RefusalCause, number>> = {
+  // The first read of the store takes two round trips.
+  [RefusalCause.NoConfiguration]: 400,
+  // A replaced server is listed within a heartbeat.
+  [RefusalCause.NoServer]: 1500,
+  // Answers last one to two seconds, so that a queue moves on in that time.
+  [RefusalCause.Full]: 1200,
+  // A stall of 1.5 s and the forming of the group.
+  [RefusalCause.GroupBroken]: 2000,
+  [RefusalCause.BudgetSpent]: 1200,
+  [RefusalCause.Expired]: 0,
+};
+
+/** Callers wait no longer than this share of the time they have left. */
+const LONGEST_SHARE = 1 / 3;
+/** Spread of the times told, so that callers do not come back together. */
+const SPREAD = 0.5;
+
+/** Milliseconds; `random` is uniform in [0, 1). */
+export function planRetryAfter(
+  cause: RefusalCause,
+  remainingMilliseconds: number,
+  random: number,
+): number {
+  const usual = USUAL_MILLISECONDS[cause] * (1 - SPREAD / 2 + SPREAD * random);
+  return Math.floor(Math.min(usual, remainingMilliseconds * LONGEST_SHARE));
+}
--- /dev/null
+++ b/packages/forwarding/src/serve-plain.ts
@@ -0,0 +1,200 @@
+/**
+ * Serves a request with one whole answer. Idempotent requests are repeated on another backend
+ * server after a failure, and sent to a second one when the first is late; others are sent
+ * again only after proof that they did not run.
+ */
+import { RequestKind } from '@lapisbridge/catalog';
+import { ServerChoiceKind } from '@lapisbridge/routing';
+
+import { chooseServer } from './choose-server.js';
+import { remainingOf, startProgress } from './forward-context.js';
+import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { describeOutcome, OutcomeKind, proveNotRun } from './outcome.js';
+import type { Answered, Outcome } from './outcome.js';
+import { fail, refuse } from './own-answer.js';
+import { startPlainAttempt } from './plain-attempt.js';
+import type { RunningAttempt } from './plain-attempt.js';
+import { RefusalCause } from './plan-retry-after.js';
+
+/** An idempotent request goes to a second server after this many times the hoped-for time. */
+const LATE_FACTOR = 1.5;
+/** Sends of one request, counting those refused: beyond it the service is taken to be full. */
+const MAXIMUM_SENDS = 4;
+/** Below this much time a further attempt cannot be answered. */
+const SHORTEST_ATTEMPT_MILLISECONDS = 10;
+
+function isFailure({ head }: Answered): boolean {
+  return head.status >= 500;
+}
+
+interface Settled {
+  readonly attempt: RunningAttempt;
+  readonly outcome: Outcome;
+}
+
+/** Serves one plain request to its end. */
+export async function servePlain(
+  context: ForwardContext,
+  accepted: AcceptedRequest,
+): Promise<void> {
+  const { route, service, answer } = accepted;
+  const progress = startProgress();
+  const running = new Set<RunningAttempt>();
+  let failedAnswer: Answered | undefined;
+  let isExpired = false;
+  let wake: (() => void) | undefined;
+  const mayRepeat = route.kind === RequestKind.Idempotent;
+
+  function cancelAll(reason: string): void {
+    for (const attempt of running) attempt.cancel(reason);
+  }
+
+  answer.onGone(() => {
+    cancelAll('caller gone');
+    wake?.();
+  });
+  const expiry = setTimeout(
+    () => {
+      isExpired = true;
+      wake?.();
+    },
+    remainingOf(context, accepted),
+  );
+
+  /** Starts one more attempt; the cause when none can be started. */
+  function startNext(): RefusalCause | undefined {
+    if (progress.sends >= MAXIMUM_SENDS) return RefusalCause.Full;
+    if (remainingOf(context, accepted) < SHORTEST_ATTEMPT_MILLISECONDS) return RefusalCause.Expired;
+    const { choice, server } = chooseServer(context, accepted, progress);
+    if (server === undefined) {
+      return choice.kind === ServerChoiceKind.AllLimited || progress.sends > 0
+        ? RefusalCause.Full
+        : RefusalCause.NoServer;
+    }
+    if (progress.sends > 0 && !context.retryShare.spend(service)) return RefusalCause.BudgetSpent;
+    progress.sends += 1;
+    progress.runs += 1;
+    progress.tried.add(server.instanceId);
+    running.add(startPlainAttempt(context, accepted, server));
+    return undefined;
+  }
+
+  async function nextSettled(lateAfter: number): Promise<Settled | 'late' | 'stopped'> {
+    const settled = [...running].map(async (attempt) => ({
+      attempt,
+      outcome: await attempt.outcome,
+    }));
+    const stopped = new Promise<'stopped'>((resolve) => {
+      wake = () => resolve('stopped');
+    });
+    if (!Number.isFinite(lateAfter)) return Promise.race([...settled, stopped]);
+    let timer: NodeJS.Timeout | undefined;
+    const late = new Promise<'late'>((resolve) => {
+      timer = setTimeout(() => resolve('late'), lateAfter);
+    });
+    const first = await Promise.race([...settled, stopped, late]);
+    clearTimeout(timer);
+    return first;
+  }
+
+  function pass(outcome: Answered, attempt: RunningAttempt): void {
+    context.logger.decision({
+      kind: 'answer',
+      subject: accepted.requestId,
+      choice: attempt.server.instanceId,
+      reason: 'passed on',
+      facts: {
+        status: outcome.head.status,
+        milliseconds: Math.round(context.now() - accepted.arrivedAt),
+        sends: progress.sends,
+      },
+    });
+    answer.send(outcome.head.status, outcome.head.headers, outcome.body);
+  }
+
+  function conclude(cause: RefusalCause, lastAttempt: RunningAttempt | undefined): void {
+    if (failedAnswer !== undefined && lastAttempt !== undefined) {
+      pass(failedAnswer, lastAttempt);
+      return;
+    }
+    const reason = progress.outcomes.map(describeOutcome).join('; ') || cause;
+    const proof = proveNotRun(progress.outcomes, reason);
+    if (proof === undefined) fail(context, accepted, reason, isExpired);
+    else refuse(context, accepted, cause, proof);
+  }
+
+  let hedged = false;
+  let lastAttempt: RunningAttempt | undefined;
+  try {
+    for (;;) {
+      if (answer.isOver) return;
+      if (running.size === 0) {
+        const cause = startNext();
+        if (cause !== undefined) {
+          conclude(cause, lastAttempt);
+          return;
+        }
+      }
+      const canHedge = mayRepeat && !hedged && progress.runs < route.maximumAttempts;
+      const lateAfter = canHedge ? route.objectiveMilliseconds * LATE_FACTOR : Infinity;
+      const settled = await nextSettled(lateAfter);
+      if (answer.isOver) return;
+      if (settled === 'stopped') {
+        const unsettled: Outcome = { kind: OutcomeKind.Unknown, reason: 'no answer in time' };
+        if (isExpired) {
+          progress.outcomes.push(unsettled);
+          conclude(RefusalCause.Expired, undefined);
+          return;
+        }
+        continue;
+      }
+      if (settled === 'late') {
+        hedged = true;
+        startNext();
+        continue;
+      }
+      const { attempt, outcome } = settled;
+      running.delete(attempt);
+      lastAttempt = attempt;
+      progress.outcomes.push(outcome);
+      if (outcome.kind === OutcomeKind.Answered) {
+        if (!isFailure(outcome) || !mayRepeat || progress.runs >= route.maximumAttempts) {
+          if (running.size > 0 && isFailure(outcome)) {
+            failedAnswer = outcome;
+            continue;
+          }
+          pass(outcome, attempt);
+          return;
+        }
+        failedAnswer = outcome;
+      } else {
+        logMiss(context, accepted, attempt, outcome);
+        if (outcome.kind === OutcomeKind.NotRun) {
+          progress.runs -= 1;
+        } else if (!mayRepeat || progress.runs >= route.maximumAttempts) {
+          if (running.size > 0) continue;
+          conclude(RefusalCause.Full, failedAnswer === undefined ? undefined : attempt);
+          return;
+        }
+      }
+    }
+  } finally {
+    clearTimeout(expiry);
+    cancelAll('answered otherwise');
+  }
+}
+
+function logMiss(
+  context: ForwardContext,
+  accepted: AcceptedRequest,
+  attempt: RunningAttempt,
+  outcome: Exclude<Outcome, Answered>,
+): void {
+  context.logger.decision({
+    kind: 'attempt',
+    subject: accepted.requestId,
+    choice: attempt.server.instanceId,
+    reason: outcome.reason,
+    facts: { outcome: outcome.kind },
+  });
+}
--- /dev/null
+++ b/packages/forwarding/src/server-ledger.ts
@@ -0,0 +1,131 @@
+/**
+ * What this entry knows of each backend server's load and soundness: its own requests there,
+ * the server's last report, and how recent requests went. A report lags, so it is corrected by
+ * what this entry has sent and seen ended since.
+ */
+import type { BackendServer } from '@lapisbridge/catalog';
+import type { ServerView } from '@lapisbridge/routing';
+
+import type { ReportedLoad } from './caller-protocol.js';
+
+export interface ServerLedger {
+  sent(instanceId: string, promptTokens: number): void;
+  /** A stream's first event, or a whole answer, came after this time. */
+  answered(instanceId: string, milliseconds: number, promptTokens: number): void;
+  ended(instanceId: string, sound: boolean, promptTokens: number, wasAnswered: boolean): void;
+  reported(instanceId: string, load: ReportedLoad): void;
+  /** Own requests now at the server. */
+  inFlight(instanceId: string): number;
+  view(server: BackendServer, maySend: boolean): ServerView;
+  /** Forgets servers that are gone. */
+  keepOnly(instanceIds: ReadonlyMap<string, unknown>): void;
+}
+
+interface Entry {
+  inFlight: number;
+  unreadTokens: number;
+  typical: number;
+  suspicion: number;
+  suspicionAt: number;
+  report: ReportedLoad | undefined;
+  reportAt: number;
+  /** Own requests there when the report was taken. */
+  inFlightAtReport: number;
+}
+
+/** Weight of the newest time in the running mean: about the last ten answers count. */
+const TYPICAL_WEIGHT = 0.1;
+/** Half-life of a failure: a server that recovers gets work again after a few seconds. */
+const SUSPICION_HALF_LIFE_MILLISECONDS = 2500;
+/** One sound answer takes this share of the doubt away. */
+const SOUND_FACTOR = 0.75;
+const MAXIMUM_SUSPICION = 6;
+/** Reports older than this say nothing any more. */
+const REPORT_MILLISECONDS = 1500;
+
+export function createServerLedger(now: () => number): ServerLedger {
+  const entries = new Map<string, Entry>();
+
+  function entryOf(instanceId: string): Entry {
+    let entry = entries.get(instanceId);
+    if (entry === undefined) {
+      entry = {
+        inFlight: 0,
+        unreadTokens: 0,
+        typical: 0,
+        suspicion: 0,
+        suspicionAt: 0,
+        report: undefined,
+        reportAt: -Infinity,
+        inFlightAtReport: 0,
+      };
+      entries.set(instanceId, entry);
+    }
+    return entry;
+  }
+
+  function suspicionNow(entry: Entry): number {
+    const age = now() - entry.suspicionAt;
+    return entry.suspicion * 0.5 ** (age / SUSPICION_HALF_LIFE_MILLISECONDS);
+  }
+
+  function outstanding(entry: Entry): number {
+    const { report } = entry;
+    if (report === undefined || now() - entry.reportAt > REPORT_MILLISECONDS) {
+      return entry.inFlight;
+    }
+    const corrected = report.running + report.waiting + entry.inFlight - entry.inFlightAtReport;
+    return Math.max(entry.inFlight, corrected);
+  }
+
+  return {
+    sent(instanceId, promptTokens) {
+      const entry = entryOf(instanceId);
+      entry.inFlight += 1;
+      entry.unreadTokens += promptTokens;
+    },
+    answered(instanceId, milliseconds, promptTokens) {
+      const entry = entryOf(instanceId);
+      entry.unreadTokens = Math.max(0, entry.unreadTokens - promptTokens);
+      entry.typical =
+        entry.typical === 0
+          ? milliseconds
+          : entry.typical + (milliseconds - entry.typical) * TYPICAL_WEIGHT;
+    },
+    ended(instanceId, sound, promptTokens, wasAnswered) {
+      const entry = entryOf(instanceId);
+      entry.inFlight = Math.max(0, entry.inFlight - 1);
+      if (!wasAnswered) entry.unreadTokens = Math.max(0, entry.unreadTokens - promptTokens);
+      const suspicion = suspicionNow(entry);
+      entry.suspicion = sound
+        ? suspicion * SOUND_FACTOR
+        : Math.min(MAXIMUM_SUSPICION, suspicion + 1);
+      entry.suspicionAt = now();
+    },
+    reported(instanceId, load) {
+      const entry = entryOf(instanceId);
+      entry.report = load;
+      entry.reportAt = now();
+      entry.inFlightAtReport = entry.inFlight;
+    },
+    inFlight: (instanceId) => entries.get(instanceId)?.inFlight ?? 0,
+    view(server, maySend) {
+      const entry = entryOf(server.instanceId);
+      return {
+        instanceId: server.instanceId,
+        availabilityZone: server.availabilityZone,
+        slots: server.slots,
+        outstanding: outstanding(entry),
+        unreadTokens: entry.unreadTokens,
+        typicalMilliseconds: entry.typical,
+        suspicion: suspicionNow(entry),
+        maySend,
+      };
+    },
+    keepOnly(instanceIds) {
+      for (const [instanceId, entry] of entries) {
+        if (!instanceIds.has(instanceId) && entry.inFlight === 0) entries.delete(instanceId);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -0,0 +1,195 @@
+/**
+ * One attempt at a stream on one backend server. Whole events with contiguous ids are handed
+ * on; anything else ends the attempt.
+ */
+import type { BackendServer } from '@lapisbridge/catalog';
+
+import type { AnswerHead } from './caller-protocol.js';
+import { createEventSplitter } from './event-splitter.js';
+import type { StreamEvent } from './event-splitter.js';
+import { ExchangeEndKind, openExchange } from './exchange.js';
+import type { Exchange, ExchangeEnd } from './exchange.js';
+import { remainingOf } from './forward-context.js';
+import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { CONNECT_MILLISECONDS, doubtHead, isSuccess, provesNotRun } from './plain-attempt.js';
+
+export enum StreamEndKind {
+  /** The server's stream came to its proper end. */
+  Complete = 'complete',
+  /** A whole answer that is no stream: a failure the server stands by. */
+  Answered = 'answered',
+  NotRun = 'notRun',
+  /** May have run, and broke off. */
+  Broken = 'broken',
+}
+
+export type StreamEnd =
+  | { readonly kind: StreamEndKind.Complete }
+  | { readonly kind: StreamEndKind.Answered; readonly head: AnswerHead; readonly body: Buffer }
+  | { readonly kind: StreamEndKind.NotRun; readonly reason: string; readonly wasRefused: boolean }
+  | { readonly kind: StreamEndKind.Broken; readonly reason: string };
+
+export interface StreamSink {
+  /** Last event that the caller has. */
+  lastEventId(): number | undefined;
+  /** Takes one event in order; false asks to pause until `onDrain`. */
+  onEvent(head: AnswerHead, event: StreamEvent): boolean;
+  onDrain(listener: () => void): void;
+}
+
+export interface StreamAttempt {
+  readonly end: Promise<StreamEnd>;
+  cancel(reason: string): void;
+}
+
+/** Events of one chunk or more that were already delivered are dropped; a gap ends the attempt. */
+enum Sequence {
+  Next = 'next',
+  Known = 'known',
+  Gap = 'gap',
+}
+
+export function checkSequence(last: number | undefined, id: number | undefined): Sequence {
+  if (id === undefined || last === undefined) return Sequence.Next;
+  if (id <= last) return Sequence.Known;
+  return id === last + 1 ? Sequence.Next : Sequence.Gap;
+}
+
+/** Largest body of a failure that is held to be passed on whole. */
+const MAXIMUM_FAILURE_BYTES = 1024 * 1024;
+
+export function startStreamAttempt(
+  context: ForwardContext,
+  accepted: AcceptedRequest,
+  server: BackendServer,
+  sink: StreamSink,
+): StreamAttempt {
+  const { ledger, protocol, pulse } = context;
+  const { request, requestId, body } = accepted;
+  const { promptTokens } = request;
+  const startedAt = context.now();
+  const splitter = createEventSplitter();
+  const failureBody: Buffer[] = [];
+  let failureBytes = 0;
+  let head: AnswerHead | undefined;
+  let doubt: string | undefined;
+  let wasAnswered = false;
+  let exchange: Exchange | undefined;
+
+  function giveUp(reason: string): void {
+    doubt ??= reason;
+    exchange?.cancel(reason);
+  }
+
+  function takeEvent(streamHead: AnswerHead, event: StreamEvent): void {
+    if (doubt !== undefined) return;
+    pulse.beat(accepted.service, server.instanceId);
+    switch (checkSequence(sink.lastEventId(), event.id)) {
+      case Sequence.Known:
+        return;
+      case Sequence.Gap:
+        giveUp(`event ${event.id} after ${sink.lastEventId()}`);
+        return;
+      case Sequence.Next:
+        break;
+      default:
+        return;
+    }
+    if (!wasAnswered) {
+      wasAnswered = true;
+      ledger.answered(server.instanceId, context.now() - startedAt, promptTokens);
+    }
+    if (!sink.onEvent(streamHead, event)) {
+      exchange?.pause();
+      sink.onDrain(() => exchange?.resume());
+    }
+  }
+
+  function takeData(chunk: Buffer): void {
+    if (head === undefined || doubt !== undefined) return;
+    if (isSuccess(head.status)) {
+      for (const event of splitter.push(chunk)) takeEvent(head, event);
+      return;
+    }
+    failureBytes += chunk.length;
+    if (failureBytes > MAXIMUM_FAILURE_BYTES) giveUp('failure too large');
+    else failureBody.push(chunk);
+  }
+
+  function judge(end: ExchangeEnd): StreamEnd {
+    if (end.kind === ExchangeEndKind.NotSent) {
+      return { kind: StreamEndKind.NotRun, reason: end.reason, wasRefused: false };
+    }
+    if (doubt !== undefined) return { kind: StreamEndKind.Broken, reason: doubt };
+    if (end.kind !== ExchangeEndKind.Complete || head === undefined) {
+      return { kind: StreamEndKind.Broken, reason: end.reason };
+    }
+    if (provesNotRun(head)) {
+      const reason = head.isMisdirected ? 'another server has the address' : 'refused by it';
+      return { kind: StreamEndKind.NotRun, reason, wasRefused: !head.isMisdirected };
+    }
+    if (!isSuccess(head.status)) {
+      return { kind: StreamEndKind.Answered, head, body: Buffer.concat(failureBody) };
+    }
+    if (splitter.hasRest()) return { kind: StreamEndKind.Broken, reason: 'ended within an event' };
+    if (!wasAnswered) return { kind: StreamEndKind.Broken, reason: 'ended without an event' };
+    return { kind: StreamEndKind.Complete };
+  }
+
+  function isSound(end: StreamEnd, exchangeEnd: ExchangeEnd): boolean {
+    switch (end.kind) {
+      case StreamEndKind.Complete:
+        return true;
+      case StreamEndKind.Answered:
+        return end.head.status < 500;
+      case StreamEndKind.NotRun:
+        return end.wasRefused;
+      case StreamEndKind.Broken:
+        return exchangeEnd.kind === ExchangeEndKind.Cancelled && doubt === undefined;
+      default: {
+        const unreachable: never = end;
+        return unreachable;
+      }
+    }
+  }
+
+  ledger.sent(server.instanceId, promptTokens);
+  context.coldShare.noteSent(server.instanceId);
+  const end = new Promise<StreamEnd>((resolve) => {
+    exchange = openExchange(
+      {
+        host: server.host,
+        port: server.port,
+        method: request.method,
+        target: request.target,
+        headers: protocol.encodeForward({
+          request,
+          route: accepted.route,
+          server,
+          account: accepted.account,
+          remainingMilliseconds: remainingOf(context, accepted),
+          lastEventId: sink.lastEventId(),
+          bodyBytes: body.length,
+        }),
+        body,
+        connectMilliseconds: CONNECT_MILLISECONDS,
+      },
+      {
+        onHead(incoming) {
+          head = protocol.decodeAnswer(incoming);
+          if (head.load !== undefined) ledger.reported(server.instanceId, head.load);
+          if (provesNotRun(head)) return;
+          const doubted = doubtHead(head, requestId);
+          if (doubted !== undefined) giveUp(doubted);
+        },
+        onData: takeData,
+        onEnd(exchangeEnd) {
+          const judged = judge(exchangeEnd);
+          ledger.ended(server.instanceId, isSound(judged, exchangeEnd), promptTokens, wasAnswered);
+          resolve(judged);
+        },
+      },
+    );
+  });
+  return { end, cancel: (reason) => exchange?.cancel(reason) };
+}
--- a/packages/logger/src/decision-ring.ts
+++ b/packages/logger/src/decision-ring.ts
@@ -12,6 +12,8 @@
   readonly reason: string;
   readonly code?: number;
   readonly candidates?: readonly unknown[];
+  /** Inputs that decided, with their age or version. */
+  readonly facts?: Readonly<Record<string, string | number | boolean | undefined>>;
 }
 
 const MAXIMUM_SUBJECTS = 4096;
@@ -25,6 +27,7 @@
   const bySubject = new Map<string, DecisionRecord[]>();
   return {
     add(record) {
+      if (maximumSubjects === 0) return;
       const known = bySubject.get(record.subject);
       if (known !== undefined) {
         known.push(record);
--- a/packages/logger/src/index.ts
+++ b/packages/logger/src/index.ts
@@ -9,6 +9,8 @@
 import type { DecisionRecord } from './decision-ring.js';
 import { createDecisionRing } from './decision-ring.js';
 
+export { createBoundedWriter } from './bounded-writer.js';
+export type { BoundedWriter } from './bounded-writer.js';
 export type { DecisionRecord } from './decision-ring.js';
 
 export enum LogLevel {
@@ -43,6 +45,8 @@
   readonly availabilityZone: string;
   /** Receives each JSON line; standard output when absent. */
   readonly write?: (line: string) => void;
+  /** Subjects whose decisions are kept in memory; none where standard output is the record. */
+  readonly rememberedSubjects?: number;
 }
 
 const TSLOG_LEVELS: Readonly<Record<LogLevel, number>> = {
@@ -88,7 +92,7 @@
 /** Creates the logger of one process. */
 export function createLogger(options: LoggerOptions): Logger {
   const sink = createSink(options);
-  const ring = createDecisionRing();
+  const ring = createDecisionRing(options.rememberedSubjects);
   return {
     debug: (event, fields) => void sink.debug(event, fields),
     info: (event, fields) => void sink.info(event, fields),
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,2 @@
+/** Datagrams between instances. */
+export {};
--- /dev/null
+++ b/packages/routing/src/plan-server.ts
@@ -0,0 +1,83 @@
+/**
+ * Chooses the backend server that answers a request soonest, for servers that anyone may call
+ * directly. Pure: what is known of each server comes in with its corrections, a decision with
+ * its reason comes out. Made for loads between idle and full queues; beyond that `planRefusal`
+ * decides.
+ */
+
+export interface ServerView {
+  readonly instanceId: string;
+  readonly availabilityZone: string;
+  readonly slots: number;
+  /** Requests running and waiting there: the last report, corrected by what was sent since. */
+  readonly outstanding: number;
+  /** Prompt tokens sent there by this entry that are not read yet, as far as it can tell. */
+  readonly unreadTokens: number;
+  /** Typical time of one answer or first event, in milliseconds; 0 when unknown. */
+  readonly typicalMilliseconds: number;
+  /** Recent failures, decayed; 0 for a sound server. */
+  readonly suspicion: number;
+  /** Whether the cold-start share allows one more request now. */
+  readonly maySend: boolean;
+}
+
+export interface ServerChoiceInput {
+  readonly views: readonly ServerView[];
+  readonly ownZone: string;
+  readonly excluded: ReadonlySet<string>;
+  readonly readTokensPerMillisecond: number;
+  readonly random: () => number;
+}
+
+export enum ServerChoiceKind {
+  Chosen = 'chosen',
+  /** No server is known, or all were tried. */
+  NoneLeft = 'noneLeft',
+  /** Servers are there, and the cold-start share of each is used up for now. */
+  AllLimited = 'allLimited',
+}
+
+export type ServerChoice =
+  | { readonly kind: ServerChoiceKind.Chosen; readonly view: ServerView; readonly cost: number }
+  | { readonly kind: ServerChoiceKind.NoneLeft }
+  | { readonly kind: ServerChoiceKind.AllLimited };
+
+/** Time of one answer where none is known yet, in milliseconds: between a booking and a draft. */
+const UNKNOWN_ANSWER_MILLISECONDS = 50;
+/** What a hop to another zone costs and back, in milliseconds: twice the usual 1.4 one way. */
+const ZONE_HOP_MILLISECONDS = 3;
+/** Weight of one recent failure, in typical answers: a server that fails half is used last. */
+const SUSPICION_WEIGHT = 3;
+/** Spread of ties, in milliseconds, so that entries do not all take the same server. */
+const TIE_SPREAD_MILLISECONDS = 2;
+
+function costOf(view: ServerView, input: ServerChoiceInput): number {
+  const typical = view.typicalMilliseconds || UNKNOWN_ANSWER_MILLISECONDS;
+  const occupancy = view.outstanding / Math.max(1, view.slots);
+  // Below its slots a server shares its speed; above them each full set waits one answer more.
+  const wait = typical * (occupancy + Math.max(0, occupancy - 1) * 2);
+  const reading = view.unreadTokens / Math.max(1, input.readTokensPerMillisecond);
+  const hop = view.availabilityZone === input.ownZone ? 0 : ZONE_HOP_MILLISECONDS;
+  const doubt = view.suspicion * SUSPICION_WEIGHT * typical;
+  return typical + wait + reading + hop + doubt + input.random() * TIE_SPREAD_MILLISECONDS;
+}
+
+export function planServer(input: ServerChoiceInput): ServerChoice {
+  let best: ServerView | undefined;
+  let bestCost = Infinity;
+  let limited = false;
+  for (const view of input.views) {
+    if (input.excluded.has(view.instanceId)) continue;
+    if (!view.maySend) {
+      limited = true;
+      continue;
+    }
+    const cost = costOf(view, input);
+    if (cost < bestCost) {
+      best = view;
+      bestCost = cost;
+    }
+  }
+  if (best !== undefined) return { kind: ServerChoiceKind.Chosen, view: best, cost: bestCost };
+  return { kind: limited ? ServerChoiceKind.AllLimited : ServerChoiceKind.NoneLeft };
+}
