Balance expert maps in lock-step groups by a hold-based rollout

One sidecar now leads its group: counts go to it by datagram, a pure planner makes the next maps, and a pure rollout brings them into force in one pass, going forward only on what reports show.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,7 +7,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**', 'packages/*/bin/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**', 'target/**', 'packages/*/bin/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -20,6 +20,11 @@
     // Settings, documents and certificates are read once, at the start.
     rules: { 'n/no-sync': 'off' },
   },
+  {
+    // The build of the platform's programs runs from the repository, never from a package.
+    files: ['deploy/*.js'],
+    rules: { 'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }] },
+  },
   {
     files: ['**/*.ts'],
     rules: {
--- /dev/null
+++ b/packages/group-leader/src/demand.ts
@@ -0,0 +1,68 @@
+/**
+ * How much each expert is in demand, from the counts that the ranks keep since they started.
+ * Recent choices weigh most: demand moves within seconds, and a window much shorter than a
+ * second would mistake the mix of a few requests for a shift.
+ */
+import type { ExpertLoad } from '@lapisbridge/placement';
+
+import type { RankCounts } from './rank-link.js';
+
+export interface Demand {
+  /** Takes a rank's counts; they only grow within one epoch of one life. */
+  add(rank: number, counts: RankCounts): void;
+  /** Loads of each set, given how much slower than usual each rank is. */
+  loads(sets: number, paces: readonly number[]): ExpertLoad[];
+  /** Choices in the window, over all experts. */
+  total(): number;
+}
+
+/** Age at which a choice counts for about a third, in milliseconds. */
+const WINDOW_MILLISECONDS = 900;
+
+export function createDemand(now: () => number): Demand {
+  const last = new Map<number, RankCounts>();
+  let window: number[] = [];
+  let decayedAt = now();
+
+  function decay(): void {
+    const at = now();
+    const factor = Math.exp((decayedAt - at) / WINDOW_MILLISECONDS);
+    decayedAt = at;
+    for (let index = 0; index < window.length; index += 1) {
+      window[index] = (window[index] ?? 0) * factor;
+    }
+  }
+
+  function isContinued(before: RankCounts, after: RankCounts): boolean {
+    if (before.epoch !== after.epoch || before.counts.length !== after.counts.length) return false;
+    return (after.counts[0] ?? 0) >= (before.counts[0] ?? 0);
+  }
+
+  return {
+    add(rank, counts) {
+      const before = last.get(rank);
+      last.set(rank, counts);
+      if (before === undefined || !isContinued(before, counts)) return;
+      if (window.length !== counts.counts.length) {
+        window = new Array<number>(counts.counts.length).fill(0);
+      }
+      decay();
+      for (const [index, count] of counts.counts.entries()) {
+        const grown = count - (before.counts[index] ?? 0);
+        if (grown > 0) window[index] = (window[index] ?? 0) + grown;
+      }
+    },
+    loads(sets, paces) {
+      const experts = Math.floor(window.length / Math.max(1, sets));
+      const speeds = paces.map((pace) => 1 / Math.max(1, pace));
+      const loads: ExpertLoad[] = [];
+      for (let set = 0; set < sets; set += 1) {
+        // An expert that was not chosen may be next: no expert counts as nothing.
+        const tokens = window.slice(set * experts, (set + 1) * experts).map((count) => count + 1);
+        loads.push({ tokens, speeds });
+      }
+      return loads;
+    },
+    total: () => window.reduce((sum, count) => sum + count, 0),
+  };
+}
--- /dev/null
+++ b/packages/group-leader/src/group-leader.ts
@@ -0,0 +1,318 @@
+/**
+ * Leads one group while this sidecar holds its row: watches the demand for experts, plans maps
+ * and brings them into force. The decisions are pure and stand in `@lapisbridge/placement`;
+ * here are the clock, the calls and the log.
+ */
+import type { Logger } from '@lapisbridge/logger';
+import {
+  initialMap,
+  initialRollout,
+  OrderOutcome,
+  planGroupMap,
+  planHoldRollout,
+  RankOrderKind,
+  rankTimes,
+  RolloutPhase,
+  skewOf,
+} from '@lapisbridge/placement';
+import type {
+  AddressedOrder,
+  GroupMap,
+  RankReport,
+  RolloutPlan,
+  RolloutState,
+} from '@lapisbridge/placement';
+
+import type { Demand } from './demand.js';
+import type { Leadership } from './leadership.js';
+import type { RankLink, RankTarget } from './rank-link.js';
+
+/** What a model's engines allow. */
+export interface GroupProfile {
+  readonly sets: number;
+  readonly experts: number;
+  readonly placesPerRank: number;
+  readonly newPerRank: number;
+}
+
+export interface GroupLeaderOptions {
+  readonly leadership: Leadership;
+  readonly link: RankLink;
+  readonly demand: Demand;
+  readonly logger: Logger;
+  now(): number;
+  /** Last report of the backend server beside this sidecar. */
+  own(): RankReport | undefined;
+  /** Where the ranks of the group are, as far as known. */
+  targets(): ReadonlyMap<number, RankTarget>;
+  /** Last reports that sidecars sent of their own accord. */
+  heard(): ReadonlyMap<number, RankReport>;
+  profile(): GroupProfile | undefined;
+}
+
+export interface GroupLeader {
+  start(): void;
+  stop(): void;
+}
+
+/** Between two looks while nothing changes, and while a rollout is on its way. */
+const IDLE_MILLISECONDS = 120;
+const BUSY_MILLISECONDS = 20;
+/** A loop this late was frozen; somebody else may lead by now. */
+const STOOD_STILL_MILLISECONDS = 700;
+/** Between two plans: counts need that long to show what the last one did. */
+const PLAN_MILLISECONDS = 350;
+/** Skew below which no plan is made. */
+const FAIR_SKEW = 1.12;
+/** A change must shorten the experts' part of a pass by this share: loading slows passes. */
+const MINIMUM_GAIN = 0.06;
+/** Choices that must be in the window before it says anything. */
+const MINIMUM_CHOICES = 20_000;
+/** Versions of one leader; the next leader's begin above them. */
+const VERSIONS_PER_FENCE = 1000;
+/** Pauses before the same order goes to the same rank again. */
+const REPEAT_MILLISECONDS: Readonly<Record<RankOrderKind, number>> = {
+  // A copy of a few experts takes some hundred milliseconds.
+  [RankOrderKind.Prepare]: 500,
+  [RankOrderKind.Arm]: 60,
+  [RankOrderKind.Disarm]: 60,
+  [RankOrderKind.Hold]: 60,
+  [RankOrderKind.Release]: 60,
+};
+
+function firstMap(profile: GroupProfile, ranks: number): GroupMap {
+  const sets = Array.from({ length: profile.sets }, () => initialMap(profile.experts, ranks));
+  return { sets };
+}
+
+export function createGroupLeader(options: GroupLeaderOptions): GroupLeader {
+  const { leadership, link, demand, logger, now } = options;
+  const maps = new Map<number, GroupMap>();
+  const sentAt = new Map<string, number>();
+  let state: RolloutState = initialRollout(-1);
+  let ledFence: number | undefined;
+  let versions = 0;
+  let voidingVersion = 0;
+  let plannedAt = -Infinity;
+  let rolloutBegan = 0;
+  let lastPhase = RolloutPhase.Idle;
+  let timer: NodeJS.Timeout | undefined;
+  let stopped = false;
+  let lastTickAt = now();
+
+  function nextVersion(fence: number): number {
+    versions += 1;
+    return fence * VERSIONS_PER_FENCE + versions;
+  }
+
+  function beginLeading(fence: number): void {
+    ledFence = fence;
+    versions = 0;
+    voidingVersion = nextVersion(fence);
+    state = initialRollout(-1);
+    maps.clear();
+    sentAt.clear();
+  }
+
+  async function readReports(size: number): Promise<(RankReport | undefined)[]> {
+    const targets = options.targets();
+    return Promise.all(
+      Array.from({ length: size }, async (_, rank) => {
+        const target = targets.get(rank);
+        return target === undefined ? undefined : link.report(target);
+      }),
+    );
+  }
+
+  /** The map in force, asked of the ranks when an earlier leader made it. */
+  async function activeMap(report: RankReport): Promise<GroupMap | undefined> {
+    const { activeVersion, size } = report;
+    const profile = options.profile();
+    if (profile === undefined) return undefined;
+    if (activeVersion === 0) return firstMap(profile, size);
+    const known = maps.get(activeVersion);
+    if (known !== undefined) return known;
+    const targets = options.targets();
+    const sets = Array.from({ length: profile.sets }, () => ({ experts: [] as number[][] }));
+    for (let rank = 0; rank < size; rank += 1) {
+      const target = targets.get(rank);
+      const map = target === undefined ? undefined : await link.map(target);
+      if (map === undefined || map.version !== activeVersion) return undefined;
+      for (const [set, experts] of map.experts.entries()) sets[set]?.experts.push([...experts]);
+    }
+    maps.set(activeVersion, { sets });
+    return { sets };
+  }
+
+  function skewNow(map: GroupMap, paces: readonly number[], sets: number): number {
+    let slowest = 0;
+    let mean = 0;
+    for (const [set, load] of demand.loads(sets, paces).entries()) {
+      const times = rankTimes(map.sets[set], load);
+      const setMean = times.reduce((sum, time) => sum + time, 0) / times.length;
+      mean += setMean;
+      slowest += setMean * skewOf(times);
+    }
+    return mean === 0 ? 1 : slowest / mean;
+  }
+
+  /** Sets a new target when the demand asks for one. */
+  async function considerTarget(fence: number, own: RankReport): Promise<void> {
+    const profile = options.profile();
+    if (profile === undefined || now() - plannedAt < PLAN_MILLISECONDS) return;
+    if (demand.total() < MINIMUM_CHOICES) return;
+    plannedAt = now();
+    const current = await activeMap(own);
+    if (current === undefined) return;
+    const heard = options.heard();
+    const paces = Array.from({ length: own.size }, (_, rank) => heard.get(rank)?.pace ?? 1);
+    if (skewNow(current, paces, profile.sets) < FAIR_SKEW) return;
+    const decision = planGroupMap(current, demand.loads(profile.sets, paces), {
+      placesPerRank: profile.placesPerRank,
+      newPerRank: profile.newPerRank,
+      minimumGain: MINIMUM_GAIN,
+    });
+    logger.decision({
+      kind: 'placement',
+      subject: own.group,
+      choice: decision.isWorthIt ? 'change' : 'keep',
+      reason: `${decision.moves} loads`,
+      facts: {
+        skewBefore: Number(decision.skewBefore.toFixed(3)),
+        skewAfter: Number(decision.skewAfter.toFixed(3)),
+        choices: Math.round(demand.total()),
+        milliseconds: Math.round(now() - plannedAt),
+        activeVersion: own.activeVersion,
+      },
+    });
+    if (!decision.isWorthIt) return;
+    const version = nextVersion(fence);
+    maps.set(version, decision.map);
+    rolloutBegan = now();
+    state = { ...state, target: { version, map: decision.map } };
+  }
+
+  function mayRepeat({ rank, order }: AddressedOrder): boolean {
+    const detail = 'version' in order ? order.version : order.step;
+    const key = `${rank}/${order.kind}/${order.epoch}/${detail}/${'step' in order ? order.step : ''}`;
+    const last = sentAt.get(key) ?? -Infinity;
+    if (now() - last < REPEAT_MILLISECONDS[order.kind]) return false;
+    sentAt.set(key, now());
+    return true;
+  }
+
+  async function send(fence: number, orders: readonly AddressedOrder[]): Promise<void> {
+    const targets = options.targets();
+    await Promise.all(
+      orders.filter(mayRepeat).map(async ({ rank, order }) => {
+        const target = targets.get(rank);
+        if (target === undefined) return;
+        const outcome = await link.order(target, { fence, order });
+        if (outcome === OrderOutcome.Fenced) leadership.doubt();
+      }),
+    );
+  }
+
+  function noteProgress(plan: RolloutPlan): void {
+    if (plan.phase === lastPhase) return;
+    logger.decision({
+      kind: 'rollout',
+      subject: `epoch ${plan.state.epoch}`,
+      choice: plan.phase,
+      reason: `after ${lastPhase}`,
+      facts: {
+        version: plan.state.target?.version,
+        heldStep: plan.state.heldStep,
+        milliseconds: Math.round(now() - rolloutBegan),
+      },
+    });
+    lastPhase = plan.phase;
+    if (plan.phase === RolloutPhase.Done) sentAt.clear();
+  }
+
+  /** A version higher than the target's at any rank makes the target unreachable. */
+  function dropOvertaken(reports: readonly (RankReport | undefined)[]): void {
+    const { target } = state;
+    if (target === undefined || state.armsSent) return;
+    const isOvertaken = reports.some(
+      (report) =>
+        report !== undefined &&
+        Math.max(report.preparedVersion ?? 0, report.activeVersion) > target.version,
+    );
+    if (isOvertaken) state = { ...state, target: undefined, heldStep: undefined };
+  }
+
+  function needsLook(own: RankReport): boolean {
+    if (state.target !== undefined || !state.isSettled || own.epoch !== state.epoch) return true;
+    for (const { heldStep, armed } of options.heard().values()) {
+      if (heldStep !== undefined || armed !== undefined) return true;
+    }
+    return own.heldStep !== undefined || own.armed !== undefined;
+  }
+
+  async function look(fence: number, own: RankReport): Promise<void> {
+    const reports = await readReports(own.size);
+    dropOvertaken(reports);
+    const map = await activeMap(own);
+    if (map === undefined) return;
+    // An old clearing version cannot void what was prepared since.
+    const isOutrun = reports.some((report) => (report?.preparedVersion ?? 0) > voidingVersion);
+    if (isOutrun && (state.target === undefined || state.armsSent)) {
+      voidingVersion = nextVersion(fence);
+    }
+    const plan = planHoldRollout({
+      state,
+      reports,
+      ownRank: own.rank,
+      voiding: { version: voidingVersion, map },
+    });
+    state = plan.state;
+    noteProgress(plan);
+    await send(fence, plan.orders);
+  }
+
+  async function tick(): Promise<number> {
+    const at = now();
+    const late = at - lastTickAt;
+    lastTickAt = at;
+    const own = options.own();
+    if (own === undefined) return IDLE_MILLISECONDS;
+    if (late > STOOD_STILL_MILLISECONDS) {
+      leadership.doubt();
+      state = initialRollout(-1);
+    }
+    await leadership.tend(own.group, own.rank);
+    const fence = leadership.fence();
+    if (fence === undefined) {
+      ledFence = undefined;
+      return IDLE_MILLISECONDS;
+    }
+    if (fence !== ledFence) beginLeading(fence);
+    if (!own.isOpen) return IDLE_MILLISECONDS;
+    if (needsLook(own)) await look(fence, own);
+    else await considerTarget(fence, own);
+    return state.target === undefined ? IDLE_MILLISECONDS : BUSY_MILLISECONDS;
+  }
+
+  async function loop(): Promise<void> {
+    let pause = IDLE_MILLISECONDS;
+    try {
+      pause = await tick();
+    } catch (thrown) {
+      logger.warn('leading failed', { reason: String(thrown) });
+    }
+    // Time spent waiting for answers is no sign of a frozen process.
+    lastTickAt = now() + pause;
+    if (!stopped) timer = setTimeout(() => void loop(), pause);
+  }
+
+  return {
+    start() {
+      void loop();
+    },
+    stop() {
+      stopped = true;
+      clearTimeout(timer);
+    },
+  };
+}
--- /dev/null
+++ b/packages/group-leader/src/index.ts
@@ -0,0 +1,23 @@
+/**
+ * One lock-step group: who leads it, what its experts' demand is, and how new maps come into
+ * force.
+ */
+export { createDemand } from './demand.js';
+export type { Demand } from './demand.js';
+export { createGroupLeader } from './group-leader.js';
+export type { GroupLeader, GroupLeaderOptions, GroupProfile } from './group-leader.js';
+export { createLeadership } from './leadership.js';
+export type { Leadership, LeadershipOptions } from './leadership.js';
+export { createRankLink } from './rank-link.js';
+export type {
+  RankAddress,
+  RankCounts,
+  RankEngine,
+  RankLink,
+  RankMap,
+  RankTarget,
+} from './rank-link.js';
+export { startRelayListener } from './relay-listener.js';
+export type { RelayListenerOptions } from './relay-listener.js';
+export { decodeProfile, decodeSidecarState, encodeSidecarState } from './sidecar-state.js';
+export type { EntryState, SidecarState } from './sidecar-state.js';
--- /dev/null
+++ b/packages/group-leader/src/leadership.ts
@@ -0,0 +1,135 @@
+/**
+ * Who leads a group: the sidecar whose name stands in the group's row. The row's revision is
+ * the leader's fencing number. Nothing is renewed, since calls to the store are what costs:
+ * followers hear the leader by datagrams, and claim the row when it falls silent. Two may then
+ * believe to lead for a while; safety rests on fencing and on the rollout, not on this.
+ */
+import { TransactionKind } from '@lapisbridge/catalog';
+import type { Store } from '@lapisbridge/catalog';
+import { parseObject } from '@lapisbridge/json-call';
+import type { Logger } from '@lapisbridge/logger';
+
+export interface LeadershipOptions {
+  readonly store: Store;
+  readonly instanceId: string;
+  readonly logger: Logger;
+  now(): number;
+  random(): number;
+}
+
+export interface Leadership {
+  /** Fencing number while this instance leads. */
+  fence(): number | undefined;
+  /** Takes note of another leader's number; false when a higher one is known. */
+  accept(fence: number): boolean;
+  /** Notes that the leader was heard just now. */
+  heard(fence: number): void;
+  /** Claims the group when its leader has been silent for long enough. */
+  tend(group: string, rank: number): Promise<void>;
+  /** Called after this process stood still: it may have been replaced meanwhile. */
+  doubt(): void;
+}
+
+const TABLE = 'group-leaders';
+/** Silence of the leader before it is replaced: seven of its beats. */
+const SILENT_MILLISECONDS = 1500;
+/** Ranks claim one after the other, so that the first is usually alone. */
+const STAGGER_MILLISECONDS = 150;
+/** Time after the start in which a leader that lives makes itself heard. */
+const START_MILLISECONDS = 900;
+const RETRY_MILLISECONDS = 600;
+
+export function createLeadership(options: LeadershipOptions): Leadership {
+  const { store, instanceId, logger, now } = options;
+  const startedAt = now();
+  const nonce = `${instanceId}/${Math.floor(options.random() * 2 ** 31).toString(36)}`;
+  let own: number | undefined;
+  let highest = 0;
+  let heardAt = startedAt + START_MILLISECONDS - SILENT_MILLISECONDS;
+  let nextClaimAt = 0;
+  let claiming = false;
+  let isDoubted = false;
+
+  function stepDown(reason: string): void {
+    if (own === undefined) return;
+    logger.info('no longer leading', { fence: own, reason });
+    own = undefined;
+    isDoubted = false;
+    heardAt = now();
+  }
+
+  async function readRow(group: string): Promise<{ revision: number; isOwn: boolean }> {
+    const { rows } = await store.list(TABLE, group);
+    const row = rows.find(({ key }) => key === 'leader');
+    const value = row?.value === undefined ? undefined : parseObject(row.value);
+    return { revision: row?.revision ?? 0, isOwn: value?.nonce === nonce };
+  }
+
+  function lead(group: string, revision: number): void {
+    own = revision;
+    highest = Math.max(highest, revision);
+    isDoubted = false;
+    logger.info('leading', { group, fence: revision });
+  }
+
+  async function claim(group: string): Promise<void> {
+    const before = await readRow(group);
+    if (before.isOwn) {
+      lead(group, before.revision);
+      return;
+    }
+    const written = await store.write(TABLE, group, [
+      {
+        key: 'leader',
+        value: Buffer.from(JSON.stringify({ nonce })),
+        expectedRevision: before.revision,
+      },
+    ]);
+    // An unknown outcome is read back with the next try.
+    if (written.kind === TransactionKind.Applied) lead(group, written.revision);
+  }
+
+  async function verify(group: string): Promise<void> {
+    const row = await readRow(group);
+    if (row.isOwn && row.revision === own) isDoubted = false;
+    else stepDown('the row names another');
+  }
+
+  return {
+    fence: () => (isDoubted ? undefined : own),
+    accept(fence) {
+      if (fence < highest) return false;
+      highest = fence;
+      if (own !== undefined && fence > own) stepDown('a newer leader gave an order');
+      return true;
+    },
+    heard(fence) {
+      if (fence < highest) return;
+      highest = fence;
+      heardAt = now();
+      if (own !== undefined && fence > own) stepDown('a newer leader is heard');
+    },
+    async tend(group, rank) {
+      if (claiming || now() < nextClaimAt) return;
+      const silence = now() - heardAt;
+      const isDue = silence > SILENT_MILLISECONDS + rank * STAGGER_MILLISECONDS;
+      if (own === undefined && !isDue) return;
+      if (own !== undefined && !isDoubted) return;
+      claiming = true;
+      nextClaimAt = now() + RETRY_MILLISECONDS * (0.5 + options.random());
+      try {
+        if (own === undefined) await claim(group);
+        else await verify(group);
+      } catch (thrown) {
+        logger.info('leadership not settled', { group, reason: String(thrown) });
+      } finally {
+        claiming = false;
+      }
+    },
+    doubt() {
+      if (own === undefined) return;
+      isDoubted = true;
+      logger.info('leadership doubted', { fence: own, reason: 'this process stood still' });
+    },
+  };
+}
--- /dev/null
+++ b/packages/group-leader/src/rank-link.ts
@@ -0,0 +1,109 @@
+/**
+ * How a leader reaches the ranks of its group. Each rank's sidecar passes orders on to the
+ * backend server beside it, and refuses those of a leader that was replaced. Where a sidecar
+ * does not answer, the backend server is called directly: a rank must not stay half ordered
+ * because the process beside it restarts.
+ */
+import { callJson } from '@lapisbridge/json-call';
+import { OrderOutcome } from '@lapisbridge/placement';
+import type { RankOrder, RankReport } from '@lapisbridge/placement';
+
+export interface RankAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Maps that one rank holds: for each set, its experts. */
+export interface RankMap {
+  readonly version: number;
+  readonly experts: readonly (readonly number[])[];
+}
+
+/** How often each expert was chosen by this rank's requests, set after set. */
+export interface RankCounts {
+  readonly epoch: number;
+  readonly counts: readonly number[];
+}
+
+/** The engine of one rank, reached at its address. Rejects when no answer came. */
+export interface RankEngine {
+  report(address: RankAddress): Promise<RankReport | undefined>;
+  counts(address: RankAddress): Promise<RankCounts | undefined>;
+  map(address: RankAddress): Promise<RankMap | undefined>;
+  order(address: RankAddress, order: RankOrder): Promise<OrderOutcome>;
+}
+
+export enum RelayPath {
+  Order = '/rank/order',
+  Report = '/rank/report',
+  Map = '/rank/map',
+}
+
+export interface RelayedOrder {
+  readonly fence: number;
+  readonly order: RankOrder;
+}
+
+export interface RankTarget {
+  readonly sidecar: RankAddress;
+  readonly backendServer: RankAddress;
+}
+
+export interface RankLink {
+  report(target: RankTarget): Promise<RankReport | undefined>;
+  map(target: RankTarget): Promise<RankMap | undefined>;
+  order(target: RankTarget, relayed: RelayedOrder): Promise<OrderOutcome>;
+}
+
+/** A relayed call crosses a zone twice and waits for the engine: some ten milliseconds. */
+const RELAY_MILLISECONDS = 250;
+
+export function createRankLink(engine: RankEngine): RankLink {
+  async function relay<T>(
+    target: RankTarget,
+    method: string,
+    path: RelayPath,
+    body: unknown,
+  ): Promise<T> {
+    const answer = await callJson({
+      ...target.sidecar,
+      method,
+      path,
+      body,
+      timeoutMilliseconds: RELAY_MILLISECONDS,
+    });
+    if (answer.status !== 200) throw new Error(`the sidecar answered ${answer.status}`);
+    return answer.body as T;
+  }
+
+  async function orElse<T>(first: Promise<T>, second: () => Promise<T>): Promise<T | undefined> {
+    try {
+      return await first;
+    } catch {
+      return second().catch(() => undefined);
+    }
+  }
+
+  return {
+    report: (target) =>
+      orElse(relay<RankReport | undefined>(target, 'GET', RelayPath.Report, undefined), () =>
+        engine.report(target.backendServer),
+      ),
+    map: (target) =>
+      orElse(relay<RankMap | undefined>(target, 'GET', RelayPath.Map, undefined), () =>
+        engine.map(target.backendServer),
+      ),
+    async order(target, relayed) {
+      const viaSidecar = relay<{ outcome: OrderOutcome }>(
+        target,
+        'POST',
+        RelayPath.Order,
+        relayed,
+      ).then(({ outcome }) => outcome);
+      const outcome = await orElse(viaSidecar, () =>
+        engine.order(target.backendServer, relayed.order),
+      );
+      return outcome ?? OrderOutcome.Unknown;
+    },
+  };
+}
--- /dev/null
+++ b/packages/group-leader/src/relay-listener.ts
@@ -0,0 +1,93 @@
+/**
+ * A sidecar's door for the leader of its group: passes orders and questions on to the backend
+ * server beside it. An order of a leader that was replaced is refused here, so that two leaders
+ * never steer one rank by turns.
+ */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
+
+import { parseObject } from '@lapisbridge/json-call';
+import type { Logger } from '@lapisbridge/logger';
+import { OrderOutcome } from '@lapisbridge/placement';
+import type { RankOrder } from '@lapisbridge/placement';
+
+import { RelayPath } from './rank-link.js';
+import type { RankAddress, RankEngine } from './rank-link.js';
+
+export interface RelayListenerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly backendServer: RankAddress;
+  readonly engine: RankEngine;
+  readonly logger: Logger;
+  /** Takes note of a leader's fencing number; false when a higher one is known. */
+  acceptFence(fence: number): boolean;
+}
+
+const MAXIMUM_ORDER_BYTES = 4 * 1024 * 1024;
+
+function readAll(incoming: IncomingMessage): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    incoming.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > MAXIMUM_ORDER_BYTES) incoming.destroy(new Error('order too large'));
+      else chunks.push(chunk);
+    });
+    incoming.on('end', () => resolve(Buffer.concat(chunks)));
+    incoming.on('error', reject);
+  });
+}
+
+/** Starts listening; the server is closed with the process. */
+export function startRelayListener(options: RelayListenerOptions): Server {
+  const { engine, backendServer, logger } = options;
+
+  async function relayOrder(incoming: IncomingMessage): Promise<unknown> {
+    const relayed = parseObject(await readAll(incoming));
+    const fence = relayed?.fence;
+    if (typeof fence !== 'number' || !options.acceptFence(fence)) {
+      return { outcome: OrderOutcome.Fenced };
+    }
+    const order = relayed?.order as RankOrder;
+    const outcome = await engine.order(backendServer, order).catch(() => OrderOutcome.Unknown);
+    logger.decision({
+      kind: 'rank order',
+      subject: `map ${'version' in order ? order.version : order.step}`,
+      choice: order.kind,
+      reason: outcome,
+      facts: { fence, epoch: order.epoch, step: 'step' in order ? order.step : undefined },
+    });
+    return { outcome };
+  }
+
+  async function answer(incoming: IncomingMessage): Promise<unknown> {
+    switch (incoming.url) {
+      case RelayPath.Order:
+        return relayOrder(incoming);
+      case RelayPath.Report:
+        return engine.report(backendServer);
+      case RelayPath.Map:
+        return engine.map(backendServer);
+      default:
+        return undefined;
+    }
+  }
+
+  const server = createServer((incoming, response) => {
+    answer(incoming)
+      .then((body) => {
+        response.writeHead(body === undefined ? 404 : 200, { 'content-type': 'application/json' });
+        response.end(body === undefined ? '' : JSON.stringify(body));
+      })
+      .catch((thrown: unknown) => {
+        logger.debug('relay failed', { reason: String(thrown) });
+        response.writeHead(502);
+        response.end();
+      });
+  });
+  server.on('error', (error) => logger.error('relay listener failed', { reason: error.message }));
+  server.listen(options.port, options.host);
+  return server;
+}
--- /dev/null
+++ b/packages/json-call/src/index.ts
@@ -0,0 +1,7 @@
+/**
+ * HTTP calls with JSON bodies, one connection a call, and checked reading of what comes back.
+ */
+export { callJson } from './call-json.js';
+export type { JsonAnswer, JsonCall } from './call-json.js';
+export { isObject, listOf, numberOf, objectsOf, parseObject, textOf } from './decode.js';
+export type { JsonObject } from './decode.js';
--- a/packages/logger/src/bounded-writer.ts
+++ b/packages/logger/src/bounded-writer.ts
@@ -29,7 +29,7 @@
 
   function writeAll(bytes: Buffer, done: () => void): void {
     write(descriptor, bytes, (error, written) => {
-      if (error !== null && (error as NodeJS.ErrnoException).code === 'EAGAIN') {
+      if (error !== null && error.code === 'EAGAIN') {
         setTimeout(() => writeAll(bytes, done), GATHER_MILLISECONDS);
       } else if (error !== null || written >= bytes.length) {
         done();
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -20,3 +20,15 @@
   RolloutOptions,
 } from './rollout.js';
 export { smoothTokens } from './smooth-load.js';
+export { planGroupMap } from './plan-group-map.js';
+export type { GroupMapDecision, GroupMapPolicy } from './plan-group-map.js';
+export { initialRollout, planHoldRollout, RolloutPhase } from './plan-hold-rollout.js';
+export type {
+  AddressedOrder,
+  RolloutInput,
+  RolloutPlan,
+  RolloutState,
+  RolloutTarget,
+} from './plan-hold-rollout.js';
+export { OrderOutcome, RankOrderKind } from './rank-report.js';
+export type { ArmedMap, GroupMap, RankOrder, RankReport } from './rank-report.js';
--- a/packages/placement/src/plan-map.ts
+++ b/packages/placement/src/plan-map.ts
@@ -24,6 +24,8 @@
   readonly minimumGain: number;
   /** Stall that moving one expert costs, in steps. */
   readonly moveCostSteps: number;
+  /** Experts that one rank can load for one new map; no bound when undefined. */
+  readonly newPerRank?: number;
 }
 
 export enum MapDecisionKind {
@@ -103,11 +105,29 @@
   readonly slowest: number;
 }
 
+/** Whether a rank may take an expert: it held it before, or has loads left. */
+type MayTake = (rank: number, expert: number) => boolean;
+
+/** Bounds what each rank loads against the map in force. */
+function boundLoads(current: ExpertMap, draft: MapDraft, policy: MapPolicy): MayTake {
+  const { newPerRank } = policy;
+  if (newPerRank === undefined) return () => true;
+  const before = current.experts.map((experts) => new Set(experts));
+  return (rank, expert) => {
+    const known = before[rank];
+    if (known === undefined || known.has(expert)) return true;
+    let loads = 0;
+    for (const held of draft.held[rank] ?? []) if (!known.has(held)) loads += 1;
+    return loads < newPerRank;
+  };
+}
+
 function bestMove(
   draft: MapDraft,
   load: ExpertLoad,
   policy: MapPolicy,
   from: number,
+  mayTake: MayTake,
 ): Move | undefined {
   let best: Move | undefined;
   for (const [to, target] of draft.held.entries()) {
@@ -116,6 +136,7 @@
     const eviction = full ? planEviction(draft, load, to) : undefined;
     if (full && eviction === undefined) continue;
     for (const expert of draft.held[from] ?? []) {
+      if (!mayTake(to, expert)) continue;
       const move = judge(draft, load, from, to, expert, eviction);
       if (move !== undefined && isBetter(move, best)) best = move;
     }
@@ -123,16 +144,21 @@
   return best;
 }
 
-function bestExchange(draft: MapDraft, load: ExpertLoad, from: number): Exchange | undefined {
+function bestExchange(
+  draft: MapDraft,
+  load: ExpertLoad,
+  from: number,
+  mayTake: MayTake,
+): Exchange | undefined {
   let best: Exchange | undefined;
   const fromSpeed = load.speeds[from] ?? 1;
   for (const given of draft.held[from] ?? []) {
     const givenShare = (load.tokens[given] ?? 0) / (draft.replicas[given] ?? 1);
     for (const [other, held] of draft.held.entries()) {
-      if (other === from || held.has(given)) continue;
+      if (other === from || held.has(given) || !mayTake(other, given)) continue;
       const otherSpeed = load.speeds[other] ?? 1;
       for (const taken of held) {
-        if (draft.held[from]?.has(taken) === true) continue;
+        if (draft.held[from]?.has(taken) === true || !mayTake(from, taken)) continue;
         const takenShare = (load.tokens[taken] ?? 0) / (draft.replicas[taken] ?? 1);
         const difference = givenShare - takenShare;
         const slowest = Math.max(
@@ -162,14 +188,14 @@
 }
 
 /** Takes load off the slowest rank until nothing helps or the moves are used up. */
-function improve(draft: MapDraft, load: ExpertLoad, policy: MapPolicy): number {
+function improve(draft: MapDraft, load: ExpertLoad, policy: MapPolicy, mayTake: MayTake): number {
   let moves = 0;
   while (moves < policy.maximumMoves) {
     const from = slowestRank(draft.times);
     const worst = draft.times[from] ?? 0;
-    const move = bestMove(draft, load, policy, from);
+    const move = bestMove(draft, load, policy, from, mayTake);
     const room = policy.maximumMoves - moves >= 2;
-    const exchange = room ? bestExchange(draft, load, from) : undefined;
+    const exchange = room ? bestExchange(draft, load, from, mayTake) : undefined;
     // An exchange loads two experts, so it has to be better by more than a single move.
     const exchangeWins =
       exchange !== undefined && worst - exchange.slowest > 2 * (worst - (move?.slowest ?? worst));
@@ -205,7 +231,7 @@
     skewAfter: skewBefore,
     reason,
   });
-  const moves = improve(draft, load, policy);
+  const moves = improve(draft, load, policy, boundLoads(current, draft, policy));
   if (moves === 0) return keep('no move helps');
   const worstAfter = Math.max(...draft.times);
   const gain = (worstBefore - worstAfter) / worstBefore;
