Plan maps on what came after a shift, and only when the skew costs

The window now restarts when the skew jumps, maps are planned once 280 ms later, and not below a skew of 1.3.

--- a/packages/group-leader/src/demand.ts
+++ b/packages/group-leader/src/demand.ts
@@ -14,6 +14,10 @@
   loads(sets: number, paces: readonly number[]): ExpertLoad[];
   /** Choices in the window, over all experts. */
   total(): number;
+  /** Forgets what came before: the demand has shifted, and the old one would blur the new. */
+  restart(): void;
+  /** Milliseconds since the window was last empty. */
+  age(): number;
 }
 
 /** Age at which a choice counts for about a third, in milliseconds. */
@@ -23,6 +27,7 @@
   const last = new Map<number, RankCounts>();
   let window: number[] = [];
   let decayedAt = now();
+  let startedAt = now();
 
   function decay(): void {
     const at = now();
@@ -64,5 +69,10 @@
       return loads;
     },
     total: () => window.reduce((sum, count) => sum + count, 0),
+    restart() {
+      window.fill(0);
+      startedAt = now();
+    },
+    age: () => now() - startedAt,
   };
 }
--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -60,12 +60,14 @@
 const BUSY_MILLISECONDS = 20;
 /** A loop this late was frozen; somebody else may lead by now. */
 const STOOD_STILL_MILLISECONDS = 700;
-/** Between two plans: counts need that long to show what the last one did. */
-const PLAN_MILLISECONDS = 350;
-/** Skew below which no plan is made. */
-const FAIR_SKEW = 1.12;
+/** Between two looks at the skew. */
+const PLAN_MILLISECONDS = 120;
+/** Skew below which passes are short enough for every stream to be in time. */
+const FAIR_SKEW = 1.3;
 /** A change must shorten the experts' part of a pass by this share: loading slows passes. */
-const MINIMUM_GAIN = 0.06;
+const MINIMUM_GAIN = 0.1;
+/** After a shift, choices are gathered for this long before a plan is made of them alone. */
+const GATHER_MILLISECONDS = 280;
 /** Choices that must be in the window before it says anything. */
 const MINIMUM_CHOICES = 20_000;
 /** Versions of one leader; the next leader's begin above them. */
@@ -94,6 +96,7 @@
   let versions = 0;
   let voidingVersion = 0;
   let plannedAt = -Infinity;
+  let isGathering = false;
   let rolloutBegan = 0;
   let lastPhase = RolloutPhase.Idle;
   let timer: NodeJS.Timeout | undefined;
@@ -166,7 +169,25 @@
     if (current === undefined) return;
     const heard = options.heard();
     const paces = Array.from({ length: own.size }, (_, rank) => heard.get(rank)?.pace ?? 1);
-    if (skewNow(current, paces, profile.sets) < FAIR_SKEW) return;
+    const skew = skewNow(current, paces, profile.sets);
+    if (skew < FAIR_SKEW) {
+      isGathering = false;
+      return;
+    }
+    if (!isGathering) {
+      isGathering = true;
+      demand.restart();
+      logger.decision({
+        kind: 'placement',
+        subject: own.group,
+        choice: 'gather',
+        reason: 'the demand has shifted',
+        facts: { skew: Number(skew.toFixed(3)), activeVersion: own.activeVersion },
+      });
+      return;
+    }
+    if (demand.age() < GATHER_MILLISECONDS) return;
+    isGathering = false;
     const decision = planGroupMap(current, demand.loads(profile.sets, paces), {
       placesPerRank: profile.placesPerRank,
       newPerRank: profile.newPerRank,
--- a/packages/group-leader/src/index.ts
+++ b/packages/group-leader/src/index.ts
@@ -8,7 +8,7 @@
 export type { GroupLeader, GroupLeaderOptions, GroupProfile } from './group-leader.js';
 export { createLeadership } from './leadership.js';
 export type { Leadership, LeadershipOptions } from './leadership.js';
-export { createRankLink } from './rank-link.js';
+export { askLeader, createRankLink } from './rank-link.js';
 export type {
   RankAddress,
   RankCounts,
--- a/packages/group-leader/src/leadership.ts
+++ b/packages/group-leader/src/leadership.ts
@@ -6,13 +6,17 @@
  */
 import { TransactionKind } from '@lapisbridge/catalog';
 import type { Store } from '@lapisbridge/catalog';
-import { parseObject } from '@lapisbridge/json-call';
+import { parseObject, textOf } from '@lapisbridge/json-call';
 import type { Logger } from '@lapisbridge/logger';
 
 export interface LeadershipOptions {
   readonly store: Store;
   readonly instanceId: string;
   readonly logger: Logger;
+  /** This instance's host, where others ask whether it still leads. */
+  readonly host: string;
+  /** Fencing number of the leader at a host; undefined when it does not answer or lead. */
+  ask(host: string): Promise<number | undefined>;
   now(): number;
   random(): number;
 }
@@ -30,13 +34,19 @@
   doubt(): void;
 }
 
+interface LeaderRow {
+  readonly revision: number;
+  readonly isOwn: boolean;
+  readonly host: string | undefined;
+}
+
 const TABLE = 'group-leaders';
 /** Silence of the leader before it is replaced: seven of its beats. */
 const SILENT_MILLISECONDS = 1500;
 /** Ranks claim one after the other, so that the first is usually alone. */
 const STAGGER_MILLISECONDS = 150;
 /** Time after the start in which a leader that lives makes itself heard. */
-const START_MILLISECONDS = 900;
+const START_MILLISECONDS = 1200;
 const RETRY_MILLISECONDS = 600;
 
 export function createLeadership(options: LeadershipOptions): Leadership {
@@ -58,11 +68,12 @@
     heardAt = now();
   }
 
-  async function readRow(group: string): Promise<{ revision: number; isOwn: boolean }> {
+  async function readRow(group: string): Promise<LeaderRow> {
     const { rows } = await store.list(TABLE, group);
     const row = rows.find(({ key }) => key === 'leader');
     const value = row?.value === undefined ? undefined : parseObject(row.value);
-    return { revision: row?.revision ?? 0, isOwn: value?.nonce === nonce };
+    const host = value === undefined ? undefined : textOf(value, 'host');
+    return { revision: row?.revision ?? 0, isOwn: value?.nonce === nonce, host };
   }
 
   function lead(group: string, revision: number): void {
@@ -78,10 +89,17 @@
       lead(group, before.revision);
       return;
     }
+    // Datagrams may not have reached this instance yet; the leader named there may well live.
+    const living = before.host === undefined ? undefined : await options.ask(before.host);
+    if (living === before.revision) {
+      heardAt = now();
+      highest = Math.max(highest, living);
+      return;
+    }
     const written = await store.write(TABLE, group, [
       {
         key: 'leader',
-        value: Buffer.from(JSON.stringify({ nonce })),
+        value: Buffer.from(JSON.stringify({ nonce, host: options.host })),
         expectedRevision: before.revision,
       },
     ]);
--- a/packages/group-leader/src/rank-link.ts
+++ b/packages/group-leader/src/rank-link.ts
@@ -4,7 +4,7 @@
  * does not answer, the backend server is called directly: a rank must not stay half ordered
  * because the process beside it restarts.
  */
-import { callJson } from '@lapisbridge/json-call';
+import { callJson, numberOf } from '@lapisbridge/json-call';
 import { OrderOutcome } from '@lapisbridge/placement';
 import type { RankOrder, RankReport } from '@lapisbridge/placement';
 
@@ -37,6 +37,8 @@
   Order = '/rank/order',
   Report = '/rank/report',
   Map = '/rank/map',
+  /** Fencing number of the leader here, if it leads. */
+  Leader = '/rank/leader',
 }
 
 export interface RelayedOrder {
@@ -107,3 +109,19 @@
     },
   };
 }
+
+/** Asks the sidecar at an address whether it leads. */
+export async function askLeader(address: RankAddress): Promise<number | undefined> {
+  try {
+    const answer = await callJson({
+      ...address,
+      method: 'GET',
+      path: RelayPath.Leader,
+      body: undefined,
+      timeoutMilliseconds: RELAY_MILLISECONDS,
+    });
+    return numberOf(answer.body, 'fence');
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/group-leader/src/relay-listener.ts
+++ b/packages/group-leader/src/relay-listener.ts
@@ -22,6 +22,8 @@
   readonly logger: Logger;
   /** Takes note of a leader's fencing number; false when a higher one is known. */
   acceptFence(fence: number): boolean;
+  /** Fencing number while this sidecar leads. */
+  ownFence(): number | undefined;
 }
 
 const MAXIMUM_ORDER_BYTES = 4 * 1024 * 1024;
@@ -70,6 +72,8 @@
         return engine.report(backendServer);
       case RelayPath.Map:
         return engine.map(backendServer);
+      case RelayPath.Leader:
+        return { fence: options.ownFence() };
       default:
         return undefined;
     }
--- a/packages/group-leader/src/sidecar-state.ts
+++ b/packages/group-leader/src/sidecar-state.ts
@@ -30,14 +30,14 @@
 }
 
 function packCounts(counts: readonly number[]): string {
-  return Buffer.from(Float64Array.from(counts).buffer).toString('base64');
+  return Buffer.from(Uint32Array.from(counts).buffer).toString('base64');
 }
 
 function unpackCounts(packed: string): number[] {
   const bytes = Buffer.from(packed, 'base64');
   const counts: number[] = [];
-  for (let offset = 0; offset + 8 <= bytes.length; offset += 8) {
-    counts.push(bytes.readDoubleLE(offset));
+  for (let offset = 0; offset + 4 <= bytes.length; offset += 4) {
+    counts.push(bytes.readUInt32LE(offset));
   }
   return counts;
 }
--- a/packages/json-call/src/call-json.ts
+++ b/packages/json-call/src/call-json.ts
@@ -1,7 +1,9 @@
 /**
- * One HTTP call with JSON bodies on a connection of its own.
+ * One HTTP call with JSON bodies. A call that times out closes its connection, so that a kept
+ * one that fell silent is never used twice.
  */
 import { request as httpRequest } from 'node:http';
+import type { Agent } from 'node:http';
 
 import { parseObject } from './decode.js';
 import type { JsonObject } from './decode.js';
@@ -15,6 +17,8 @@
   readonly body: unknown;
   /** For the whole call. */
   readonly timeoutMilliseconds: number;
+  /** Keeps connections, for reads that are repeated often; a fresh one each time without it. */
+  readonly agent?: Agent;
 }
 
 export interface JsonAnswer {
@@ -32,9 +36,9 @@
       port: call.port,
       method: call.method,
       path: call.path,
-      agent: false,
+      agent: call.agent ?? false,
       headers: {
-        connection: 'close',
+        connection: call.agent === undefined ? 'close' : 'keep-alive',
         ...(payload === undefined
           ? {}
           : { 'content-type': 'application/json', 'content-length': payload.length }),
--- a/packages/placement/src/plan-group-map.ts
+++ b/packages/placement/src/plan-group-map.ts
@@ -31,6 +31,8 @@
 
 /** A set that is skewed more than this after one load a rank may take more loads. */
 const BAD_SKEW = 1.3;
+/** Skew of a set that is good enough: each further load costs a copy and gains little. */
+const FAIR_SET_SKEW = 1.1;
 /** Bound of the search, far above what it takes. */
 const MAXIMUM_MOVES = 400;
 
@@ -48,6 +50,7 @@
       minimumGain: 0,
       moveCostSteps: 0,
       newPerRank,
+      fairSkew: FAIR_SET_SKEW,
     });
     if (best === undefined || decision.skewAfter < best.skewAfter) best = decision;
     if (best.skewAfter < BAD_SKEW) break;
--- a/packages/placement/src/plan-map.ts
+++ b/packages/placement/src/plan-map.ts
@@ -26,6 +26,8 @@
   readonly moveCostSteps: number;
   /** Experts that one rank can load for one new map; no bound when undefined. */
   readonly newPerRank?: number;
+  /** Skew at which the search ends, since further moves would cost more than they bring. */
+  readonly fairSkew?: number;
 }
 
 export enum MapDecisionKind {
@@ -193,6 +195,7 @@
   while (moves < policy.maximumMoves) {
     const from = slowestRank(draft.times);
     const worst = draft.times[from] ?? 0;
+    if (policy.fairSkew !== undefined && skewOf(draft.times) <= policy.fairSkew) return moves;
     const move = bestMove(draft, load, policy, from, mayTake);
     const room = policy.maximumMoves - moves >= 2;
     const exchange = room ? bestExchange(draft, load, from, mayTake) : undefined;
