Hold the group at another rank, and arm the leader's own rank last

Now holds stand at another rank, the leader's own rank is armed last, and a successor clears the hold without it.

--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -25,6 +25,7 @@
 
 import type { Demand } from './demand.js';
 import type { Leadership } from './leadership.js';
+import { composeMap } from './compose-map.js';
 import type { RankLink, RankTarget } from './rank-link.js';
 
 /** What a model's engines allow. */
@@ -60,6 +61,8 @@
 const BUSY_MILLISECONDS = 20;
 /** A loop this late was frozen; somebody else may lead by now. */
 const STOOD_STILL_MILLISECONDS = 700;
+/** Reports older than this decide nothing: the slowest answer waited for, and a little. */
+const STALE_MILLISECONDS = 800;
 /** Between two looks at the skew. */
 const PLAN_MILLISECONDS = 120;
 /** Skew below which passes are short enough for every stream to be in time. */
@@ -97,6 +100,7 @@
   let voidingVersion = 0;
   let plannedAt = -Infinity;
   let isGathering = false;
+  let lastObstacle = '';
   let rolloutBegan = 0;
   let lastPhase = RolloutPhase.Idle;
   let timer: NodeJS.Timeout | undefined;
@@ -127,7 +131,11 @@
     );
   }
 
-  /** The map in force, asked of the ranks when an earlier leader made it. */
+  /**
+   * The map in force, asked of the ranks when an earlier leader made it. A rank that is out of
+   * sight is filled in with the experts that nobody else holds: enough to make orders at the
+   * others void, and not kept.
+   */
   async function activeMap(report: RankReport): Promise<GroupMap | undefined> {
     const { activeVersion, size } = report;
     const profile = options.profile();
@@ -136,15 +144,15 @@
     const known = maps.get(activeVersion);
     if (known !== undefined) return known;
     const targets = options.targets();
-    const sets = Array.from({ length: profile.sets }, () => ({ experts: [] as number[][] }));
-    for (let rank = 0; rank < size; rank += 1) {
-      const target = targets.get(rank);
-      const map = target === undefined ? undefined : await link.map(target);
-      if (map === undefined || map.version !== activeVersion) return undefined;
-      for (const [set, experts] of map.experts.entries()) sets[set]?.experts.push([...experts]);
-    }
-    maps.set(activeVersion, { sets });
-    return { sets };
+    const rankMaps = await Promise.all(
+      Array.from({ length: size }, async (_, rank) => {
+        const target = targets.get(rank);
+        return target === undefined ? undefined : link.map(target);
+      }),
+    );
+    const composed = composeMap(rankMaps, activeVersion, profile);
+    if (composed?.isWhole === true) maps.set(activeVersion, composed.map);
+    return composed?.map;
   }
 
   function skewNow(map: GroupMap, paces: readonly number[], sets: number): number {
@@ -271,10 +279,23 @@
     return own.heldStep !== undefined || own.armed !== undefined;
   }
 
+  /** Tells once what keeps this leader from acting. */
+  function noteObstacle(obstacle: string): void {
+    if (obstacle === lastObstacle) return;
+    lastObstacle = obstacle;
+    if (obstacle !== '') logger.info('leader cannot act', { obstacle });
+  }
+
   async function look(fence: number, own: RankReport): Promise<void> {
+    const askedAt = now();
+    const askedAtWall = Date.now();
     const reports = await readReports(own.size);
+    const missing: number[] = [];
+    for (const [rank, report] of reports.entries()) if (report === undefined) missing.push(rank);
     dropOvertaken(reports);
     const map = await activeMap(own);
+    if (missing.length > 0) noteObstacle(`no report of ranks ${missing.join(', ')}`);
+    else noteObstacle(map === undefined ? 'the map in force is not known' : '');
     if (map === undefined) return;
     // An old clearing version cannot void what was prepared since.
     const isOutrun = reports.some((report) => (report?.preparedVersion ?? 0) > voidingVersion);
@@ -285,8 +306,13 @@
       state,
       reports,
       ownRank: own.rank,
+      formerRank: leadership.formerRank(),
       voiding: { version: voidingVersion, map },
     });
+    // A process that stood still since it asked may have been replaced: what it would order now
+    // could undo its successor's work. Suspended machines show only on the wall clock.
+    const age = Math.max(now() - askedAt, Math.abs(Date.now() - askedAtWall));
+    if (age > STALE_MILLISECONDS) return;
     state = plan.state;
     noteProgress(plan);
     await send(fence, plan.orders);
--- a/packages/group-leader/src/leadership.ts
+++ b/packages/group-leader/src/leadership.ts
@@ -6,7 +6,7 @@
  */
 import { TransactionKind } from '@lapisbridge/catalog';
 import type { Store } from '@lapisbridge/catalog';
-import { parseObject, textOf } from '@lapisbridge/json-call';
+import { numberOf, parseObject, textOf } from '@lapisbridge/json-call';
 import type { Logger } from '@lapisbridge/logger';
 
 export interface LeadershipOptions {
@@ -24,6 +24,8 @@
 export interface Leadership {
   /** Fencing number while this instance leads. */
   fence(): number | undefined;
+  /** Rank of the leader before this one. */
+  formerRank(): number | undefined;
   /** Takes note of another leader's number; false when a higher one is known. */
   accept(fence: number): boolean;
   /** Notes that the leader was heard just now. */
@@ -38,13 +40,14 @@
   readonly revision: number;
   readonly isOwn: boolean;
   readonly host: string | undefined;
+  readonly rank: number | undefined;
 }
 
 const TABLE = 'group-leaders';
-/** Silence of the leader before it is replaced: seven of its beats. */
-const SILENT_MILLISECONDS = 1500;
+/** Silence of the leader before it is replaced: six of its beats. */
+const SILENT_MILLISECONDS = 1000;
 /** Ranks claim one after the other, so that the first is usually alone. */
-const STAGGER_MILLISECONDS = 150;
+const STAGGER_MILLISECONDS = 120;
 /** Time after the start in which a leader that lives makes itself heard. */
 const START_MILLISECONDS = 1200;
 const RETRY_MILLISECONDS = 600;
@@ -59,6 +62,7 @@
   let nextClaimAt = 0;
   let claiming = false;
   let isDoubted = false;
+  let formerRank: number | undefined;
 
   function stepDown(reason: string): void {
     if (own === undefined) return;
@@ -73,7 +77,8 @@
     const row = rows.find(({ key }) => key === 'leader');
     const value = row?.value === undefined ? undefined : parseObject(row.value);
     const host = value === undefined ? undefined : textOf(value, 'host');
-    return { revision: row?.revision ?? 0, isOwn: value?.nonce === nonce, host };
+    const rank = value === undefined ? undefined : numberOf(value, 'rank');
+    return { revision: row?.revision ?? 0, isOwn: value?.nonce === nonce, host, rank };
   }
 
   function lead(group: string, revision: number): void {
@@ -83,7 +88,7 @@
     logger.info('leading', { group, fence: revision });
   }
 
-  async function claim(group: string): Promise<void> {
+  async function claim(group: string, rank: number): Promise<void> {
     const before = await readRow(group);
     if (before.isOwn) {
       lead(group, before.revision);
@@ -96,10 +101,11 @@
       highest = Math.max(highest, living);
       return;
     }
+    formerRank = before.rank;
     const written = await store.write(TABLE, group, [
       {
         key: 'leader',
-        value: Buffer.from(JSON.stringify({ nonce, host: options.host })),
+        value: Buffer.from(JSON.stringify({ nonce, host: options.host, rank })),
         expectedRevision: before.revision,
       },
     ]);
@@ -115,6 +121,7 @@
 
   return {
     fence: () => (isDoubted ? undefined : own),
+    formerRank: () => formerRank,
     accept(fence) {
       if (fence < highest) return false;
       highest = fence;
@@ -136,7 +143,7 @@
       claiming = true;
       nextClaimAt = now() + RETRY_MILLISECONDS * (0.5 + options.random());
       try {
-        if (own === undefined) await claim(group);
+        if (own === undefined) await claim(group, rank);
         else await verify(group);
       } catch (thrown) {
         logger.info('leadership not settled', { group, reason: String(thrown) });
--- a/packages/group-leader/src/rank-link.ts
+++ b/packages/group-leader/src/rank-link.ts
@@ -1,11 +1,12 @@
 /**
- * How a leader reaches the ranks of its group. Each rank's sidecar passes orders on to the
- * backend server beside it, and refuses those of a leader that was replaced. Where a sidecar
- * does not answer, the backend server is called directly: a rank must not stay half ordered
- * because the process beside it restarts.
+ * How a leader reaches the ranks of its group. Each rank's sidecar passes questions and orders
+ * to prepare on to the backend server beside it, and refuses those of a leader that was
+ * replaced. Orders that hold, arm or release go to the backend server directly: a sidecar that
+ * freezes between the two would leave the group held. Where a sidecar does not answer, the
+ * backend server is called directly too.
  */
 import { callJson, numberOf } from '@lapisbridge/json-call';
-import { OrderOutcome } from '@lapisbridge/placement';
+import { OrderOutcome, RankOrderKind } from '@lapisbridge/placement';
 import type { RankOrder, RankReport } from '@lapisbridge/placement';
 
 export interface RankAddress {
@@ -58,9 +59,13 @@
 }
 
 /** A relayed call crosses a zone twice and waits for the engine: some ten milliseconds. */
-const RELAY_MILLISECONDS = 250;
+const RELAY_MILLISECONDS = 180;
+/** A rank that did not answer is not waited for again at once: the others go on meanwhile. */
+const UNREACHABLE_MILLISECONDS = 500;
+
+export function createRankLink(engine: RankEngine, now: () => number): RankLink {
+  const unreachableUntil = new Map<string, number>();
 
-export function createRankLink(engine: RankEngine): RankLink {
   async function relay<T>(
     target: RankTarget,
     method: string,
@@ -86,16 +91,26 @@
     }
   }
 
+  async function report(target: RankTarget): Promise<RankReport | undefined> {
+    const { host } = target.backendServer;
+    if ((unreachableUntil.get(host) ?? 0) > now()) return undefined;
+    const relayed = relay<RankReport | undefined>(target, 'GET', RelayPath.Report, undefined);
+    const found = await orElse(relayed, () => engine.report(target.backendServer));
+    if (found === undefined) unreachableUntil.set(host, now() + UNREACHABLE_MILLISECONDS);
+    else unreachableUntil.delete(host);
+    return found;
+  }
+
   return {
-    report: (target) =>
-      orElse(relay<RankReport | undefined>(target, 'GET', RelayPath.Report, undefined), () =>
-        engine.report(target.backendServer),
-      ),
+    report,
     map: (target) =>
       orElse(relay<RankMap | undefined>(target, 'GET', RelayPath.Map, undefined), () =>
         engine.map(target.backendServer),
       ),
     async order(target, relayed) {
+      if (relayed.order.kind !== RankOrderKind.Prepare) {
+        return engine.order(target.backendServer, relayed.order).catch(() => OrderOutcome.Unknown);
+      }
       const viaSidecar = relay<{ outcome: OrderOutcome }>(
         target,
         'POST',
--- a/packages/placement/src/plan-hold-rollout.ts
+++ b/packages/placement/src/plan-hold-rollout.ts
@@ -14,6 +14,11 @@
  *
  * A leader that takes over finds holds it knows nothing of. It finishes what was armed, since
  * its predecessor armed only what all had prepared; what it cannot tell it makes void.
+ *
+ * The leader may freeze with its whole machine, rank and all, while a hold stands, and every
+ * caller would wait for it. So holds stand at another rank, and a leader arms its own rank last:
+ * as long as another rank is not armed, the frozen one is not either, and its successor can
+ * clear the hold without it.
  */
 import { RankOrderKind } from './rank-report.js';
 import type { ArmedMap, GroupMap, RankOrder, RankReport } from './rank-report.js';
@@ -68,6 +73,8 @@
   /** Fresh reports by rank; undefined where none could be had. */
   readonly reports: readonly (RankReport | undefined)[];
   readonly ownRank: number;
+  /** Rank of the leader before this one, which armed its own rank last. */
+  readonly formerRank: number | undefined;
   /** A version and the map in force, to make earlier orders void with. */
   readonly voiding: RolloutTarget;
 }
@@ -98,15 +105,52 @@
   return orders;
 }
 
-/** Reports of all ranks in one epoch, or undefined. */
-function wholeView(input: RolloutInput): readonly RankReport[] | undefined {
-  const whole: RankReport[] = [];
-  for (const report of input.reports) {
-    if (report === undefined || !report.isOpen) return undefined;
-    if (report.epoch !== input.reports[0]?.epoch) return undefined;
-    whole.push(report);
+interface View {
+  readonly reports: readonly RankReport[];
+  /** Every rank is in the view; otherwise only the former leader's is missing. */
+  readonly isWhole: boolean;
+}
+
+/** Reports of one epoch: of all ranks, or of all but the former leader's. */
+function viewOf(input: RolloutInput): View | undefined {
+  const seen: RankReport[] = [];
+  let isWhole = true;
+  for (const [rank, report] of input.reports.entries()) {
+    if (report === undefined) {
+      if (rank !== input.formerRank || rank === input.ownRank) return undefined;
+      isWhole = false;
+      continue;
+    }
+    const first = seen[0] ?? report;
+    if (!report.isOpen || report.epoch !== first.epoch) return undefined;
+    seen.push(report);
   }
-  return whole.length > 0 && whole.length === whole[0]?.size ? whole : undefined;
+  const size = seen[0]?.size;
+  return size !== undefined && input.reports.length === size
+    ? { reports: seen, isWhole }
+    : undefined;
+}
+
+/** The rank that holds the group: another machine's than this leader's, where there is one. */
+function holderOf(input: RolloutInput): number {
+  return (input.ownRank + 1) % input.reports.length;
+}
+
+/** Orders to arm whoever is not armed yet; this leader's own rank only after all others. */
+function planArms(
+  input: RolloutInput,
+  reports: readonly RankReport[],
+  version: number,
+  step: number,
+): AddressedOrder[] {
+  const { epoch } = input.state;
+  const orders = toAll(reports, (report) =>
+    isArmedFor(report, version, step)
+      ? undefined
+      : { kind: RankOrderKind.Arm, epoch, version, step },
+  );
+  const others = orders.filter(({ rank }) => rank !== input.ownRank);
+  return others.length > 0 ? others : orders;
 }
 
 function release(reports: readonly RankReport[], step: number, epoch: number): AddressedOrder[] {
@@ -190,7 +234,7 @@
   if (heldStep === undefined) {
     // Nothing keeps the group from the pass: hold it before anything else.
     const order: RankOrder = { kind: RankOrderKind.Hold, epoch, step };
-    return clearing(state, [{ rank: input.ownRank, order }]);
+    return clearing(state, [{ rank: holderOf(input), order }]);
   }
   const canFinish = reports.every(
     (report) => isArmedFor(report, version, step) || report.preparedVersion === version,
@@ -198,12 +242,7 @@
   if (!canFinish || heldStep !== step) {
     return voidingPlan(state, reports, voiding);
   }
-  const orders = toAll(reports, (report) =>
-    isArmedFor(report, version, step)
-      ? undefined
-      : { kind: RankOrderKind.Arm, epoch, version, step },
-  );
-  return clearing(state, orders);
+  return clearing(state, planArms(input, reports, version, step));
 }
 
 /** A hold that this leader did not ask for its target, or arms without one. */
@@ -250,11 +289,7 @@
     const orders = release(reports, step, epoch);
     return { phase: RolloutPhase.Clearing, orders, state: abandoned };
   }
-  const orders = toAll(reports, (report) =>
-    isArmedFor(report, version, step)
-      ? undefined
-      : { kind: RankOrderKind.Arm, epoch, version, step },
-  );
+  const orders = planArms(input, reports, version, step);
   return { phase: RolloutPhase.Arming, orders, state: { ...state, armsSent: true } };
 }
 
@@ -278,7 +313,7 @@
   const order: RankOrder = { kind: RankOrderKind.Hold, epoch, step };
   return {
     phase: RolloutPhase.Holding,
-    orders: [{ rank: input.ownRank, order }],
+    orders: [{ rank: holderOf(input), order }],
     state: { ...state, heldStep: step, armsSent: false },
   };
 }
@@ -293,17 +328,40 @@
   const spentSteps = new Set([...state.spentSteps, heldStep]);
   return {
     phase,
-    orders: [{ rank: input.ownRank, order }],
+    orders: [{ rank: holderOf(input), order }],
     state: { ...state, heldStep: undefined, spentSteps },
   };
 }
 
+/** The former leader's rank is out of sight with its machine: clear what it left, no more. */
+function planWithoutFormer(input: RolloutInput, reports: readonly RankReport[]): RolloutPlan {
+  const { state, voiding } = input;
+  const heldStep = lowestHeldStep(reports);
+  const armed = reports.find((report) => report.armed !== undefined)?.armed;
+  const isAllArmed =
+    armed !== undefined && reports.every((report) => isArmedFor(report, armed.version, armed.step));
+  // With all others armed the missing rank may be armed too: only its own report can tell.
+  if (heldStep === undefined || isAllArmed) {
+    return { phase: RolloutPhase.Blind, orders: [], state };
+  }
+  if (reports.every((report) => isVoid(report, voiding))) {
+    return planSpending(state, reports, heldStep);
+  }
+  return voidingPlan(state, reports, voiding);
+}
+
 export function planHoldRollout(input: RolloutInput): RolloutPlan {
-  const reports = wholeView(input);
-  if (reports === undefined) return planBlind(input);
+  const view = viewOf(input);
+  if (view === undefined) return planBlind(input);
+  const { reports, isWhole } = view;
   const epoch = reports[0]?.epoch ?? 0;
   // Nothing of an earlier epoch is left: the group formed anew with its first map.
   const known = epoch === input.state.epoch ? input.state : initialRollout(epoch);
+  if (!isWhole) {
+    // What this leader began itself it can judge only with all ranks in sight.
+    if (known.target !== undefined) return planBlind({ ...input, state: known });
+    return planWithoutFormer({ ...input, state: known }, reports);
+  }
   const heldStep = lowestHeldStep(reports);
   const isAnyArmed = reports.some((report) => report.armed !== undefined);
   const isFree = heldStep === undefined && !isAnyArmed;
