--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -52,6 +52,8 @@
 }
 
 export interface GroupLeader {
+  /** Whether this leader has seen the group free, with no hold and nothing armed. */
+  isSettled(): boolean;
   start(): void;
   stop(): void;
 }
@@ -354,6 +356,7 @@
   }
 
   return {
+    isSettled: () => state.isSettled,
     start() {
       void loop();
     },
--- a/packages/group-leader/src/leadership.ts
+++ b/packages/group-leader/src/leadership.ts
@@ -24,12 +24,12 @@
 export interface Leadership {
   /** Fencing number while this instance leads. */
   fence(): number | undefined;
-  /** Rank of the leader before this one. */
+  /** Rank of the leader before this one, if it was heard to have seen the group free. */
   formerRank(): number | undefined;
   /** Takes note of another leader's number; false when a higher one is known. */
   accept(fence: number): boolean;
   /** Notes that the leader was heard just now. */
-  heard(fence: number): void;
+  heard(fence: number, isSettled: boolean): void;
   /** Claims the group when its leader has been silent for long enough. */
   tend(group: string, rank: number): Promise<void>;
   /** Called after this process stood still: it may have been replaced meanwhile. */
@@ -63,6 +63,7 @@
   let claiming = false;
   let isDoubted = false;
   let formerRank: number | undefined;
+  let settledFence = 0;
 
   function stepDown(reason: string): void {
     if (own === undefined) return;
@@ -101,7 +102,7 @@
       highest = Math.max(highest, living);
       return;
     }
-    formerRank = before.rank;
+    formerRank = before.revision === settledFence ? before.rank : undefined;
     const written = await store.write(TABLE, group, [
       {
         key: 'leader',
@@ -128,8 +129,9 @@
       if (own !== undefined && fence > own) stepDown('a newer leader gave an order');
       return true;
     },
-    heard(fence) {
+    heard(fence, isSettled) {
       if (fence < highest) return;
+      if (isSettled) settledFence = fence;
       highest = fence;
       heardAt = now();
       if (own !== undefined && fence > own) stepDown('a newer leader is heard');
--- a/packages/group-leader/src/sidecar-state.ts
+++ b/packages/group-leader/src/sidecar-state.ts
@@ -14,6 +14,8 @@
   readonly backendServer: RankAddress;
   /** Fencing number when this sidecar leads its group. */
   readonly fence: number | undefined;
+  /** Whether that leader has seen the group free since it leads. */
+  readonly isSettled: boolean;
   /** Only to the group's leader. */
   readonly counts: RankCounts | undefined;
 }
@@ -24,6 +26,7 @@
     report: state.report,
     backendServer: state.backendServer,
     fence: state.fence,
+    isSettled: state.isSettled,
     counts:
       counts === undefined ? undefined : { epoch: counts.epoch, packed: packCounts(counts.counts) },
   };
@@ -65,6 +68,7 @@
     report: report as unknown as RankReport,
     backendServer: { host, port },
     fence: numberOf(state, 'fence'),
+    isSettled: state.isSettled === true,
     counts: decodeCounts(state.counts),
   };
 }
--- /dev/null
+++ b/packages/placement/src/plan-hold-rollout.test.ts
@@ -0,0 +1,98 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import { runGroupModel } from './group-model.js';
+import type { ModelResult } from './group-model.js';
+import { RankOrderKind } from './rank-report.js';
+
+const RUNS = 1500;
+const RANKS = 4;
+const TICKS = 120;
+
+type Mutate = NonNullable<Parameters<typeof runGroupModel>[0]['mutate']>;
+
+function run(seed: number, mutate?: Mutate): ModelResult {
+  return runGroupModel({
+    seed,
+    ranks: RANKS,
+    ticks: TICKS,
+    ...(mutate === undefined ? {} : { mutate }),
+  });
+}
+
+/** How many of some seeds end in a pass with two maps. */
+function countMixed(mutate: Mutate): number {
+  let mixed = 0;
+  for (let seed = 1; seed <= RUNS; seed += 1) {
+    if (run(seed, mutate).mixedAt !== undefined) mixed += 1;
+  }
+  return mixed;
+}
+
+describe('bringing a map into force in one pass', () => {
+  it('never lets a pass begin with two maps, whatever becomes of the orders', () => {
+    // Orders are lost, doubled or carried out long after they were given up, leaders end in the
+    // middle of their orders, ranks fall out of sight and groups form anew. Two maps in one pass
+    // send tokens to ranks that do not hold their expert: callers would get wrong text.
+    fc.assert(
+      fc.property(fc.integer({ min: 1, max: 2 ** 31 - 1 }), (seed) => {
+        expect(run(seed).mixedAt).toBeUndefined();
+      }),
+      { numRuns: RUNS, seed: 20 },
+    );
+  });
+
+  it('leaves no group held once faults end', () => {
+    // A leader ends while it holds the group, or a hold arrives after it was given up. Nobody
+    // else would release it, and every caller of the group would wait for ever.
+    for (let seed = 1; seed <= RUNS; seed += 1) {
+      expect(run(seed).calmPasses, `seed ${seed}`).toBeGreaterThan(TICKS / 4);
+    }
+  });
+
+  it('does bring maps into force', () => {
+    let rollouts = 0;
+    for (let seed = 1; seed <= 100; seed += 1) rollouts += run(seed).rollouts;
+    expect(rollouts).toBeGreaterThan(500);
+  });
+
+  it('mixes maps when the group is released before all ranks are seen armed', () => {
+    // An order to arm that got no answer counts as done, and the group goes on without it.
+    const mixed = countMixed((plan, reports) => {
+      if (!plan.orders.some(({ order }) => order.kind === RankOrderKind.Arm)) return plan;
+      const releases = reports.flatMap((report) =>
+        report?.heldStep === undefined
+          ? []
+          : [
+              {
+                rank: report.rank,
+                order: {
+                  kind: RankOrderKind.Release as const,
+                  epoch: report.epoch,
+                  step: report.heldStep,
+                },
+              },
+            ],
+      );
+      return { ...plan, orders: [...plan.orders, ...releases] };
+    });
+    expect(mixed).toBeGreaterThan(0);
+  });
+
+  it('mixes maps when a successor releases a hold without making earlier orders void', () => {
+    // The leader before it had sent orders to arm that arrive only now.
+    const mixed = countMixed((plan, reports) => {
+      const isVoiding = plan.orders.some(
+        ({ order }) => order.kind === RankOrderKind.Prepare && plan.state.target === undefined,
+      );
+      const held = reports.find((report) => report?.heldStep !== undefined);
+      if (!isVoiding || held?.heldStep === undefined) return plan;
+      const { rank, epoch, heldStep } = held;
+      return {
+        ...plan,
+        orders: [{ rank, order: { kind: RankOrderKind.Release, epoch, step: heldStep } }],
+      };
+    });
+    expect(mixed).toBeGreaterThan(0);
+  });
+});
--- a/packages/placement/src/plan-hold-rollout.ts
+++ b/packages/placement/src/plan-hold-rollout.ts
@@ -41,6 +41,8 @@
   readonly spentSteps: ReadonlySet<number>;
   /** Whether this leader has seen the group whole, with no hold and nothing armed. */
   readonly isSettled: boolean;
+  /** Whether it sent orders to arm since it last saw the group so. */
+  readonly mayHaveArmed: boolean;
 }
 
 export interface AddressedOrder {
@@ -73,7 +75,10 @@
   /** Fresh reports by rank; undefined where none could be had. */
   readonly reports: readonly (RankReport | undefined)[];
   readonly ownRank: number;
-  /** Rank of the leader before this one, which armed its own rank last. */
+  /**
+   * Rank of the leader before this one, if it is known to have seen the group free: it armed
+   * its own rank last. One that never did may have found orders of yet another leader.
+   */
   readonly formerRank: number | undefined;
   /** A version and the map in force, to make earlier orders void with. */
   readonly voiding: RolloutTarget;
@@ -90,6 +95,7 @@
     armsSent: false,
     spentSteps: new Set(),
     isSettled: false,
+    mayHaveArmed: false,
   };
 }
 
@@ -242,7 +248,7 @@
   if (!canFinish || heldStep !== step) {
     return voidingPlan(state, reports, voiding);
   }
-  return clearing(state, planArms(input, reports, version, step));
+  return clearing({ ...state, mayHaveArmed: true }, planArms(input, reports, version, step));
 }
 
 /** A hold that this leader did not ask for its target, or arms without one. */
@@ -290,7 +296,8 @@
     return { phase: RolloutPhase.Clearing, orders, state: abandoned };
   }
   const orders = planArms(input, reports, version, step);
-  return { phase: RolloutPhase.Arming, orders, state: { ...state, armsSent: true } };
+  const armingState = { ...state, armsSent: true, mayHaveArmed: true };
+  return { phase: RolloutPhase.Arming, orders, state: armingState };
 }
 
 function planPreparing(
@@ -359,13 +366,14 @@
   const known = epoch === input.state.epoch ? input.state : initialRollout(epoch);
   if (!isWhole) {
     // What this leader began itself it can judge only with all ranks in sight.
-    if (known.target !== undefined) return planBlind({ ...input, state: known });
+    if (known.target !== undefined || known.mayHaveArmed)
+      return planBlind({ ...input, state: known });
     return planWithoutFormer({ ...input, state: known }, reports);
   }
   const heldStep = lowestHeldStep(reports);
   const isAnyArmed = reports.some((report) => report.armed !== undefined);
   const isFree = heldStep === undefined && !isAnyArmed;
-  const state = isFree ? { ...known, isSettled: true } : known;
+  const state = isFree ? { ...known, isSettled: true, mayHaveArmed: false } : known;
   const current = { ...input, state };
   const { target } = state;
   if (isFree && target !== undefined) {
