Send no order to disarm before a newer version is seen prepared

Cause: a leader began to void, its successor finished the armed version forward, and the late order to disarm then took one rank out. Now a disarm is sent only once some rank holds the newer version, so that nobody can finish the old one.

--- a/packages/placement/src/group-model.ts
+++ b/packages/placement/src/group-model.ts
@@ -7,7 +7,7 @@
 import { createRandom } from '@lapisbridge/kernel';
 
 import { initialMap } from './expert-map.js';
-import { initialRollout, planHoldRollout } from './plan-hold-rollout.js';
+import { initialRollout, planHoldRollout, RolloutPhase } from './plan-hold-rollout.js';
 import type { AddressedOrder, RolloutPlan, RolloutState } from './plan-hold-rollout.js';
 import { RankOrderKind } from './rank-report.js';
 import type { ArmedMap, GroupMap, RankOrder, RankReport } from './rank-report.js';
@@ -208,8 +208,8 @@
     });
     const plan = options.mutate?.(planned, reports) ?? planned;
     leader.state = plan.state;
-    if (plan.phase === 'done') rollouts += 1;
-    const isFree = plan.phase === 'idle' || plan.phase === 'done';
+    if (plan.phase === RolloutPhase.Done) rollouts += 1;
+    const isFree = plan.phase === RolloutPhase.Idle || plan.phase === RolloutPhase.Done;
     if (isFree && leader.state.isSettled && random() < NEW_TARGET) {
       leader.state = { ...leader.state, target: { version: nextVersion(leader), map: MAP } };
     }
--- a/packages/placement/src/plan-hold-rollout.test.ts
+++ b/packages/placement/src/plan-hold-rollout.test.ts
@@ -42,6 +42,12 @@
     );
   });
 
+  it.each([970712535, 757228339, 116483])('keeps one map with seed %i', (seed) => {
+    // Three leaders in a row, an order to disarm that came late, a rank out of sight: each of
+    // these seeds once let a pass begin with two maps.
+    expect(run(seed).mixedAt).toBeUndefined();
+  });
+
   it('leaves no group held once faults end', () => {
     // A leader ends while it holds the group, or a hold arrives after it was given up. Nobody
     // else would release it, and every caller of the group would wait for ever.
--- a/packages/placement/src/plan-hold-rollout.ts
+++ b/packages/placement/src/plan-hold-rollout.ts
@@ -183,17 +183,27 @@
   return report.preparedVersion === undefined || report.preparedVersion === voiding.version;
 }
 
-/** Disarms whoever is armed and prepares a newer version elsewhere: earlier arms are then void. */
+/**
+ * Disarms whoever is armed and prepares a newer version elsewhere: earlier arms are then void.
+ * An order to disarm may be carried out late, when somebody has finished what was armed. So
+ * none is sent before a rank is seen to hold the newer version: from then on the armed version
+ * cannot be finished any more, by any leader.
+ */
 function planVoiding(
   reports: readonly RankReport[],
   epoch: number,
   voiding: RolloutTarget,
 ): AddressedOrder[] {
+  const isBegun = reports.some(
+    (report) => report.armed === undefined && report.preparedVersion === voiding.version,
+  );
   return toAll(reports, (report) => {
     if (report.armed !== undefined) {
-      return { kind: RankOrderKind.Disarm, epoch, version: report.armed.version };
+      return isBegun
+        ? { kind: RankOrderKind.Disarm, epoch, version: report.armed.version }
+        : undefined;
     }
-    if (isVoid(report, voiding)) return undefined;
+    if (isVoid(report, voiding) && report.preparedVersion !== undefined) return undefined;
     return { kind: RankOrderKind.Prepare, epoch, version: voiding.version, map: voiding.map };
   });
 }
