--- a/packages/catalog/src/follow-table.ts
+++ b/packages/catalog/src/follow-table.ts
@@ -4,7 +4,7 @@
  * again; a store that answers from behind what is known already is asked again.
  */
 import { FeedKind } from './store.js';
-import type { Store, StoreRow } from './store.js';
+import type { RowList, Store, StoreRow } from './store.js';
 
 export interface FollowOptions {
   readonly store: Store;
@@ -15,6 +15,7 @@
   /** Pause between two calls, for tables that change all the time: calls are what costs. */
   readonly pauseMilliseconds: number;
   readonly random: () => number;
+  now(): number;
   /** All rows, as of a revision, whenever something changed. */
   onRows(rows: ReadonlyMap<string, StoreRow>, revision: number): void;
   /** Called after each call. */
@@ -24,6 +25,14 @@
 export interface TableFollower {
   start(): void;
   stop(): void;
+  /** The copy as it stands; undefined before the first read. */
+  copy(): { readonly rows: ReadonlyMap<string, StoreRow>; readonly revision: number } | undefined;
+  /** Takes another's whole copy when it is newer than this one. */
+  adopt(list: RowList): boolean;
+  /** Milliseconds since the store last answered. */
+  silence(): number;
+  /** Whether the last call got no usable answer. */
+  isFailing(): boolean;
 }
 
 /** First pause after a failure, in milliseconds: short, since changes must be seen in 2 s. */
@@ -37,11 +46,16 @@
   let isWhole = false;
   let stopped = false;
   let failures = 0;
+  let heardAt = -Infinity;
   let timer: NodeJS.Timeout | undefined;
 
   async function readWhole(): Promise<void> {
     const list = await store.list(table, part);
     if (list.revision < revision) throw new Error('the store answers from behind');
+    replace(list);
+  }
+
+  function replace(list: RowList): void {
     rows.clear();
     for (const row of list.rows) rows.set(row.key, row);
     revision = list.revision;
@@ -50,7 +64,10 @@
   }
 
   async function readChanges(): Promise<void> {
-    const feed = await store.feed(table, revision, options.waitMilliseconds);
+    const askedFrom = revision;
+    const feed = await store.feed(table, askedFrom, options.waitMilliseconds);
+    // A peer's newer copy came meanwhile; these changes are in it already.
+    if (revision !== askedFrom) return;
     switch (feed.kind) {
       case FeedKind.HistoryGone:
         isWhole = false;
@@ -81,6 +98,7 @@
       if (isWhole) await readChanges();
       else await readWhole();
       failures = 0;
+      heardAt = options.now();
       options.onContact(true, '');
     } catch (thrown) {
       options.onContact(false, thrown instanceof Error ? thrown.message : String(thrown));
@@ -102,5 +120,13 @@
       stopped = true;
       clearTimeout(timer);
     },
+    copy: () => (isWhole ? { rows, revision } : undefined),
+    adopt(list) {
+      if (list.revision <= revision) return false;
+      replace(list);
+      return true;
+    },
+    silence: () => options.now() - heardAt,
+    isFailing: () => failures > 0,
   };
 }
--- a/packages/group-leader/src/demand.ts
+++ b/packages/group-leader/src/demand.ts
@@ -1,7 +1,6 @@
 /**
  * How much each expert is in demand, from the counts that the ranks keep since they started.
- * Recent choices weigh most: demand moves within seconds, and a window much shorter than a
- * second would mistake the mix of a few requests for a shift.
+ * Recent choices weigh most, since demand moves within seconds.
  */
 import type { ExpertLoad } from '@lapisbridge/placement';
 
@@ -20,10 +19,8 @@
   age(): number;
 }
 
-/** Age at which a choice counts for about a third, in milliseconds. */
-const WINDOW_MILLISECONDS = 900;
-
-export function createDemand(now: () => number): Demand {
+/** `windowMilliseconds` is the age at which a choice counts for about a third. */
+export function createDemand(windowMilliseconds: number, now: () => number): Demand {
   const last = new Map<number, RankCounts>();
   let window: number[] = [];
   let decayedAt = now();
@@ -31,7 +28,7 @@
 
   function decay(): void {
     const at = now();
-    const factor = Math.exp((decayedAt - at) / WINDOW_MILLISECONDS);
+    const factor = Math.exp((decayedAt - at) / windowMilliseconds);
     decayedAt = at;
     for (let index = 0; index < window.length; index += 1) {
       window[index] = (window[index] ?? 0) * factor;
--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -26,6 +26,7 @@
 import type { Demand } from './demand.js';
 import type { Leadership } from './leadership.js';
 import { composeMap } from './compose-map.js';
+import { createPassClock } from './pass-clock.js';
 import type { RankLink, RankTarget } from './rank-link.js';
 
 /** What a model's engines allow. */
@@ -39,7 +40,10 @@
 export interface GroupLeaderOptions {
   readonly leadership: Leadership;
   readonly link: RankLink;
+  /** Over about a second: what maps are planned for. */
   readonly demand: Demand;
+  /** Over some tenths of a second: shows a shift early, and is too noisy to plan for. */
+  readonly recentDemand: Demand;
   readonly logger: Logger;
   now(): number;
   /** Last report of the backend server beside this sidecar. */
@@ -59,22 +63,24 @@
 }
 
 /** Between two looks while nothing changes, and while a rollout is on its way. */
-const IDLE_MILLISECONDS = 120;
-const BUSY_MILLISECONDS = 20;
+const IDLE_MILLISECONDS = 60;
+const BUSY_MILLISECONDS = 4;
 /** A loop this late was frozen; somebody else may lead by now. */
 const STOOD_STILL_MILLISECONDS = 700;
 /** Reports older than this decide nothing: the slowest answer waited for, and a little. */
 const STALE_MILLISECONDS = 800;
 /** Between two looks at the skew. */
-const PLAN_MILLISECONDS = 120;
+const PLAN_MILLISECONDS = 80;
 /** Skew below which passes are short enough for every stream to be in time. */
-const FAIR_SKEW = 1.3;
+const FAIR_SKEW = 1.35;
+/** Skew of the last tenths of a second that means a shift, above what the mix of a few requests makes. */
+const SHIFT_SKEW = 1.5;
 /** A change must shorten the experts' part of a pass by this share: loading slows passes. */
 const MINIMUM_GAIN = 0.1;
 /** After a shift, choices are gathered for this long before a plan is made of them alone. */
-const GATHER_MILLISECONDS = 280;
-/** Choices that must be in the window before it says anything. */
-const MINIMUM_CHOICES = 20_000;
+const GATHER_MILLISECONDS = 190;
+/** Choices that must be in a window before it says anything: those of about five requests. */
+const MINIMUM_CHOICES = 700_000;
 /** Versions of one leader; the next leader's begin above them. */
 const VERSIONS_PER_FENCE = 1000;
 /** Pauses before the same order goes to the same rank again. */
@@ -93,8 +99,9 @@
 }
 
 export function createGroupLeader(options: GroupLeaderOptions): GroupLeader {
-  const { leadership, link, demand, logger, now } = options;
+  const { leadership, link, demand, recentDemand, logger, now } = options;
   const maps = new Map<number, GroupMap>();
+  const passClock = createPassClock(now);
   const sentAt = new Map<string, number>();
   let state: RolloutState = initialRollout(-1);
   let ledFence: number | undefined;
@@ -157,10 +164,10 @@
     return composed?.map;
   }
 
-  function skewNow(map: GroupMap, paces: readonly number[], sets: number): number {
+  function skewIn(window: Demand, map: GroupMap, paces: readonly number[], sets: number): number {
     let slowest = 0;
     let mean = 0;
-    for (const [set, load] of demand.loads(sets, paces).entries()) {
+    for (const [set, load] of window.loads(sets, paces).entries()) {
       const times = rankTimes(map.sets[set], load);
       const setMean = times.reduce((sum, time) => sum + time, 0) / times.length;
       mean += setMean;
@@ -173,30 +180,34 @@
   async function considerTarget(fence: number, own: RankReport): Promise<void> {
     const profile = options.profile();
     if (profile === undefined || now() - plannedAt < PLAN_MILLISECONDS) return;
-    if (demand.total() < MINIMUM_CHOICES) return;
-    plannedAt = now();
     const current = await activeMap(own);
     if (current === undefined) return;
+    plannedAt = now();
     const heard = options.heard();
     const paces = Array.from({ length: own.size }, (_, rank) => heard.get(rank)?.pace ?? 1);
-    const skew = skewNow(current, paces, profile.sets);
-    if (skew < FAIR_SKEW) {
-      isGathering = false;
-      return;
-    }
     if (!isGathering) {
+      const skew = skewIn(demand, current, paces, profile.sets);
+      const recentSkew = skewIn(recentDemand, current, paces, profile.sets);
+      const hasShifted = recentSkew > SHIFT_SKEW && recentDemand.total() > MINIMUM_CHOICES;
+      if (!hasShifted && (skew < FAIR_SKEW || demand.total() < MINIMUM_CHOICES)) return;
       isGathering = true;
-      demand.restart();
+      // What came before the shift would blur what comes now.
+      if (hasShifted) demand.restart();
       logger.decision({
         kind: 'placement',
         subject: own.group,
         choice: 'gather',
-        reason: 'the demand has shifted',
-        facts: { skew: Number(skew.toFixed(3)), activeVersion: own.activeVersion },
+        reason: hasShifted ? 'the demand has shifted' : 'the load is uneven',
+        facts: {
+          skew: Number(skew.toFixed(3)),
+          recentSkew: Number(recentSkew.toFixed(3)),
+          activeVersion: own.activeVersion,
+        },
       });
-      return;
+      if (hasShifted) return;
     }
-    if (demand.age() < GATHER_MILLISECONDS) return;
+    const isEnough = demand.age() > GATHER_MILLISECONDS && demand.total() > MINIMUM_CHOICES;
+    if (!isEnough) return;
     isGathering = false;
     const decision = planGroupMap(current, demand.loads(profile.sets, paces), {
       placesPerRank: profile.placesPerRank,
@@ -309,6 +320,7 @@
       reports,
       ownRank: own.rank,
       formerRank: leadership.formerRank(),
+      passMilliseconds: passClock.milliseconds(),
       voiding: { version: voidingVersion, map },
     });
     // A process that stood still since it asked may have been replaced: what it would order now
@@ -326,6 +338,7 @@
     lastTickAt = at;
     const own = options.own();
     if (own === undefined) return IDLE_MILLISECONDS;
+    passClock.observe(own.step);
     if (late > STOOD_STILL_MILLISECONDS) {
       leadership.doubt();
       state = initialRollout(-1);
--- a/packages/group-leader/src/rank-link.ts
+++ b/packages/group-leader/src/rank-link.ts
@@ -5,6 +5,8 @@
  * freezes between the two would leave the group held. Where a sidecar does not answer, the
  * backend server is called directly too.
  */
+import { Agent } from 'node:http';
+
 import { callJson, numberOf } from '@lapisbridge/json-call';
 import { OrderOutcome, RankOrderKind } from '@lapisbridge/placement';
 import type { RankOrder, RankReport } from '@lapisbridge/placement';
@@ -64,6 +66,9 @@
 const UNREACHABLE_MILLISECONDS = 500;
 
 export function createRankLink(engine: RankEngine, now: () => number): RankLink {
+  // All ranks are asked several times in a rollout, and a new connection each time would take
+  // the leader longer than the answers do.
+  const kept = new Agent({ keepAlive: true });
   const unreachableUntil = new Map<string, number>();
 
   async function relay<T>(
@@ -78,6 +83,7 @@
       path,
       body,
       timeoutMilliseconds: RELAY_MILLISECONDS,
+      agent: kept,
     });
     if (answer.status !== 200) throw new Error(`the sidecar answered ${answer.status}`);
     return answer.body as T;
--- a/packages/group-leader/src/relay-listener.ts
+++ b/packages/group-leader/src/relay-listener.ts
@@ -26,6 +26,8 @@
   ownFence(): number | undefined;
 }
 
+/** Longer than the pause between two rollouts mostly is. */
+const KEEP_MILLISECONDS = 30_000;
 const MAXIMUM_ORDER_BYTES = 4 * 1024 * 1024;
 
 function readAll(incoming: IncomingMessage): Promise<Buffer> {
@@ -91,6 +93,7 @@
         response.end();
       });
   });
+  server.keepAliveTimeout = KEEP_MILLISECONDS;
   server.on('error', (error) => logger.error('relay listener failed', { reason: error.message }));
   server.listen(options.port, options.host);
   return server;
--- a/packages/placement/src/group-model.ts
+++ b/packages/placement/src/group-model.ts
@@ -204,6 +204,7 @@
       reports,
       ownRank: leader.rank,
       formerRank: leader.formerRank,
+      passMilliseconds: 200,
       voiding: { version: leader.voiding, map: MAP },
     });
     const plan = options.mutate?.(planned, reports) ?? planned;
--- a/packages/placement/src/plan-hold-rollout.ts
+++ b/packages/placement/src/plan-hold-rollout.ts
@@ -80,12 +80,27 @@
    * its own rank last. One that never did may have found orders of yet another leader.
    */
   readonly formerRank: number | undefined;
+  /** How long a pass takes now. */
+  readonly passMilliseconds: number;
   /** A version and the map in force, to make earlier orders void with. */
   readonly voiding: RolloutTarget;
 }
 
-/** Passes between the one that runs and the one that is held: orders take less than two. */
-const STEPS_AHEAD = 2;
+/**
+ * Time from the order to hold until the release arrives, in milliseconds: three rounds of
+ * reports and orders of about 30 ms each, and slack. The group must not reach the held pass
+ * sooner, or all its streams pause.
+ */
+const ROLLOUT_MILLISECONDS = 160;
+const FEWEST_STEPS_AHEAD = 2;
+/** Further ahead the old map would stay in force for long. */
+const MOST_STEPS_AHEAD = 8;
+
+/** Passes between the one that runs and the one that is held. */
+function stepsAhead(passMilliseconds: number): number {
+  const needed = 1 + Math.ceil(ROLLOUT_MILLISECONDS / Math.max(1, passMilliseconds));
+  return Math.min(MOST_STEPS_AHEAD, Math.max(FEWEST_STEPS_AHEAD, needed));
+}
 
 export function initialRollout(epoch: number): RolloutState {
   return {
@@ -324,8 +339,9 @@
       : { kind: RankOrderKind.Prepare, epoch, version, map },
   );
   if (unprepared.length > 0) return { phase: RolloutPhase.Preparing, orders: unprepared, state };
-  let step = STEPS_AHEAD;
-  for (const report of reports) step = Math.max(step, report.step + STEPS_AHEAD);
+  const ahead = stepsAhead(input.passMilliseconds);
+  let step = ahead;
+  for (const report of reports) step = Math.max(step, report.step + ahead);
   while (state.spentSteps.has(step)) step += 1;
   const order: RankOrder = { kind: RankOrderKind.Hold, epoch, step };
   return {
