--- a/packages/forwarding/src/exchange.ts
+++ b/packages/forwarding/src/exchange.ts
@@ -74,6 +74,9 @@
   function onSocket(socket: Socket): void {
     socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_MILLISECONDS);
+    // Node.js ends an answer without a length as complete when its connection is reset, before
+    // it tells of the error; half an answer would pass for the whole. So this listener is first.
+    socket.prependListener('error', (error) => fail(error.message));
     socket.once('connect', () => {
       connected = true;
       clearTimeout(connectTimer);
--- /dev/null
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -0,0 +1,277 @@
+/**
+ * An entry's forwarding core with scripted backend servers on the loopback address, for tests.
+ */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+
+import { createCatalog, RequestKind } from '@lapisbridge/catalog';
+import type { BackendServer, Catalog, Configuration, Route } from '@lapisbridge/catalog';
+import { createSilentLogger } from '@lapisbridge/logger';
+
+import { createCallerListener } from './caller-listener.js';
+import type { CallerProtocol } from './caller-protocol.js';
+import { createColdShare } from './cold-share.js';
+import type { ForwardContext } from './forward-context.js';
+import { createPulse } from './pulse.js';
+import { createRetryShare } from './retry-share.js';
+import { createServerLedger } from './server-ledger.js';
+
+/** What one backend server does with a request. */
+export type Script = (incoming: IncomingMessage, response: ServerResponse) => void;
+
+export interface Arrival {
+  readonly instanceId: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+}
+
+export interface Fixture {
+  readonly port: number;
+  readonly arrivals: readonly Arrival[];
+  readonly catalog: Catalog;
+  readonly isStuck: { value: boolean };
+  close(): Promise<void>;
+}
+
+export interface FixtureOptions {
+  /** By instance id; `undefined` stands for a server that refuses connections. */
+  readonly servers: Readonly<Record<string, Script | undefined>>;
+  readonly route?: Partial<Route>;
+  readonly withConfiguration?: boolean;
+  readonly retrySlack?: number;
+}
+
+const HOST = '127.0.0.1';
+const SERVICE = 'service';
+
+/** Plain names of this fixture's own. */
+export const fixtureProtocol: CallerProtocol = {
+  decodeRequest: (incoming) => ({
+    requestId: incoming.headers['request-id'] as string | undefined,
+    method: incoming.method ?? 'GET',
+    host: 'host',
+    target: incoming.url ?? '/',
+    key: incoming.headers.key as string | undefined,
+    patienceMilliseconds: Number(incoming.headers.patience ?? 5000),
+    lastEventId:
+      incoming.headers['last-event'] === undefined
+        ? undefined
+        : Number(incoming.headers['last-event']),
+    promptTokens: 10,
+    headers: ['Host', 'host', 'Request-Id', String(incoming.headers['request-id'])],
+  }),
+  encodeForward: ({ request, server, lastEventId, bodyBytes, remainingMilliseconds }) => [
+    ...request.headers,
+    'Server-Id',
+    server.instanceId,
+    'Remaining',
+    String(remainingMilliseconds),
+    'Content-Length',
+    String(bodyBytes),
+    ...(lastEventId === undefined ? [] : ['Last-Event', String(lastEventId)]),
+  ],
+  decodeAnswer: (incoming) => ({
+    status: incoming.statusCode ?? 0,
+    requestId: incoming.headers['request-id'] as string | undefined,
+    isSigned: incoming.headers.signature !== undefined,
+    notRun: incoming.headers['not-run'] !== undefined,
+    isMisdirected: incoming.statusCode === 421,
+    load: undefined,
+    headers: [
+      'Signature',
+      String(incoming.headers.signature),
+      'Content-Type',
+      incoming.headers['content-type'] ?? 'text/plain',
+    ],
+  }),
+  encodeOwnAnswer: (_requestId, retryAfter) => [
+    'Content-Length',
+    '0',
+    ...(retryAfter === undefined ? [] : ['Retry-After', String(retryAfter / 1000)]),
+  ],
+};
+
+const ROUTE: Route = {
+  name: 'route',
+  host: 'host',
+  prefix: '/',
+  kind: RequestKind.AtMostOnce,
+  timeoutMilliseconds: 3000,
+  objectiveMilliseconds: 400,
+  gapMilliseconds: 0,
+  priority: 1,
+  targets: [{ service: SERVICE, weight: 1 }],
+  maximumAttempts: 2,
+  isPublic: true,
+  resumable: false,
+};
+
+function configurationWith(route: Route): Configuration {
+  return {
+    version: 1,
+    routes: [route],
+    services: new Map(),
+    accountsByKey: undefined,
+    limits: {
+      maximumBodyBytes: 1000,
+      headerTimeoutMilliseconds: 3000,
+      idleTimeoutMilliseconds: 15_000,
+    },
+  };
+}
+
+async function listen(server: Server): Promise<number> {
+  await new Promise<void>((resolve) => {
+    server.listen(0, HOST, resolve);
+  });
+  return (server.address() as AddressInfo).port;
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  const port = await listen(server);
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+function readText(incoming: IncomingMessage): Promise<string> {
+  return new Promise((resolve) => {
+    let text = '';
+    incoming.on('data', (chunk: Buffer) => {
+      text += chunk.toString();
+    });
+    incoming.on('end', () => resolve(text));
+  });
+}
+
+export async function startFixture(options: FixtureOptions): Promise<Fixture> {
+  const arrivals: Arrival[] = [];
+  const running: Server[] = [];
+  const sockets = new Set<Socket>();
+  const servers = new Map<string, BackendServer>();
+  for (const [instanceId, script] of Object.entries(options.servers)) {
+    let port: number;
+    if (script === undefined) {
+      port = await freePort();
+    } else {
+      const server = createServer((incoming, response) => {
+        void readText(incoming).then((body) => {
+          arrivals.push({ instanceId, headers: incoming.headers, body });
+          script(incoming, response);
+        });
+      });
+      server.on('connection', (socket) => sockets.add(socket));
+      port = await listen(server);
+      running.push(server);
+    }
+    servers.set(instanceId, {
+      instanceId,
+      service: SERVICE,
+      host: HOST,
+      port,
+      availabilityZone: 'zone',
+      slots: 4,
+      draining: false,
+      groupRank: undefined,
+    });
+  }
+  const catalog = createCatalog();
+  catalog.replaceServers({ revision: 1, servers });
+  if (options.withConfiguration !== false) {
+    catalog.replaceOperators({
+      revision: 1,
+      configuration: configurationWith({ ...ROUTE, ...options.route }),
+      drainedZones: new Set(),
+    });
+  }
+  const now = (): number => performance.now();
+  const isStuck = { value: false };
+  const context: ForwardContext = {
+    protocol: fixtureProtocol,
+    catalog,
+    ledger: createServerLedger(now),
+    retryShare: createRetryShare(
+      () => ({ ratio: 0, slack: options.retrySlack ?? 100, windowMilliseconds: 10_000 }),
+      () => 1,
+      now,
+    ),
+    coldShare: createColdShare(() => 1, now),
+    pulse: { ...createPulse(now), isStuck: () => isStuck.value },
+    logger: createSilentLogger(),
+    ownZone: 'zone',
+    now,
+    // Without randomness servers are chosen in the order of their names.
+    random: () => 0,
+    isGroupBroken: () => false,
+  };
+  const port = await freePort();
+  const listener = createCallerListener({
+    host: HOST,
+    port,
+    context,
+    isOutdated: () => false,
+    lingerMilliseconds: 0,
+  });
+  await listener.start();
+  return {
+    port,
+    arrivals,
+    catalog,
+    isStuck,
+    async close() {
+      for (const socket of sockets) socket.destroy();
+      for (const server of running) server.close();
+      await listener.stop();
+    },
+  };
+}
+
+/** Answers in full. */
+export function answerWith(text: string, status = 200): Script {
+  return (incoming, response) => {
+    response.writeHead(status, {
+      'request-id': String(incoming.headers['request-id']),
+      signature: 'signed',
+      'content-length': Buffer.byteLength(text),
+    });
+    response.end(text);
+  };
+}
+
+/** States that it did not run the request. */
+export const refuseAll: Script = (incoming, response) => {
+  response.writeHead(503, {
+    'request-id': String(incoming.headers['request-id']),
+    'not-run': '1',
+    'content-length': 0,
+  });
+  response.end();
+};
+
+/** Takes the request and closes the connection without an answer. */
+export const loseAnswer: Script = (incoming) => {
+  incoming.socket.destroy();
+};
+
+/** Streams events from `from`, and closes the connection after `until` in the middle of the next. */
+export function streamEvents(last: number, brokenAfter?: number): Script {
+  return (incoming, response) => {
+    const from = Number(incoming.headers['last-event'] ?? 0) + 1;
+    response.writeHead(200, {
+      'request-id': String(incoming.headers['request-id']),
+      signature: 'signed',
+      'content-type': 'text/event-stream',
+    });
+    for (let id = from; id <= last; id += 1) {
+      if (brokenAfter !== undefined && id > brokenAfter) {
+        response.write(`id: ${id}\ndata: ha`, () => incoming.socket.destroy());
+        return;
+      }
+      response.write(`id: ${id}\ndata: ${id}\n\n`);
+    }
+    response.end();
+  };
+}
