Tell a reset from a close at the end of an answer without a length

Cause, traced by a script: a reset that arrives together with the last bytes is reported as a plain end of the connection, without an error. A write then still fails with ECONNRESET, so such answers are probed with an empty line before they count as whole. Ruled out: the order of error listeners alone (it helps only when the reset comes later).

--- a/packages/forwarding/src/exchange.ts
+++ b/packages/forwarding/src/exchange.ts
@@ -52,9 +52,15 @@
 /** First probe of an idle connection; a peer without power never answers on its own. */
 const KEEP_ALIVE_MILLISECONDS = 1000;
 
+/** An answer with neither a length nor chunks ends with its connection. */
+function endsWithConnection({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
 export function openExchange(options: ExchangeOptions, listener: ExchangeListener): Exchange {
   let ended = false;
   let connected = false;
+  let isProbing = false;
   let answer: IncomingMessage | undefined;
   let connectTimer: NodeJS.Timeout | undefined;
   let request: ClientRequest | undefined;
@@ -71,12 +77,28 @@
     end(connected ? ExchangeEndKind.Broken : ExchangeEndKind.NotSent, reason);
   }
 
+  /**
+   * Whether an answer that ends with its connection ended by a close or by a reset. A reset
+   * that arrives together with the last bytes reads like a close, and half an answer would pass
+   * for the whole; only a write then still fails with it. An empty line does no harm: servers
+   * skip it, and this one has closed its side.
+   */
+  function probeReset(socket: Socket): void {
+    if (answer === undefined || !endsWithConnection(answer)) return;
+    isProbing = true;
+    socket.write('\r\n', (error) => {
+      if (error === null || error === undefined) end(ExchangeEndKind.Complete, 'whole answer');
+      else fail(`reset at the end: ${error.message}`);
+    });
+  }
+
   function onSocket(socket: Socket): void {
     socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_MILLISECONDS);
     // Node.js ends an answer without a length as complete when its connection is reset, before
     // it tells of the error; half an answer would pass for the whole. So this listener is first.
     socket.prependListener('error', (error) => fail(error.message));
+    socket.prependListener('end', () => probeReset(socket));
     socket.once('connect', () => {
       connected = true;
       clearTimeout(connectTimer);
@@ -90,11 +112,13 @@
       if (!ended) listener.onData(chunk);
     });
     incoming.on('end', () => {
-      if (incoming.complete) end(ExchangeEndKind.Complete, 'whole answer');
-      else fail('answer broken off');
+      if (!incoming.complete) fail('answer broken off');
+      else if (!isProbing) end(ExchangeEndKind.Complete, 'whole answer');
     });
     incoming.on('error', (error) => fail(error.message));
-    incoming.on('close', () => fail('connection closed within the answer'));
+    incoming.on('close', () => {
+      if (!isProbing) fail('connection closed within the answer');
+    });
     listener.onHead(incoming);
   }
 
@@ -116,7 +140,9 @@
   request.on('socket', onSocket);
   request.on('response', onAnswer);
   request.on('error', (error) => fail(error.message));
-  request.on('close', () => fail('connection closed without an answer'));
+  request.on('close', () => {
+    if (!isProbing) fail('connection closed without an answer');
+  });
   request.end(options.body);
   return {
     cancel(reason) {
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -137,6 +137,16 @@
     expect((await send()).status).toBe(502);
   });
 
+  it('without a length that ends by a close is the whole', async () => {
+    const closing: Script = (incoming) => {
+      incoming.socket.end(
+        'HTTP/1.1 200 OK\r\nRequest-Id: request\r\nSignature: signed\r\nConnection: close\r\n\r\nwhole',
+      );
+    };
+    await start({ servers: { one: closing } });
+    expect(await send()).toMatchObject({ status: 200, body: 'whole' });
+  });
+
   it('to another request is never passed on', async () => {
     // A server answers an earlier request where the answer to this one is due.
     const foreign: Script = (_incoming, response) => {
