--- /dev/null
+++ b/packages/catalog/src/catalog.test.ts
@@ -0,0 +1,185 @@
+import { describe, expect, it } from 'vitest';
+
+import { createCatalog } from './catalog.js';
+import { followTable } from './follow-table.js';
+import { LAPSE_MILLISECONDS, retainLapsed } from './retain-lapsed.js';
+import { FeedKind } from './store.js';
+import type { Feed, RowList, Store, StoreRow } from './store.js';
+import { decodeCopy, encodeCopy } from './table-copy.js';
+import type { BackendServer, Configuration } from './types.js';
+
+function configuration(version: number): Configuration {
+  return {
+    version,
+    routes: [],
+    services: new Map(),
+    accountsByKey: undefined,
+    limits: { maximumBodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
+  };
+}
+
+function server(instanceId: string, port: number): BackendServer {
+  return {
+    instanceId,
+    service: 'service',
+    host: '127.0.0.1',
+    port,
+    availabilityZone: 'zone',
+    slots: 1,
+    draining: false,
+    groupRank: undefined,
+  };
+}
+
+function row(key: string, value: string | undefined, revision: number): StoreRow {
+  const bytes = value === undefined ? undefined : Buffer.from(value);
+  return { table: 'table', part: '', key, value: bytes, revision };
+}
+
+describe('a catalog', () => {
+  it('never goes back to an older configuration', () => {
+    // A peer that lags, or a store that answers from behind, brings back a key that was removed.
+    const catalog = createCatalog();
+    const drainedZones = new Set<string>();
+    catalog.replaceOperators({ revision: 5, configuration: configuration(7), drainedZones });
+    expect(
+      catalog.replaceOperators({ revision: 4, configuration: configuration(6), drainedZones }),
+    ).toBe(false);
+    catalog.replaceOperators({ revision: 6, configuration: configuration(6), drainedZones });
+    expect(catalog.operators().configuration?.version).toBe(7);
+  });
+
+  it('keeps its configuration when the row turns unreadable', () => {
+    const catalog = createCatalog();
+    const drainedZones = new Set<string>();
+    catalog.replaceOperators({ revision: 5, configuration: configuration(7), drainedZones });
+    catalog.replaceOperators({ revision: 6, configuration: undefined, drainedZones });
+    expect(catalog.operators().configuration?.version).toBe(7);
+  });
+});
+
+describe('servers whose rows lapsed with the store', () => {
+  const before = new Map([
+    ['one', server('one', 1)],
+    ['two', server('two', 2)],
+  ]);
+
+  it('are kept until they had time to register again', () => {
+    // The store was away for longer than a row lives. Its first list lacks servers that stand
+    // idle; dropping them would refuse callers for two seconds.
+    const listed = new Map([['one', server('one', 1)]]);
+    expect([...retainLapsed({ before, listed, sinceReturn: 100 }).keys()]).toEqual(['one', 'two']);
+    const after = retainLapsed({ before, listed, sinceReturn: LAPSE_MILLISECONDS });
+    expect([...after.keys()]).toEqual(['one']);
+  });
+
+  it('are gone when they had begun to leave, or another has their address', () => {
+    const leaving = new Map([['two', { ...server('two', 2), draining: true }]]);
+    expect(retainLapsed({ before: leaving, listed: new Map(), sinceReturn: 0 }).size).toBe(0);
+    const listed = new Map([['three', server('three', 2)]]);
+    expect(retainLapsed({ before, listed, sinceReturn: 0 }).has('two')).toBe(false);
+  });
+});
+
+const noAnswer = (): void => undefined;
+
+/** A store that gives prepared answers, one after the other. */
+function scripted(lists: RowList[], feeds: (Feed | Error)[]): Store {
+  return {
+    list: async () => lists.shift() ?? { rows: [], revision: 0 },
+    async feed() {
+      const next = feeds.shift();
+      if (next instanceof Error) throw next;
+      return next ?? new Promise<Feed>(noAnswer);
+    },
+    write: async () => {
+      throw new Error('not used');
+    },
+  };
+}
+
+async function follow(lists: RowList[], feeds: (Feed | Error)[]): Promise<string[]> {
+  const seen: string[] = [];
+  let finished: () => void = () => undefined;
+  const isFinished = new Promise<void>((resolve) => {
+    finished = resolve;
+  });
+  const follower = followTable({
+    store: scripted(lists, feeds),
+    table: 'table',
+    part: '',
+    waitMilliseconds: 1,
+    pauseMilliseconds: 0,
+    random: () => 0,
+    now: () => 0,
+    onRows(rows, revision) {
+      seen.push(`${revision}:${[...rows.keys()].join(',')}`);
+    },
+    onContact() {
+      if (lists.length === 0 && feeds.length === 0) finished();
+    },
+  });
+  follower.start();
+  await isFinished;
+  follower.stop();
+  return seen;
+}
+
+describe('following a table', () => {
+  it('applies changes and removals in order', async () => {
+    const seen = await follow(
+      [{ rows: [row('a', 'x', 1)], revision: 2 }],
+      [
+        { kind: FeedKind.Changes, rows: [row('b', 'y', 3)], revision: 3 },
+        { kind: FeedKind.Changes, rows: [row('a', undefined, 4)], revision: 4 },
+      ],
+    );
+    expect(seen).toEqual(['2:a', '3:a,b', '4:b']);
+  });
+
+  it('reads all again when the history is gone', async () => {
+    // The store drops its history in the gap in which a server left. Going on from the newest
+    // revision would keep that server for ever.
+    const seen = await follow(
+      [
+        { rows: [row('a', 'x', 1), row('b', 'x', 2)], revision: 2 },
+        { rows: [row('b', 'x', 2)], revision: 9 },
+      ],
+      [{ kind: FeedKind.HistoryGone }],
+    );
+    expect(seen).toEqual(['2:a,b', '9:b']);
+  });
+
+  it('does not take a list from behind what it knows', async () => {
+    const seen = await follow(
+      [
+        { rows: [row('a', 'x', 5)], revision: 5 },
+        { rows: [], revision: 3 },
+        { rows: [row('a', 'x', 5)], revision: 6 },
+      ],
+      [{ kind: FeedKind.HistoryGone }],
+    );
+    expect(seen).toEqual(['5:a', '6:a']);
+  });
+
+  it('goes on after calls that fail', async () => {
+    const seen = await follow(
+      [{ rows: [row('a', 'x', 1)], revision: 1 }],
+      [new Error('no answer'), { kind: FeedKind.Changes, rows: [row('b', 'y', 2)], revision: 2 }],
+    );
+    expect(seen).toEqual(['1:a', '2:a,b']);
+  });
+});
+
+describe('a copy for another entry', () => {
+  it('comes back as it was', () => {
+    const rows = new Map([['a', row('a', 'bytes', 4)]]);
+    const copy = decodeCopy(JSON.parse(JSON.stringify(encodeCopy(rows, 7))), 'table', '');
+    expect(copy).toEqual({ rows: [row('a', 'bytes', 4)], revision: 7 });
+  });
+
+  it('that is malformed is refused', () => {
+    expect(decodeCopy({ revision: 'x' }, 'table', '')).toBeUndefined();
+    expect(decodeCopy({ revision: 1, rows: [{ key: 3 }] }, 'table', '')).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/forwarding/src/event-splitter.test.ts
@@ -0,0 +1,32 @@
+import fc from 'fast-check';
+import { expect, it } from 'vitest';
+
+import { createEventSplitter } from './event-splitter.js';
+
+it('gives the same events however the bytes are cut', () => {
+  const text = 'id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\nevent: end\n\n';
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1 }), (sizes) => {
+      const splitter = createEventSplitter();
+      const events: { id: number | undefined; text: string }[] = [];
+      let offset = 0;
+      for (let index = 0; offset < text.length; index += 1) {
+        const size = sizes[index % sizes.length] ?? 1;
+        for (const { id, bytes } of splitter.push(Buffer.from(text.slice(offset, offset + size)))) {
+          events.push({ id, text: bytes.toString() });
+        }
+        offset += size;
+      }
+      expect(events.map(({ id }) => id)).toEqual([1, 2, undefined]);
+      expect(events.map((event) => event.text).join('')).toBe(text);
+      expect(splitter.hasRest()).toBe(false);
+    }),
+    { seed: 1 },
+  );
+});
+
+it('keeps back an event that is not finished', () => {
+  const splitter = createEventSplitter();
+  expect(splitter.push(Buffer.from('id: 1\ndata: o'))).toEqual([]);
+  expect(splitter.hasRest()).toBe(true);
+});
--- /dev/null
+++ b/packages/forwarding/src/shares.test.ts
@@ -0,0 +1,95 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import { createColdShare } from './cold-share.js';
+import { createRetryShare } from './retry-share.js';
+
+const BOUNDS = { ratio: 0.2, slack: 90, windowMilliseconds: 10_000 };
+
+interface Step {
+  readonly entry: number;
+  readonly wait: number;
+  readonly repeats: number;
+}
+
+const steps = fc.array(
+  fc.record({
+    entry: fc.nat(6),
+    wait: fc.nat(400),
+    repeats: fc.nat(3),
+  }),
+  { maxLength: 300 },
+);
+
+describe('shares that entries take without asking each other', () => {
+  it('of the retry budget never add up to more than the budget in any window', () => {
+    // A service turns grey and every entry repeats what fails. Each knows only its own requests;
+    // together they would multiply the load of a service that is failing already.
+    fc.assert(
+      fc.property(steps, (played: Step[]) => {
+        let now = 0;
+        const shares = Array.from({ length: 7 }, () =>
+          createRetryShare(
+            () => BOUNDS,
+            () => 7,
+            () => now,
+          ),
+        );
+        const requests: number[] = [];
+        const repeats: number[] = [];
+        for (const { entry, wait, repeats: wanted } of played) {
+          now += wait;
+          shares[entry]?.count('service');
+          requests.push(now);
+          for (let index = 0; index < wanted; index += 1) {
+            if (shares[entry]?.spend('service') === true) repeats.push(now);
+          }
+          const from = now - BOUNDS.windowMilliseconds;
+          const inWindow = (times: number[]): number => times.filter((at) => at >= from).length;
+          expect(inWindow(repeats)).toBeLessThanOrEqual(
+            BOUNDS.ratio * inWindow(requests) + BOUNDS.slack,
+          );
+        }
+      }),
+      { seed: 4, numRuns: 200 },
+    );
+  });
+
+  it('of a cold server never add up to more than it bears in any second', () => {
+    // A zone returns cold and every entry sends to it at once. Far above its cold rate the server
+    // crashes, and whoever waits there is lost.
+    const rate = 36;
+    fc.assert(
+      fc.property(steps, (played: Step[]) => {
+        let now = 0;
+        const shares = Array.from({ length: 7 }, () =>
+          createColdShare(
+            () => 7,
+            () => now,
+          ),
+        );
+        const sent: number[] = [];
+        for (const { entry, wait } of played) {
+          now += wait / 20;
+          const share = shares[entry];
+          if (share?.maySend('server', rate) === true) {
+            share.noteSent('server');
+            sent.push(now);
+          }
+          const from = now - 1000;
+          expect(sent.filter((at) => at > from).length).toBeLessThanOrEqual(rate);
+        }
+      }),
+      { seed: 5, numRuns: 200 },
+    );
+  });
+
+  it('leaves a server without a cold phase alone', () => {
+    const share = createColdShare(
+      () => 7,
+      () => 0,
+    );
+    for (let index = 0; index < 100; index += 1) share.noteSent('server');
+    expect(share.maySend('server', 0)).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/group-leader/src/group-leader.test.ts
@@ -0,0 +1,199 @@
+import { TransactionKind } from '@lapisbridge/catalog';
+import type { Store, StoreRow } from '@lapisbridge/catalog';
+import { createSilentLogger } from '@lapisbridge/logger';
+import { describe, expect, it } from 'vitest';
+
+import { composeMap } from './compose-map.js';
+import { createDemand } from './demand.js';
+import { createLeadership } from './leadership.js';
+import type { Leadership } from './leadership.js';
+import { createPassClock } from './pass-clock.js';
+import { decodeSidecarState, encodeSidecarState } from './sidecar-state.js';
+
+interface FakeStore extends Store {
+  isLosing: boolean;
+}
+
+/** One row under a condition; while it is losing, writes take effect and are not answered. */
+function fakeStore(): FakeStore {
+  let row: StoreRow | undefined;
+  let revision = 10;
+  return {
+    isLosing: false,
+    list: async () => ({ rows: row === undefined ? [] : [row], revision }),
+    feed: async () => {
+      throw new Error('not used');
+    },
+    async write(table, part, [write]) {
+      if (write === undefined || (row?.revision ?? 0) !== write.expectedRevision) {
+        return { kind: TransactionKind.Conflict, revision: 0 };
+      }
+      revision += 1;
+      row = { table, part, key: write.key, value: write.value, revision };
+      if (this.isLosing) return { kind: TransactionKind.Unknown, revision: 0 };
+      return { kind: TransactionKind.Applied, revision };
+    },
+  };
+}
+
+interface Member {
+  readonly leadership: Leadership;
+  readonly clock: { now: number };
+}
+
+function member(store: Store, instanceId: string, answering?: () => number | undefined): Member {
+  const clock = { now: 0 };
+  const leadership = createLeadership({
+    store,
+    instanceId,
+    host: instanceId,
+    ask: async () => answering?.(),
+    logger: createSilentLogger(),
+    now: () => clock.now,
+    random: () => 0.5,
+  });
+  return { leadership, clock };
+}
+
+describe('leading a group', () => {
+  it('falls to one of two that claim it at once', async () => {
+    const store = fakeStore();
+    const one = member(store, 'one');
+    const two = member(store, 'two');
+    one.clock.now = 5000;
+    two.clock.now = 5000;
+    await Promise.all([one.leadership.tend('group', 0), two.leadership.tend('group', 1)]);
+    const leading = [one, two].filter(({ leadership }) => leadership.fence() !== undefined);
+    expect(leading).toHaveLength(1);
+  });
+
+  it('is found out when the answer to the claim was lost', async () => {
+    // The row names this instance, and it does not know. Nobody would lead, and demand would
+    // shift away from the maps.
+    const store = fakeStore();
+    store.isLosing = true;
+    const one = member(store, 'one');
+    one.clock.now = 5000;
+    await one.leadership.tend('group', 0);
+    expect(one.leadership.fence()).toBeUndefined();
+    one.clock.now = 8000;
+    await one.leadership.tend('group', 0);
+    expect(one.leadership.fence()).toBe(11);
+  });
+
+  it('is not taken from a leader that lives although its datagrams do not arrive', async () => {
+    const store = fakeStore();
+    const one = member(store, 'one');
+    one.clock.now = 5000;
+    await one.leadership.tend('group', 0);
+    const two = member(store, 'two', () => one.leadership.fence());
+    two.clock.now = 5000;
+    await two.leadership.tend('group', 1);
+    expect(two.leadership.fence()).toBeUndefined();
+    expect(one.leadership.fence()).toBe(11);
+  });
+
+  it('ends when a newer leader is heard, and is in doubt after a standstill', async () => {
+    // A leader freezes, is replaced, and wakes with orders in mind: two leaders would steer the
+    // ranks by turns.
+    const store = fakeStore();
+    const one = member(store, 'one');
+    one.clock.now = 5000;
+    await one.leadership.tend('group', 0);
+    one.leadership.doubt();
+    expect(one.leadership.fence()).toBeUndefined();
+    const two = member(store, 'two');
+    two.clock.now = 9000;
+    await two.leadership.tend('group', 1);
+    one.clock.now = 9000;
+    await one.leadership.tend('group', 0);
+    expect(one.leadership.fence()).toBeUndefined();
+    expect(two.leadership.fence()).toBe(12);
+    expect(two.leadership.accept(11)).toBe(false);
+  });
+
+  it('names the former leader’s rank only if that leader was heard to be settled', async () => {
+    const store = fakeStore();
+    const one = member(store, 'one');
+    one.clock.now = 5000;
+    await one.leadership.tend('group', 4);
+    for (const isSettled of [false, true]) {
+      const next = member(store, `next ${isSettled}`);
+      next.leadership.heard(isSettled ? 12 : 11, isSettled);
+      next.clock.now = 9000;
+      await next.leadership.tend('group', 2);
+      expect(next.leadership.formerRank()).toBe(isSettled ? 2 : undefined);
+    }
+  });
+});
+
+describe('demand for experts', () => {
+  it('is what the counts grew by, and starts anew with a new epoch', () => {
+    let now = 0;
+    const demand = createDemand(1000, () => now);
+    demand.add(0, { epoch: 1, counts: [100, 100] });
+    now = 10;
+    demand.add(0, { epoch: 1, counts: [110, 130] });
+    expect(demand.total()).toBe(40);
+    demand.add(0, { epoch: 2, counts: [5, 5] });
+    expect(demand.total()).toBe(40);
+  });
+
+  it('counts a slow rank as slower', () => {
+    const demand = createDemand(1000, () => 0);
+    demand.add(0, { epoch: 1, counts: [0, 0] });
+    expect(demand.loads(1, [1, 2])[0]?.speeds).toEqual([1, 0.5]);
+  });
+});
+
+describe('a map put together from the ranks', () => {
+  const profile = { sets: 1, experts: 3, placesPerRank: 2, newPerRank: 1 };
+
+  it('fills a rank that is out of sight with what nobody else holds', () => {
+    const composed = composeMap([{ version: 4, experts: [[0, 1]] }, undefined], 4, profile);
+    expect(composed).toEqual({ map: { sets: [{ experts: [[0, 1], [2]] }] }, isWhole: false });
+  });
+
+  it('is not made of two versions, nor of too few ranks', () => {
+    const one = { version: 4, experts: [[0, 1, 2]] };
+    expect(composeMap([one, { version: 5, experts: [[0]] }], 4, profile)).toBeUndefined();
+    expect(composeMap([one, undefined, undefined], 4, profile)).toBeUndefined();
+  });
+});
+
+it('measures a pass over the last tenths of a second', () => {
+  let now = 0;
+  const clock = createPassClock(() => now);
+  for (let step = 0; step < 20; step += 1) {
+    clock.observe(step);
+    now += 50;
+  }
+  expect(clock.milliseconds()).toBe(50);
+});
+
+it('tells its state in datagrams without losing counts', () => {
+  const report = {
+    group: 'group',
+    rank: 1,
+    size: 2,
+    epoch: 1,
+    isOpen: true,
+    step: 5,
+    activeVersion: 3,
+    preparedVersion: undefined,
+    armed: undefined,
+    heldStep: undefined,
+    pace: 1,
+    running: 0,
+    waiting: 0,
+  };
+  const state = {
+    report,
+    backendServer: { host: '10.0.0.1', port: 80 },
+    fence: 4,
+    isSettled: true,
+    counts: { epoch: 1, counts: [0, 4_000_000_000] },
+  };
+  const decoded = decodeSidecarState(JSON.parse(JSON.stringify(encodeSidecarState(state))));
+  expect(decoded).toMatchObject({ fence: 4, isSettled: true, counts: state.counts });
+});
--- a/vitest.config.js
+++ b/vitest.config.js
@@ -12,7 +12,7 @@
 export default defineConfig({
   resolve: { alias },
   test: {
-    include: ['packages/*/src/**/*.test.ts'],
+    include: ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts'],
     testTimeout: 120_000,
     hookTimeout: 120_000,
     maxWorkers: 4,
