Serve metrics on the platform, bundle only what is used, and spread later returns

Cause: the settings name a metrics address and nothing listened there; the bundles had grown to 1.6 MB by libraries that neither program calls; callers refused by a broken group were told to come back while it was still broken. The effect on refused callers is not measured alone.

--- a/packages/entry/src/caller/caller-options.ts
+++ b/packages/entry/src/caller/caller-options.ts
@@ -7,10 +7,10 @@
 import { LapisError, ResultCode } from '@lapisbridge/errors';
 import type { Instance } from '@lapisbridge/instance';
 
+import type { Metrics } from '@lapisbridge/metrics';
 import type { Accounts } from '../accounts.js';
 import type { CallContext } from '../call-types.js';
 import type { InFlightLimits } from '../in-flight-limits.js';
-import type { Metrics } from '../metrics.js';
 
 export interface CallerOptions {
   readonly instance: Instance;
--- a/packages/entry/src/caller/handle-call.ts
+++ b/packages/entry/src/caller/handle-call.ts
@@ -8,10 +8,10 @@
 import { LapisError, ResultCode } from '@lapisbridge/errors';
 import { OperationKind, Ran } from '@lapisbridge/types';
 
+import { LatencyKind } from '@lapisbridge/metrics';
 import { serveCall } from '../call.js';
 import type { ServiceAnswer } from '../call-types.js';
 import { createDeadline, parseTimeout } from '../deadline.js';
-import { LatencyKind } from '../metrics.js';
 import { readBody } from '../read-body.js';
 import { headerOf, requireDocument, whenGone } from './caller-options.js';
 import type { CallerOptions, Exchange } from './caller-options.js';
--- a/packages/entry/src/caller/handle-draft.ts
+++ b/packages/entry/src/caller/handle-draft.ts
@@ -6,12 +6,12 @@
 import type { EnvironmentDocument, ModelPolicy } from '@lapisbridge/config';
 import { LapisError, ResultCode, toLapisError } from '@lapisbridge/errors';
 
+import { LatencyKind } from '@lapisbridge/metrics';
+import type { Metrics } from '@lapisbridge/metrics';
 import { createEventSink, createJsonSink } from '../answer-sink.js';
 import { createDeadline, parseTimeout } from '../deadline.js';
 import { serveDraft } from '../draft.js';
 import { parseDraft } from '../draft-request.js';
-import { LatencyKind } from '../metrics.js';
-import type { Metrics } from '../metrics.js';
 import { readBody } from '../read-body.js';
 import { headerOf, requireDocument, whenGone } from './caller-options.js';
 import type { CallerOptions, Exchange } from './caller-options.js';
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -11,6 +11,7 @@
 import { MessageKind } from '@lapisbridge/wire';
 import type { Channel, Message } from '@lapisbridge/wire';
 
+import { createMetrics } from '@lapisbridge/metrics';
 import { createAccounts } from './accounts.js';
 import { createBackendPool } from './backend-pool.js';
 import type { BackendPool } from './backend-pool.js';
@@ -20,7 +21,6 @@
 import { createHedgeTimer } from './hedge-timer.js';
 import { createHttpListener } from './http-listener.js';
 import { createInFlightLimits } from './in-flight-limits.js';
-import { createMetrics } from './metrics.js';
 import { createOperatorApi } from './operator-api.js';
 
 export interface Entry {
--- a/packages/forwarding/src/caller-listener.ts
+++ b/packages/forwarding/src/caller-listener.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
 import { RequestKind } from '@lapisbridge/catalog';
+import { LatencyKind } from '@lapisbridge/metrics';
 
 import { AdmissionKind, Impropriety, planAdmission } from './accept-request.js';
 import { createCallerAnswer } from './caller-answer.js';
@@ -104,6 +105,7 @@
     });
     const headers = context.protocol.encodeOwnAnswer(request.requestId, retryAfter);
     answer.send(status, headers, Buffer.alloc(0));
+    context.metrics.countRequest('not admitted', status);
   }
 
   async function serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -145,6 +147,8 @@
         context.retryShare.count(admission.service);
         if (admission.route.kind === RequestKind.Streaming) await serveStream(context, accepted);
         else await servePlain(context, accepted);
+        context.metrics.countRequest(admission.route.kind, answer.status);
+        context.metrics.observe(LatencyKind.Answer, context.now() - arrivedAt);
         return;
       }
       default: {
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -3,6 +3,7 @@
  */
 import type { Catalog, ClientAccount, Configuration, Route } from '@lapisbridge/catalog';
 import type { Logger } from '@lapisbridge/logger';
+import type { Metrics } from '@lapisbridge/metrics';
 
 import type { CallerAnswer } from './caller-answer.js';
 import type { CallerProtocol, CallerRequest } from './caller-protocol.js';
@@ -20,6 +21,7 @@
   readonly coldShare: ColdShare;
   readonly pulse: Pulse;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly ownZone: string;
   now(): number;
   random(): number;
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -8,6 +8,7 @@
 import { createCatalog, RequestKind } from '@lapisbridge/catalog';
 import type { BackendServer, Catalog, Configuration, Route } from '@lapisbridge/catalog';
 import { createSilentLogger } from '@lapisbridge/logger';
+import { createMetrics } from '@lapisbridge/metrics';
 
 import { createCallerListener } from './caller-listener.js';
 import type { CallerProtocol } from './caller-protocol.js';
@@ -201,6 +202,7 @@
     coldShare: createColdShare(() => 1, now),
     pulse: { ...createPulse(now), isStuck: () => isStuck.value },
     logger: createSilentLogger(),
+    metrics: createMetrics(),
     ownZone: 'zone',
     now,
     // Without randomness servers are chosen in the order of their names.
--- a/packages/forwarding/src/plan-retry-after.ts
+++ b/packages/forwarding/src/plan-retry-after.ts
@@ -26,16 +26,17 @@
   [RefusalCause.NoServer]: 1500,
   // Answers last one to two seconds, so that a queue moves on in that time.
   [RefusalCause.Full]: 1200,
-  // A stall of 1.5 s and the forming of the group.
-  [RefusalCause.GroupBroken]: 2000,
+  // A rank that died or was cut off is rarely back sooner than after a stall of 1.5 s and the
+  // forming of the group; callers come back once, so rather late than in vain.
+  [RefusalCause.GroupBroken]: 2600,
   [RefusalCause.BudgetSpent]: 1200,
   [RefusalCause.Expired]: 0,
 };
 
 /** Callers wait no longer than this share of the time they have left. */
 const LONGEST_SHARE = 1 / 3;
-/** Spread of the times told, so that callers do not come back together. */
-const SPREAD = 0.5;
+/** Share by which times are shortened at random, so that callers do not come back together. */
+const SPREAD = 0.35;
 
 /** Milliseconds; `random` is uniform in [0, 1). */
 export function planRetryAfter(
@@ -43,6 +44,6 @@
   remainingMilliseconds: number,
   random: number,
 ): number {
-  const usual = USUAL_MILLISECONDS[cause] * (1 - SPREAD / 2 + SPREAD * random);
-  return Math.floor(Math.min(usual, remainingMilliseconds * LONGEST_SHARE));
+  const longest = Math.min(USUAL_MILLISECONDS[cause], remainingMilliseconds * LONGEST_SHARE);
+  return Math.floor(longest * (1 - SPREAD * random));
 }
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -5,6 +5,7 @@
  */
 import type { BackendServer } from '@lapisbridge/catalog';
 import { sleep } from '@lapisbridge/kernel';
+import { LatencyKind } from '@lapisbridge/metrics';
 import { ServerChoiceKind } from '@lapisbridge/routing';
 
 import type { AnswerHead } from './caller-protocol.js';
@@ -70,7 +71,10 @@
   const sink: StreamSink = {
     lastEventId: () => state.lastEventId,
     onEvent(head: AnswerHead, event: StreamEvent) {
-      if (!answer.hasBegun) answer.begin(head.status, head.headers);
+      if (!answer.hasBegun) {
+        answer.begin(head.status, head.headers);
+        context.metrics.observe(LatencyKind.FirstEvent, context.now() - accepted.arrivedAt);
+      }
       state.lastEventId = event.id ?? state.lastEventId;
       state.lastEventAt = context.now();
       return answer.write(event.bytes);
--- a/packages/entry/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -15,6 +15,10 @@
   FirstToken = 'first_token',
   Draft = 'draft',
   Call = 'call',
+  /** First event of a stream, from the request's arrival. */
+  FirstEvent = 'first_event',
+  /** A whole answer, from the request's arrival. */
+  Answer = 'answer',
 }
 
 export interface Metrics {
