Test the orders of a rollout and the choice of a server, and list one fault as known red

Cause of the known red: a grey server answers fast with errors, and the doubt about it is weighed by its own short times, so it still draws requests from a sound server at half load.

--- /dev/null
+++ b/packages/placement/src/plan-hold-orders.test.ts
@@ -0,0 +1,134 @@
+import { describe, expect, it } from 'vitest';
+
+import { initialMap } from './expert-map.js';
+import { planGroupMap } from './plan-group-map.js';
+import { initialRollout, planHoldRollout, RolloutPhase } from './plan-hold-rollout.js';
+import type { RolloutInput, RolloutPlan, RolloutState } from './plan-hold-rollout.js';
+import { RankOrderKind } from './rank-report.js';
+import type { RankReport } from './rank-report.js';
+
+const RANKS = 4;
+const MAP = { sets: [initialMap(8, RANKS)] };
+const TARGET = { version: 7, map: MAP };
+const VOIDING = { version: 5, map: MAP };
+
+function report(rank: number, fields: Partial<RankReport> = {}): RankReport {
+  return {
+    group: 'group',
+    rank,
+    size: RANKS,
+    epoch: 1,
+    isOpen: true,
+    step: 100,
+    activeVersion: 3,
+    preparedVersion: undefined,
+    armed: undefined,
+    heldStep: undefined,
+    pace: 1,
+    running: 0,
+    waiting: 0,
+    ...fields,
+  };
+}
+
+function plan(
+  reports: readonly (RankReport | undefined)[],
+  state: Partial<RolloutState>,
+  input: Partial<RolloutInput> = {},
+): RolloutPlan {
+  return planHoldRollout({
+    state: { ...initialRollout(1), ...state },
+    reports,
+    ownRank: 0,
+    formerRank: undefined,
+    passMilliseconds: 40,
+    voiding: VOIDING,
+    ...input,
+  });
+}
+
+const ranks = [0, 1, 2, 3];
+const prepared = ranks.map((rank) => report(rank, { preparedVersion: 7 }));
+const settled = { isSettled: true, target: TARGET };
+
+describe('orders of a rollout', () => {
+  it('hold a pass that the group does not reach before all ranks are armed', () => {
+    // Held two passes ahead, a group with short passes stood still until the last rank was armed,
+    // and every open stream paused for longer than its readers bear.
+    for (const passMilliseconds of [30, 45, 90]) {
+      const [first] = plan(prepared, settled, { passMilliseconds }).orders;
+      const step = first?.order.kind === RankOrderKind.Hold ? first.order.step : 0;
+      expect((step - 100) * passMilliseconds).toBeGreaterThanOrEqual(160);
+    }
+  });
+
+  it('hold at another rank than the leader’s own', () => {
+    // A leader that freezes takes the rank on its machine out of reach; a hold there would keep
+    // the group until it wakes.
+    expect(plan(prepared, settled).orders[0]?.rank).not.toBe(0);
+  });
+
+  it('arm the leader’s own rank only after all others', () => {
+    const held = prepared.map((one) => (one.rank === 1 ? { ...one, heldStep: 105 } : one));
+    const state = { ...settled, heldStep: 105 };
+    expect(plan(held, state).orders.map(({ rank }) => rank)).toEqual([1, 2, 3]);
+    const armed = held.map((one) =>
+      one.rank === 0 ? one : { ...one, armed: { version: 7, step: 105 } },
+    );
+    expect(plan(armed, { ...state, armsSent: true }).orders.map(({ rank }) => rank)).toEqual([0]);
+  });
+
+  it('clear a hold whose leader is out of sight, by voiding and then releasing', () => {
+    // The leader froze with its machine just after it held the group: rank 3 does not answer.
+    const seen = prepared.map((one) => {
+      if (one.rank === 3) return undefined;
+      return one.rank === 1 ? { ...one, heldStep: 105 } : one;
+    });
+    const voiding = plan(seen, {}, { formerRank: 3, voiding: { version: 9, map: MAP } });
+    expect(voiding.phase).toBe(RolloutPhase.Clearing);
+    expect(voiding.orders.every(({ order }) => order.kind === RankOrderKind.Prepare)).toBe(true);
+    const voided = seen.map((one) => (one === undefined ? one : { ...one, preparedVersion: 9 }));
+    const released = plan(voided, {}, { formerRank: 3, voiding: { version: 9, map: MAP } });
+    expect(released.orders).toEqual([
+      { rank: 1, order: { kind: RankOrderKind.Release, epoch: 1, step: 105 } },
+    ]);
+  });
+
+  it('leave a hold alone while a rank that may be armed is out of sight', () => {
+    const seen = prepared.map((one) => {
+      if (one.rank === 3) return undefined;
+      return one.rank === 1 ? { ...one, heldStep: 105 } : one;
+    });
+    expect(plan(seen, {}, { formerRank: 2 }).orders).toEqual([]);
+  });
+
+  it('release a hold of its own when ranks fall out of sight before any was armed', () => {
+    const seen = prepared.map((one) => (one.rank === 3 ? undefined : one));
+    const { orders, state } = plan(seen, { ...settled, heldStep: 105 });
+    expect(orders.map(({ order }) => order.kind)).toEqual([RankOrderKind.Release]);
+    expect(state.spentSteps.has(105)).toBe(true);
+  });
+});
+
+describe('maps of a whole group', () => {
+  it('take the load off a hot expert with one load a rank and set', () => {
+    const tokens = [100, 1, 1, 1, 1, 1, 1, 1];
+    const load = { tokens, speeds: [1, 1, 1, 1] };
+    const policy = { placesPerRank: 3, newPerRank: 1, minimumGain: 0.1 };
+    const decision = planGroupMap(MAP, [load], policy);
+    expect(decision.isWorthIt).toBe(true);
+    expect(decision.skewBefore).toBeGreaterThan(3);
+    expect(decision.skewAfter).toBeLessThan(1.1);
+    for (const [rank, held] of decision.map.sets[0]?.experts.entries() ?? []) {
+      const before = new Set(MAP.sets[0]?.experts[rank]);
+      expect(held.filter((expert) => !before.has(expert)).length).toBeLessThanOrEqual(1);
+      expect(held.length).toBeLessThanOrEqual(3);
+    }
+  });
+
+  it('are left alone when the load is even', () => {
+    const load = { tokens: new Array(8).fill(10), speeds: [1, 1, 1, 1] };
+    const policy = { placesPerRank: 3, newPerRank: 1, minimumGain: 0.1 };
+    expect(planGroupMap(MAP, [load], policy)).toMatchObject({ isWorthIt: false, moves: 0 });
+  });
+});
--- /dev/null
+++ b/packages/routing/src/plan-server.test.ts
@@ -0,0 +1,54 @@
+import { describe, expect, it } from 'vitest';
+
+import { planServer, ServerChoiceKind } from './plan-server.js';
+import type { ServerView } from './plan-server.js';
+
+function view(instanceId: string, fields: Partial<ServerView> = {}): ServerView {
+  return {
+    instanceId,
+    availabilityZone: 'zone',
+    slots: 8,
+    outstanding: 0,
+    unreadTokens: 0,
+    typicalMilliseconds: 100,
+    suspicion: 0,
+    maySend: true,
+    ...fields,
+  };
+}
+
+function choose(views: readonly ServerView[], excluded: readonly string[] = []) {
+  const choice = planServer({
+    views,
+    ownZone: 'zone',
+    excluded: new Set(excluded),
+    readTokensPerMillisecond: 75,
+    random: () => 0,
+  });
+  return choice.kind === ServerChoiceKind.Chosen ? choice.view.instanceId : choice.kind;
+}
+
+describe('choosing a server that is called directly', () => {
+  it('prefers room to the own zone, and the own zone when equal', () => {
+    expect(choose([view('far', { availabilityZone: 'other' }), view('near')])).toBe('near');
+    const full = view('near', { outstanding: 16 });
+    expect(choose([view('far', { availabilityZone: 'other' }), full])).toBe('far');
+  });
+
+  it('counts prompts that are sent there and not read yet', () => {
+    expect(choose([view('reading', { unreadTokens: 2000 }), view('free')])).toBe('free');
+  });
+
+  // Known red, see KNOWN-RED.txt: the doubt is weighed by the failing server's own short times.
+  it.fails('uses a server that fails only when no other is left', () => {
+    // A grey server answers fast with errors, so by its load alone it would draw every request.
+    const grey = view('grey', { suspicion: 2, typicalMilliseconds: 20 });
+    expect(choose([grey, view('sound', { outstanding: 4 })])).toBe('sound');
+    expect(choose([grey, view('sound')], ['sound'])).toBe('grey');
+  });
+
+  it('tells servers that are limited from servers that are not there', () => {
+    expect(choose([view('cold', { maySend: false })])).toBe(ServerChoiceKind.AllLimited);
+    expect(choose([])).toBe(ServerChoiceKind.NoneLeft);
+  });
+});
