Replace a frozen leader sooner where it holds the group

Callers leave a stream after 2 s. Now the rank that is held claims after 0.4 s of silence (the named leader is asked first), and a sidecar that did not answer is passed over for 0.5 s.

--- a/packages/group-leader/src/group-leader.test.ts
+++ b/packages/group-leader/src/group-leader.test.ts
@@ -62,7 +62,10 @@
     const two = member(store, 'two');
     one.clock.now = 5000;
     two.clock.now = 5000;
-    await Promise.all([one.leadership.tend('group', 0), two.leadership.tend('group', 1)]);
+    await Promise.all([
+      one.leadership.tend({ group: 'group', rank: 0, isHeld: false }),
+      two.leadership.tend({ group: 'group', rank: 1, isHeld: false }),
+    ]);
     const leading = [one, two].filter(({ leadership }) => leadership.fence() !== undefined);
     expect(leading).toHaveLength(1);
   });
@@ -74,10 +77,10 @@
     store.isLosing = true;
     const one = member(store, 'one');
     one.clock.now = 5000;
-    await one.leadership.tend('group', 0);
+    await one.leadership.tend({ group: 'group', rank: 0, isHeld: false });
     expect(one.leadership.fence()).toBeUndefined();
     one.clock.now = 8000;
-    await one.leadership.tend('group', 0);
+    await one.leadership.tend({ group: 'group', rank: 0, isHeld: false });
     expect(one.leadership.fence()).toBe(11);
   });
 
@@ -85,10 +88,10 @@
     const store = fakeStore();
     const one = member(store, 'one');
     one.clock.now = 5000;
-    await one.leadership.tend('group', 0);
+    await one.leadership.tend({ group: 'group', rank: 0, isHeld: false });
     const two = member(store, 'two', () => one.leadership.fence());
     two.clock.now = 5000;
-    await two.leadership.tend('group', 1);
+    await two.leadership.tend({ group: 'group', rank: 1, isHeld: false });
     expect(two.leadership.fence()).toBeUndefined();
     expect(one.leadership.fence()).toBe(11);
   });
@@ -99,29 +102,44 @@
     const store = fakeStore();
     const one = member(store, 'one');
     one.clock.now = 5000;
-    await one.leadership.tend('group', 0);
+    await one.leadership.tend({ group: 'group', rank: 0, isHeld: false });
     one.leadership.doubt();
     expect(one.leadership.fence()).toBeUndefined();
     const two = member(store, 'two');
     two.clock.now = 9000;
-    await two.leadership.tend('group', 1);
+    await two.leadership.tend({ group: 'group', rank: 1, isHeld: false });
     one.clock.now = 9000;
-    await one.leadership.tend('group', 0);
+    await one.leadership.tend({ group: 'group', rank: 0, isHeld: false });
     expect(one.leadership.fence()).toBeUndefined();
     expect(two.leadership.fence()).toBe(12);
     expect(two.leadership.accept(11)).toBe(false);
   });
 
+  it('is claimed sooner by the rank that holds the group', async () => {
+    // The leader freezes while a hold stands, and with it every stream of the group. Callers
+    // leave after two seconds, so nobody may wait for the usual silence.
+    const store = fakeStore();
+    const held = member(store, 'held');
+    const other = member(store, 'other');
+    for (const { leadership } of [held, other]) leadership.heard(5, true);
+    held.clock.now = 500;
+    other.clock.now = 500;
+    await other.leadership.tend({ group: 'group', rank: 0, isHeld: false });
+    expect(other.leadership.fence()).toBeUndefined();
+    await held.leadership.tend({ group: 'group', rank: 9, isHeld: true });
+    expect(held.leadership.fence()).toBe(11);
+  });
+
   it('names the former leader’s rank only if that leader was heard to be settled', async () => {
     const store = fakeStore();
     const one = member(store, 'one');
     one.clock.now = 5000;
-    await one.leadership.tend('group', 4);
+    await one.leadership.tend({ group: 'group', rank: 4, isHeld: false });
     for (const isSettled of [false, true]) {
       const next = member(store, `next ${isSettled}`);
       next.leadership.heard(isSettled ? 12 : 11, isSettled);
       next.clock.now = 9000;
-      await next.leadership.tend('group', 2);
+      await next.leadership.tend({ group: 'group', rank: 2, isHeld: false });
       expect(next.leadership.formerRank()).toBe(isSettled ? 2 : undefined);
     }
   });
--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -350,7 +350,11 @@
       leadership.doubt();
       state = initialRollout(-1);
     }
-    await leadership.tend(own.group, own.rank);
+    await leadership.tend({
+      group: own.group,
+      rank: own.rank,
+      isHeld: own.heldStep !== undefined,
+    });
     const fence = leadership.fence();
     if (fence === undefined) {
       ledFence = undefined;
--- a/packages/group-leader/src/leadership.ts
+++ b/packages/group-leader/src/leadership.ts
@@ -21,6 +21,14 @@
   random(): number;
 }
 
+/** The rank beside this instance, as far as leading its group goes. */
+export interface GroupMember {
+  readonly group: string;
+  readonly rank: number;
+  /** Whether this rank keeps the group from beginning a pass. */
+  readonly isHeld: boolean;
+}
+
 export interface Leadership {
   /** Fencing number while this instance leads. */
   fence(): number | undefined;
@@ -31,7 +39,7 @@
   /** Notes that the leader was heard just now. */
   heard(fence: number, isSettled: boolean): void;
   /** Claims the group when its leader has been silent for long enough. */
-  tend(group: string, rank: number): Promise<void>;
+  tend(member: GroupMember): Promise<void>;
   /** Called after this process stood still: it may have been replaced meanwhile. */
   doubt(): void;
 }
@@ -46,6 +54,12 @@
 const TABLE = 'group-leaders';
 /** Silence of the leader before it is replaced: six of its beats. */
 const SILENT_MILLISECONDS = 1000;
+/**
+ * The same where a hold stands at this rank. A leader that freezes then stops every stream of
+ * the group, and callers leave after two seconds; with the usual silence, claim and look a group
+ * was held for 2.4 s. The named leader is asked before it is replaced, so haste costs one read.
+ */
+const HELD_SILENT_MILLISECONDS = 400;
 /** Ranks claim one after the other, so that the first is usually alone. */
 const STAGGER_MILLISECONDS = 120;
 /**
@@ -140,10 +154,11 @@
       heardAt = now();
       if (own !== undefined && fence > own) stepDown('a newer leader is heard');
     },
-    async tend(group, rank) {
+    async tend({ group, rank, isHeld }) {
       if (claiming || now() < nextClaimAt) return;
       const silence = now() - heardAt;
-      const isDue = silence > SILENT_MILLISECONDS + rank * STAGGER_MILLISECONDS;
+      const usual = SILENT_MILLISECONDS + rank * STAGGER_MILLISECONDS;
+      const isDue = silence > (isHeld ? HELD_SILENT_MILLISECONDS : usual);
       if (own === undefined && !isDue) return;
       if (own !== undefined && !isDoubted) return;
       claiming = true;
--- a/packages/group-leader/src/rank-link.ts
+++ b/packages/group-leader/src/rank-link.ts
@@ -64,12 +64,18 @@
 const RELAY_MILLISECONDS = 180;
 /** A rank that did not answer is not waited for again at once: the others go on meanwhile. */
 const UNREACHABLE_MILLISECONDS = 500;
+/**
+ * A sidecar that did not answer is passed over for this long. Its machine may be frozen, and a
+ * leader that waits for it with every question holds a group 0.7 s longer.
+ */
+const SILENT_SIDECAR_MILLISECONDS = 500;
 
 export function createRankLink(engine: RankEngine, now: () => number): RankLink {
   // All ranks are asked several times in a rollout, and a new connection each time would take
   // the leader longer than the answers do.
   const kept = new Agent({ keepAlive: true });
   const unreachableUntil = new Map<string, number>();
+  const silentUntil = new Map<string, number>();
 
   async function relay<T>(
     target: RankTarget,
@@ -89,19 +95,31 @@
     return answer.body as T;
   }
 
-  async function orElse<T>(first: Promise<T>, second: () => Promise<T>): Promise<T | undefined> {
-    try {
-      return await first;
-    } catch {
-      return second().catch(() => undefined);
+  /** Through the rank's sidecar, or straight to its backend server where that is silent. */
+  async function reach<T>(
+    target: RankTarget,
+    relayed: () => Promise<T>,
+    direct: () => Promise<T>,
+  ): Promise<T | undefined> {
+    const { host } = target.sidecar;
+    if ((silentUntil.get(host) ?? 0) < now()) {
+      try {
+        return await relayed();
+      } catch {
+        silentUntil.set(host, now() + SILENT_SIDECAR_MILLISECONDS);
+      }
     }
+    return direct().catch(() => undefined);
   }
 
   async function report(target: RankTarget): Promise<RankReport | undefined> {
     const { host } = target.backendServer;
     if ((unreachableUntil.get(host) ?? 0) > now()) return undefined;
-    const relayed = relay<RankReport | undefined>(target, 'GET', RelayPath.Report, undefined);
-    const found = await orElse(relayed, () => engine.report(target.backendServer));
+    const found = await reach(
+      target,
+      () => relay<RankReport | undefined>(target, 'GET', RelayPath.Report, undefined),
+      () => engine.report(target.backendServer),
+    );
     if (found === undefined) unreachableUntil.set(host, now() + UNREACHABLE_MILLISECONDS);
     else unreachableUntil.delete(host);
     return found;
@@ -110,21 +128,27 @@
   return {
     report,
     map: (target) =>
-      orElse(relay<RankMap | undefined>(target, 'GET', RelayPath.Map, undefined), () =>
-        engine.map(target.backendServer),
+      reach(
+        target,
+        () => relay<RankMap | undefined>(target, 'GET', RelayPath.Map, undefined),
+        () => engine.map(target.backendServer),
       ),
     async order(target, relayed) {
       if (relayed.order.kind !== RankOrderKind.Prepare) {
         return engine.order(target.backendServer, relayed.order).catch(() => OrderOutcome.Unknown);
       }
-      const viaSidecar = relay<{ outcome: OrderOutcome }>(
+      const outcome = await reach(
         target,
-        'POST',
-        RelayPath.Order,
-        relayed,
-      ).then(({ outcome }) => outcome);
-      const outcome = await orElse(viaSidecar, () =>
-        engine.order(target.backendServer, relayed.order),
+        async () => {
+          const answer = await relay<{ outcome: OrderOutcome }>(
+            target,
+            'POST',
+            RelayPath.Order,
+            relayed,
+          );
+          return answer.outcome;
+        },
+        () => engine.order(target.backendServer, relayed.order),
       );
       return outcome ?? OrderOutcome.Unknown;
     },
