--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,5 +1,5 @@
 /**
- * The command line: reads arguments and calls the operators' HTTP.
+ * The command line: reads arguments, and calls the operators' HTTP or reads logs.
  */
 import { Builtins, Cli } from 'clipanion';
 
@@ -17,6 +17,7 @@
   ZoneRestoreCommand,
 } from './commands/drain-and-restore.js';
 import { ExplainCommand } from './commands/explain.js';
+import { IncidentCommand } from './commands/incident.js';
 import { StatusCommand } from './commands/status.js';
 
 export function createCli(): Cli {
@@ -34,6 +35,7 @@
     InstanceDrainCommand,
     InstanceRestoreCommand,
     ExplainCommand,
+    IncidentCommand,
     ChangeShowCommand,
     Builtins.HelpCommand,
   ]) {
--- a/packages/errors/src/result-code.ts
+++ b/packages/errors/src/result-code.ts
@@ -39,6 +39,7 @@
   UnknownChange = 5007,
   SettingsInvalid = 6000,
   ConnectionFailed = 6001,
+  LogsUnreadable = 6002,
   LeaseLost = 7000,
   StaleFencingNumber = 7001,
   PrepareFailed = 7002,
@@ -184,6 +185,12 @@
     71,
     'Check --operator and the network.',
   ),
+  [ResultCode.LogsUnreadable]: entry(
+    'Logs unreadable',
+    500,
+    72,
+    'Name files that hold the JSON lines of processes.',
+  ),
   [ResultCode.LeaseLost]: entry('Lease lost', 409, 80, 'Nothing: another instance went on.'),
   [ResultCode.StaleFencingNumber]: entry(
     'Stale fencing number',
--- /dev/null
+++ b/packages/log-story/src/draw-timeline.ts
@@ -0,0 +1,142 @@
+/**
+ * A time line of what processes lost and regained, with the requests that went wrong at the
+ * instances concerned meanwhile. Lines of many instances on one matter become one period.
+ */
+import type { LogLine } from './read-log-lines.js';
+
+export interface Period {
+  readonly matter: string;
+  readonly from: string;
+  /** Undefined while it lasted to the end of the logs. */
+  readonly milliseconds: number | undefined;
+  readonly instances: readonly string[];
+  readonly cause: string;
+  readonly refused: number;
+  readonly failed: number;
+  /** Ids of some of the requests that were refused or failed, for `explain`. */
+  readonly examples: readonly string[];
+}
+
+export interface Timeline {
+  readonly periods: readonly Period[];
+  readonly requests: number;
+  readonly answered: number;
+  readonly refused: number;
+  readonly failed: number;
+  /** Requests that were refused or failed while nothing was lost at their instance. */
+  readonly unexplained: number;
+  readonly unexplainedExamples: readonly string[];
+}
+
+/** Losses of one matter that begin within this time of each other have one cause. */
+const TOGETHER_MILLISECONDS = 3000;
+const MAXIMUM_EXAMPLES = 3;
+
+interface Open {
+  readonly matter: string;
+  readonly fromAt: number;
+  readonly from: string;
+  readonly cause: string;
+  until: number | undefined;
+  readonly instances: Set<string>;
+  readonly awaited: Set<string>;
+}
+
+/** What begins or ends with a line; undefined for other lines. */
+function changeOf(line: LogLine): { matter: string; begins: boolean; cause: string } | undefined {
+  const { event, fields, instance } = line;
+  const cause = String(fields.cause ?? fields.reason ?? '');
+  switch (event) {
+    case 'store lost':
+    case 'store regained':
+      return { matter: 'store', begins: event === 'store lost', cause };
+    case 'group lost':
+    case 'group regained':
+      return { matter: `group ${String(fields.group)}`, begins: event === 'group lost', cause };
+    case 'stopping':
+      return { matter: `process ${instance}`, begins: true, cause: 'asked to stop' };
+    case 'started':
+      return { matter: `process ${instance}`, begins: false, cause };
+    default:
+      return undefined;
+  }
+}
+
+function collectPeriods(lines: readonly LogLine[]): Open[] {
+  const periods: Open[] = [];
+  for (const line of lines) {
+    const change = changeOf(line);
+    if (change === undefined) continue;
+    const { matter, begins, cause } = change;
+    const current = periods.findLast((period) => period.matter === matter);
+    if (begins) {
+      const isSame =
+        current !== undefined &&
+        (current.awaited.size > 0 || line.at - current.fromAt < TOGETHER_MILLISECONDS);
+      const period = isSame
+        ? current
+        : {
+            matter,
+            fromAt: line.at,
+            from: line.time,
+            cause,
+            until: undefined,
+            instances: new Set<string>(),
+            awaited: new Set<string>(),
+          };
+      if (!isSame) periods.push(period);
+      period.instances.add(line.instance);
+      period.awaited.add(line.instance);
+      period.until = undefined;
+    } else if (current?.awaited.delete(line.instance) === true && current.awaited.size === 0) {
+      current.until = line.at;
+    }
+  }
+  return periods;
+}
+
+/** The last decision about each request. */
+function outcomesOf(lines: readonly LogLine[]): Map<string, LogLine> {
+  const outcomes = new Map<string, LogLine>();
+  for (const line of lines) {
+    const isOutcome = line.kind === 'answer' || line.kind === 'refusal' || line.kind === 'failure';
+    if (isOutcome && line.subject !== undefined) outcomes.set(line.subject, line);
+  }
+  return outcomes;
+}
+
+function touches(period: Open, line: LogLine): boolean {
+  if (!period.instances.has(line.instance) || line.at < period.fromAt) return false;
+  return period.until === undefined || line.at <= period.until;
+}
+
+/** `lines` are in order of time. */
+export function drawTimeline(lines: readonly LogLine[]): Timeline {
+  const periods = collectPeriods(lines);
+  const outcomes = [...outcomesOf(lines)];
+  const wrong = outcomes.filter(([, { kind }]) => kind !== 'answer');
+  const unexplained = wrong.filter(([, line]) => !periods.some((one) => touches(one, line)));
+  const count = (kind: string): number => outcomes.filter(([, line]) => line.kind === kind).length;
+  return {
+    periods: periods.map((period) => {
+      const touched = wrong.filter(([, line]) => touches(period, line));
+      const refused = touched.filter(([, { kind }]) => kind === 'refusal').length;
+      return {
+        matter: period.matter,
+        from: period.from,
+        milliseconds: period.until === undefined ? undefined : period.until - period.fromAt,
+        instances: [...period.instances],
+        cause: period.cause,
+        refused,
+        failed: touched.length - refused,
+        examples: touched.slice(0, MAXIMUM_EXAMPLES).map(([id]) => id),
+      };
+    }),
+    requests: outcomes.length,
+    answered: count('answer'),
+    refused: count('refusal'),
+    failed: count('failure'),
+    unexplained: unexplained.length,
+    unexplainedExamples: unexplained.slice(0, MAXIMUM_EXAMPLES).map(([id]) => id),
+  };
+}
--- /dev/null
+++ b/packages/log-story/src/log-story.test.ts
@@ -0,0 +1,114 @@
+import { describe, expect, it } from 'vitest';
+
+import { drawTimeline, readLogLines, tellStory } from './index.js';
+
+interface Written {
+  readonly second: number;
+  readonly instance?: string;
+  readonly event?: string;
+  readonly [field: string]: unknown;
+}
+
+function write({ second, instance = 'entry-1', event = 'decision', ...fields }: Written): string {
+  const time = new Date(1_000_000 + second * 1000).toISOString();
+  return JSON.stringify({ time, level: 'info', instance, availabilityZone: 'a', event, ...fields });
+}
+
+function linesOf(...written: Written[]) {
+  return readLogLines([{ name: 'log', text: written.map(write).join('\n') }]).lines;
+}
+
+describe('reading lines', () => {
+  it('skips what gathering tools put before a line, and counts what is none', () => {
+    const text = `  12.3 entry-1 ${write({ second: 1 })}\nno line\n\n{"broken\n{"time":"never"}`;
+    const { lines, skipped } = readLogLines([{ name: 'log', text }]);
+    expect(lines).toHaveLength(1);
+    expect(skipped).toBe(3);
+  });
+
+  it('puts the lines of several processes in order', () => {
+    const late = write({ second: 2, instance: 'entry-2' });
+    const early = write({ second: 1 });
+    const { lines } = readLogLines([
+      { name: 'two', text: late },
+      { name: 'one', text: early },
+    ]);
+    expect(lines.map(({ instance }) => instance)).toEqual(['entry-1', 'entry-2']);
+  });
+});
+
+describe('the story of a request', () => {
+  const lost = { second: 1, event: 'group lost', group: 'g', cause: 'rank 2 in epoch 1' };
+  const refusal = { second: 3, kind: 'refusal', subject: 'id', choice: 'groupBroken', reason: 'x' };
+
+  it('names what its entry had lost when it was refused', () => {
+    // An engineer has a caller's complaint and its request id, and nothing but logs.
+    const story = tellStory(linesOf(lost, refusal), 'id');
+    expect(story?.cause).toBe(
+      'Refused as not run, since the lock-step group of its backend servers stood still ' +
+        '(group g: group lost, rank 2 in epoch 1 2.0 s before).',
+    );
+    expect(story?.beliefs).toMatchObject([{ matter: 'group g', ageMilliseconds: 2000 }]);
+  });
+
+  it('does not blame what another instance had lost, nor what was regained', () => {
+    const elsewhere = { ...lost, instance: 'entry-2' };
+    const regained = { second: 2, event: 'group regained', group: 'g', cause: 'rank 2 in epoch 2' };
+    for (const lines of [linesOf(elsewhere, refusal), linesOf(lost, regained, refusal)]) {
+      expect(tellStory(lines, 'id')?.cause).not.toContain('before');
+    }
+  });
+
+  it('says of a failure that the request may have run', () => {
+    const failure = {
+      second: 2,
+      kind: 'failure',
+      subject: 'id',
+      choice: 'unknown',
+      reason: 'reset',
+    };
+    expect(tellStory(linesOf(failure), 'id')?.cause).toBe('Failed, and may have run: reset.');
+  });
+
+  it('tells why an answer was late', () => {
+    const facts = { firstEvent: 700, longestPause: 140, sends: 2, milliseconds: 2000 };
+    const answer = { second: 2, kind: 'answer', subject: 'id', choice: 'i-1', facts };
+    expect(tellStory(linesOf(answer), 'id')?.cause).toBe(
+      'Answered by i-1 after 2000 ms; its first event came after 700 ms; ' +
+        'it paused for 140 ms; it took 2 sends.',
+    );
+  });
+
+  it('is none for an id that no line names', () => {
+    expect(tellStory(linesOf(refusal), 'other')).toBeUndefined();
+  });
+});
+
+describe('a time line', () => {
+  it('joins what several instances lost together, and counts the requests it touched', () => {
+    const lost = { event: 'store lost', reason: 'no answer in time' };
+    const regained = { event: 'store regained', reason: '' };
+    const lines = linesOf(
+      { second: 1, ...lost },
+      { second: 2, instance: 'entry-2', ...lost },
+      { second: 3, kind: 'refusal', subject: 'one', choice: 'noServer' },
+      { second: 4, ...regained },
+      { second: 5, instance: 'entry-2', kind: 'failure', subject: 'two', choice: 'unknown' },
+      { second: 6, instance: 'entry-2', ...regained },
+      { second: 7, kind: 'refusal', subject: 'three', choice: 'full' },
+    );
+    const timeline = drawTimeline(lines);
+    expect(timeline.periods).toMatchObject([
+      { matter: 'store', milliseconds: 5000, instances: ['entry-1', 'entry-2'] },
+    ]);
+    expect(timeline.periods[0]).toMatchObject({ refused: 1, failed: 1, examples: ['one', 'two'] });
+    expect(timeline).toMatchObject({ requests: 3, refused: 2, failed: 1, unexplained: 1 });
+  });
+
+  it('leaves open what was not regained', () => {
+    const lines = linesOf({ second: 1, event: 'group lost', group: 'g', cause: 'refused' });
+    expect(drawTimeline(lines).periods).toMatchObject([
+      { matter: 'group g', milliseconds: undefined },
+    ]);
+  });
+});
--- a/packages/logger/src/bounded-writer.ts
+++ b/packages/logger/src/bounded-writer.ts
@@ -16,9 +16,34 @@
 const STANDARD_OUTPUT = 1;
 /** A tenth of a second of lines costs one write. */
 const GATHER_MILLISECONDS = 100;
+/**
+ * Bytes of one write, whole lines. A pipe takes a write of up to 4,096 bytes in one piece; of a
+ * larger one a reader may get a part, and the lines that were cut are lost or mixed with those
+ * of other processes just in the busy moments that one wants to look at.
+ */
+const PIECE_BYTES = 4096;
 /** Bytes that may wait: some seconds of a busy instance. */
 const MAXIMUM_WAITING_BYTES = 1024 * 1024;
 
+/** Whole lines, as many a piece as fit; a longer line is a piece of its own. */
+export function cutIntoPieces(lines: readonly string[]): Buffer[] {
+  const pieces: Buffer[] = [];
+  let gathered: Buffer[] = [];
+  let size = 0;
+  for (const line of lines) {
+    const bytes = Buffer.from(line);
+    if (size > 0 && size + bytes.length > PIECE_BYTES) {
+      pieces.push(Buffer.concat(gathered));
+      gathered = [];
+      size = 0;
+    }
+    gathered.push(bytes);
+    size += bytes.length;
+  }
+  if (size > 0) pieces.push(Buffer.concat(gathered));
+  return pieces;
+}
+
 export function createBoundedWriter(descriptor = STANDARD_OUTPUT): BoundedWriter {
   let waiting: string[] = [];
   let waitingBytes = 0;
@@ -45,12 +70,14 @@
         waiting.push(`{"event":"log lines dropped","count":${dropped - toldDropped}}\n`);
         toldDropped = dropped;
       }
-      const bytes = Buffer.from(waiting.join(''));
+      const pieces = cutIntoPieces(waiting);
       waiting = [];
       waitingBytes = 0;
-      await new Promise<void>((resolve) => {
-        writeAll(bytes, resolve);
-      });
+      for (const piece of pieces) {
+        await new Promise<void>((resolve) => {
+          writeAll(piece, resolve);
+        });
+      }
     }
   }
 
