--- /dev/null
+++ b/packages/forwarding/src/open-forward.ts
@@ -0,0 +1,43 @@
+/**
+ * Opens the exchange that carries one attempt at a request to a backend server.
+ */
+import type { BackendServer } from '@lapisbridge/catalog';
+
+import { openExchange } from './exchange.js';
+import type { Exchange, ExchangeListener } from './exchange.js';
+import { remainingOf } from './forward-context.js';
+import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+
+/** Time for a connection within a region: some round trips of a few milliseconds. */
+const CONNECT_MILLISECONDS = 300;
+export interface ForwardAttempt {
+  readonly context: ForwardContext;
+  readonly accepted: AcceptedRequest;
+  readonly server: BackendServer;
+  /** Event of a stream behind which the server is to go on. */
+  readonly lastEventId: number | undefined;
+}
+
+export function openForward(attempt: ForwardAttempt, listener: ExchangeListener): Exchange {
+  const { context, accepted, server, lastEventId } = attempt;
+  const { request, body } = accepted;
+  const headers = context.protocol.encodeForward({
+    request,
+    priority: accepted.priority,
+    server,
+    account: accepted.account,
+    remainingMilliseconds: remainingOf(context, accepted),
+    lastEventId,
+    bodyBytes: body.length,
+  });
+  const options = {
+    host: server.host,
+    port: server.port,
+    method: request.method,
+    target: request.target,
+    headers,
+    body,
+    connectMilliseconds: CONNECT_MILLISECONDS,
+  };
+  return openExchange(options, listener);
+}
--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -5,10 +5,11 @@
 import type { BackendServer } from '@lapisbridge/catalog';
 
 import type { AnswerHead } from './caller-protocol.js';
-import { ExchangeEndKind, openExchange } from './exchange.js';
+import { describeRefusal, doubtHead, provesNotRun } from './answer-head.js';
+import { ExchangeEndKind } from './exchange.js';
 import type { Exchange, ExchangeEnd } from './exchange.js';
-import { remainingOf } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { openForward } from './open-forward.js';
 import { OutcomeKind } from './outcome.js';
 import type { Outcome } from './outcome.js';
 
@@ -18,36 +19,8 @@
   cancel(reason: string): void;
 }
 
-/** Time for a connection within a region: some round trips of a few milliseconds. */
-export const CONNECT_MILLISECONDS = 300;
 /** Largest answer that is held; beyond it the backend server is taken to be at fault. */
 const MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024;
-const SUCCESS_FROM = 200;
-const SUCCESS_TO = 300;
-
-export function isSuccess(status: number): boolean {
-  return status >= SUCCESS_FROM && status < SUCCESS_TO;
-}
-
-/** Reasons for which the head of an answer is not believed; undefined when it is sound. */
-export function doubtHead(head: AnswerHead, requestId: string): string | undefined {
-  if (head.requestId !== requestId) return 'answer to another request';
-  if (isSuccess(head.status) && !head.isSigned) return 'success without a signature';
-  return undefined;
-}
-
-export function describeRefusal(head: AnswerHead): string {
-  if (head.isMisdirected) return 'another server has the address';
-  return head.faultyAddress === undefined
-    ? 'refused by it'
-    : `refused, ${head.faultyAddress} at fault`;
-}
-
-/** Whether the head proves that the request did not run. */
-export function provesNotRun(head: AnswerHead): boolean {
-  return head.notRun || head.isMisdirected;
-}
-
 function judge(
   end: ExchangeEnd,
   head: AnswerHead | undefined,
@@ -102,7 +75,7 @@
   server: BackendServer,
 ): RunningAttempt {
   const { ledger, protocol } = context;
-  const { request, requestId, body } = accepted;
+  const { request, requestId } = accepted;
   const startedAt = context.now();
   let head: AnswerHead | undefined;
   const chunks: Buffer[] = [];
@@ -111,24 +84,8 @@
   ledger.sent(server.instanceId, 0);
   context.coldShare.noteSent(server.instanceId);
   const outcome = new Promise<Outcome>((resolve) => {
-    exchange = openExchange(
-      {
-        host: server.host,
-        port: server.port,
-        method: request.method,
-        target: request.target,
-        headers: protocol.encodeForward({
-          request,
-          priority: accepted.priority,
-          server,
-          account: accepted.account,
-          remainingMilliseconds: remainingOf(context, accepted),
-          lastEventId: request.lastEventId,
-          bodyBytes: body.length,
-        }),
-        body,
-        connectMilliseconds: CONNECT_MILLISECONDS,
-      },
+    exchange = openForward(
+      { context, accepted, server, lastEventId: request.lastEventId },
       {
         onHead(incoming) {
           head = protocol.decodeAnswer(incoming);
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -4,20 +4,14 @@
  */
 import type { BackendServer } from '@lapisbridge/catalog';
 
+import { describeRefusal, doubtHead, isSuccess, provesNotRun } from './answer-head.js';
 import type { AnswerHead } from './caller-protocol.js';
 import { createEventSplitter } from './event-splitter.js';
 import type { StreamEvent } from './event-splitter.js';
-import { ExchangeEndKind, openExchange } from './exchange.js';
+import { ExchangeEndKind } from './exchange.js';
 import type { Exchange, ExchangeEnd } from './exchange.js';
-import { remainingOf } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
-import {
-  CONNECT_MILLISECONDS,
-  describeRefusal,
-  doubtHead,
-  isSuccess,
-  provesNotRun,
-} from './plain-attempt.js';
+import { openForward } from './open-forward.js';
 
 export enum StreamEndKind {
   /** The server's stream came to its proper end. */
@@ -77,7 +71,7 @@
   sink: StreamSink,
 ): StreamAttempt {
   const { ledger, protocol, pulse } = context;
-  const { request, requestId, body } = accepted;
+  const { request, requestId } = accepted;
   const { promptTokens } = request;
   const startedAt = context.now();
   const splitter = createEventSplitter();
@@ -182,24 +176,8 @@
   ledger.sent(server.instanceId, promptTokens);
   context.coldShare.noteSent(server.instanceId);
   const end = new Promise<StreamEnd>((resolve) => {
-    exchange = openExchange(
-      {
-        host: server.host,
-        port: server.port,
-        method: request.method,
-        target: request.target,
-        headers: protocol.encodeForward({
-          request,
-          priority: accepted.priority,
-          server,
-          account: accepted.account,
-          remainingMilliseconds: remainingOf(context, accepted),
-          lastEventId: sink.lastEventId(),
-          bodyBytes: body.length,
-        }),
-        body,
-        connectMilliseconds: CONNECT_MILLISECONDS,
-      },
+    exchange = openForward(
+      { context, accepted, server, lastEventId: sink.lastEventId() },
       {
         onHead(incoming) {
           head = protocol.decodeAnswer(incoming);
--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -8,12 +8,9 @@
   initialMap,
   initialRollout,
   OrderOutcome,
-  planGroupMap,
   planHoldRollout,
   RankOrderKind,
-  rankTimes,
   RolloutPhase,
-  skewOf,
 } from '@lapisbridge/placement';
 import type {
   AddressedOrder,
@@ -23,27 +20,16 @@
   RolloutState,
 } from '@lapisbridge/placement';
 
-import type { Demand } from './demand.js';
+import type { DemandWatch, GroupProfile } from './demand-watch.js';
 import type { Leadership } from './leadership.js';
 import { composeMap } from './compose-map.js';
 import { createPassClock } from './pass-clock.js';
 import type { RankLink, RankTarget } from './rank-link.js';
 
-/** What a model's engines allow. */
-export interface GroupProfile {
-  readonly sets: number;
-  readonly experts: number;
-  readonly placesPerRank: number;
-  readonly newPerRank: number;
-}
-
 export interface GroupLeaderOptions {
   readonly leadership: Leadership;
   readonly link: RankLink;
-  /** Over about a second: what maps are planned for. */
-  readonly demand: Demand;
-  /** Over some tenths of a second: shows a shift early, and is too noisy to plan for. */
-  readonly recentDemand: Demand;
+  readonly demandWatch: DemandWatch;
   readonly logger: Logger;
   now(): number;
   /** Last report of the backend server beside this sidecar. */
@@ -69,18 +55,6 @@
 const STOOD_STILL_MILLISECONDS = 700;
 /** Reports older than this decide nothing: the slowest answer waited for, and a little. */
 const STALE_MILLISECONDS = 800;
-/** Between two looks at the skew. */
-const PLAN_MILLISECONDS = 80;
-/** Skew below which passes are short enough for every stream to be in time. */
-const FAIR_SKEW = 1.65;
-/** Skew of the last tenths of a second that means a shift, above what the mix of a few requests makes. */
-const SHIFT_SKEW = 1.75;
-/** A change must shorten the experts' part of a pass by this share: loading slows passes. */
-const MINIMUM_GAIN = 0.1;
-/** After a shift, choices are gathered for this long before a plan is made of them alone. */
-const GATHER_MILLISECONDS = 190;
-/** Choices that must be in a window before it says anything: those of about five requests. */
-const MINIMUM_CHOICES = 700_000;
 /** Versions of one leader; the next leader's begin above them. */
 const VERSIONS_PER_FENCE = 1000;
 /** Pauses before the same order goes to the same rank again. */
@@ -99,7 +73,7 @@
 }
 
 export function createGroupLeader(options: GroupLeaderOptions): GroupLeader {
-  const { leadership, link, demand, recentDemand, logger, now } = options;
+  const { leadership, link, demandWatch, logger, now } = options;
   const maps = new Map<number, GroupMap>();
   const passClock = createPassClock(now);
   const sentAt = new Map<string, number>();
@@ -107,9 +81,6 @@
   let ledFence: number | undefined;
   let versions = 0;
   let voidingVersion = 0;
-  let plannedAt = -Infinity;
-  let isGathering = false;
-  let plannedEpoch = -1;
   let lastObstacle = '';
   let rolloutBegan = 0;
   let lastPhase = RolloutPhase.Idle;
@@ -165,80 +136,20 @@
     return composed?.map;
   }
 
-  function skewIn(window: Demand, map: GroupMap, paces: readonly number[], sets: number): number {
-    let slowest = 0;
-    let mean = 0;
-    for (const [set, load] of window.loads(sets, paces).entries()) {
-      const times = rankTimes(map.sets[set], load);
-      const setMean = times.reduce((sum, time) => sum + time, 0) / times.length;
-      mean += setMean;
-      slowest += setMean * skewOf(times);
-    }
-    return mean === 0 ? 1 : slowest / mean;
-  }
-
   /** Sets a new target when the demand asks for one. */
   async function considerTarget(fence: number, own: RankReport): Promise<void> {
     const profile = options.profile();
-    if (profile === undefined || now() - plannedAt < PLAN_MILLISECONDS) return;
+    if (profile === undefined || !demandWatch.isDue()) return;
     const current = await activeMap(own);
     if (current === undefined) return;
-    plannedAt = now();
     const heard = options.heard();
     const paces = Array.from({ length: own.size }, (_, rank) => heard.get(rank)?.pace ?? 1);
-    if (own.epoch !== plannedEpoch) {
-      plannedEpoch = own.epoch;
-      // A group that formed anew is back at its first map. Planning for the demand from before
-      // brings a balanced one some 0.4 s sooner than gathering would.
-      isGathering = demand.total() > MINIMUM_CHOICES;
-    }
-    if (!isGathering) {
-      const skew = skewIn(demand, current, paces, profile.sets);
-      const recentSkew = skewIn(recentDemand, current, paces, profile.sets);
-      const hasShifted = recentSkew > SHIFT_SKEW && recentDemand.total() > MINIMUM_CHOICES;
-      if (!hasShifted && (skew < FAIR_SKEW || demand.total() < MINIMUM_CHOICES)) return;
-      isGathering = true;
-      // What came before the shift would blur what comes now.
-      if (hasShifted) demand.restart();
-      logger.decision({
-        kind: 'placement',
-        subject: own.group,
-        choice: 'gather',
-        reason: hasShifted ? 'the demand has shifted' : 'the load is uneven',
-        facts: {
-          skew: Number(skew.toFixed(3)),
-          recentSkew: Number(recentSkew.toFixed(3)),
-          activeVersion: own.activeVersion,
-        },
-      });
-      if (hasShifted) return;
-    }
-    const isEnough = demand.age() > GATHER_MILLISECONDS && demand.total() > MINIMUM_CHOICES;
-    if (!isEnough) return;
-    isGathering = false;
-    const decision = planGroupMap(current, demand.loads(profile.sets, paces), {
-      placesPerRank: profile.placesPerRank,
-      newPerRank: profile.newPerRank,
-      minimumGain: MINIMUM_GAIN,
-    });
-    logger.decision({
-      kind: 'placement',
-      subject: own.group,
-      choice: decision.isWorthIt ? 'change' : 'keep',
-      reason: `${decision.moves} loads`,
-      facts: {
-        skewBefore: Number(decision.skewBefore.toFixed(3)),
-        skewAfter: Number(decision.skewAfter.toFixed(3)),
-        choices: Math.round(demand.total()),
-        milliseconds: Math.round(now() - plannedAt),
-        activeVersion: own.activeVersion,
-      },
-    });
-    if (!decision.isWorthIt) return;
+    const map = demandWatch.consider({ own, current, profile, paces });
+    if (map === undefined) return;
     const version = nextVersion(fence);
-    maps.set(version, decision.map);
+    maps.set(version, map);
     rolloutBegan = now();
-    state = { ...state, target: { version, map: decision.map } };
+    state = { ...state, target: { version, map } };
   }
 
   function mayRepeat({ rank, order }: AddressedOrder): boolean {
--- a/packages/group-leader/src/index.ts
+++ b/packages/group-leader/src/index.ts
@@ -5,7 +5,9 @@
 export { createDemand } from './demand.js';
 export type { Demand } from './demand.js';
 export { createGroupLeader } from './group-leader.js';
-export type { GroupLeader, GroupLeaderOptions, GroupProfile } from './group-leader.js';
+export { createDemandWatch } from './demand-watch.js';
+export type { DemandWatch, DemandWatchOptions, GroupProfile } from './demand-watch.js';
+export type { GroupLeader, GroupLeaderOptions } from './group-leader.js';
 export { createLeadership } from './leadership.js';
 export type { Leadership, LeadershipOptions } from './leadership.js';
 export { askLeader, createRankLink } from './rank-link.js';
--- a/packages/group-leader/src/sidecar-state.ts
+++ b/packages/group-leader/src/sidecar-state.ts
@@ -6,7 +6,7 @@
 import type { JsonObject } from '@lapisbridge/json-call';
 import type { RankReport } from '@lapisbridge/placement';
 
-import type { GroupProfile } from './group-leader.js';
+import type { GroupProfile } from './demand-watch.js';
 import type { RankAddress, RankCounts } from './rank-link.js';
 
 export interface SidecarState {
--- a/packages/log-story/src/log-story.test.ts
+++ b/packages/log-story/src/log-story.test.ts
@@ -59,6 +59,12 @@
     }
   });
 
+  it('forgets what the process believed before it was restarted', () => {
+    const restarted = { second: 2, event: 'started' };
+    const story = tellStory(linesOf(lost, restarted, refusal), 'id');
+    expect(story?.beliefs).toMatchObject([{ matter: 'process', state: 'started' }]);
+  });
+
   it('says of a failure that the request may have run', () => {
     const failure = {
       second: 2,
--- a/packages/log-story/src/tell-story.ts
+++ b/packages/log-story/src/tell-story.ts
@@ -62,6 +62,8 @@
   for (const line of lines) {
     if (line.at > decider.at) break;
     if (line.instance !== decider.instance) continue;
+    // A process that starts anew knows nothing of its former life.
+    if (line.event === 'started') byMatter.clear();
     const belief = beliefOf(line);
     if (belief !== undefined) {
       byMatter.set(belief.matter, { ...belief, ageMilliseconds: decider.at - line.at });
--- a/packages/placement/src/group-model.ts
+++ b/packages/placement/src/group-model.ts
@@ -7,8 +7,9 @@
 import { createRandom } from '@lapisbridge/kernel';
 
 import { initialMap } from './expert-map.js';
-import { initialRollout, planHoldRollout, RolloutPhase } from './plan-hold-rollout.js';
-import type { AddressedOrder, RolloutPlan, RolloutState } from './plan-hold-rollout.js';
+import { planHoldRollout } from './plan-hold-rollout.js';
+import { initialRollout, RolloutPhase } from './rollout-state.js';
+import type { AddressedOrder, RolloutPlan, RolloutState } from './rollout-state.js';
 import { RankOrderKind } from './rank-report.js';
 import type { ArmedMap, GroupMap, RankOrder, RankReport } from './rank-report.js';
 
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -22,13 +22,14 @@
 export { smoothTokens } from './smooth-load.js';
 export { planGroupMap } from './plan-group-map.js';
 export type { GroupMapDecision, GroupMapPolicy } from './plan-group-map.js';
-export { initialRollout, planHoldRollout, RolloutPhase } from './plan-hold-rollout.js';
+export { planHoldRollout } from './plan-hold-rollout.js';
+export { initialRollout, RolloutPhase } from './rollout-state.js';
 export type {
   AddressedOrder,
   RolloutInput,
   RolloutPlan,
   RolloutState,
   RolloutTarget,
-} from './plan-hold-rollout.js';
+} from './rollout-state.js';
 export { OrderOutcome, RankOrderKind } from './rank-report.js';
 export type { ArmedMap, GroupMap, RankOrder, RankReport } from './rank-report.js';
--- a/packages/placement/src/plan-hold-orders.test.ts
+++ b/packages/placement/src/plan-hold-orders.test.ts
@@ -2,8 +2,9 @@
 
 import { initialMap } from './expert-map.js';
 import { planGroupMap } from './plan-group-map.js';
-import { initialRollout, planHoldRollout, RolloutPhase } from './plan-hold-rollout.js';
-import type { RolloutInput, RolloutPlan, RolloutState } from './plan-hold-rollout.js';
+import { planHoldRollout } from './plan-hold-rollout.js';
+import { initialRollout, RolloutPhase } from './rollout-state.js';
+import type { RolloutInput, RolloutPlan, RolloutState } from './rollout-state.js';
 import { RankOrderKind } from './rank-report.js';
 import type { RankReport } from './rank-report.js';
 
