Use only the server that started last at an address

Requests sent to former ones were refused by their successors ('another server has the address'), and 32 callers were refused within 4 s since the retry budget was spent on it. Now of several servers at one address only the one that started last is used. Test: drop-replaced, which fails without it.

--- a/packages/catalog/src/catalog.test.ts
+++ b/packages/catalog/src/catalog.test.ts
@@ -28,6 +28,7 @@
     slots: 1,
     draining: false,
     groupRank: undefined,
+    startedAt: undefined,
   };
 }
 
--- /dev/null
+++ b/packages/catalog/src/drop-replaced.test.ts
@@ -0,0 +1,34 @@
+import { expect, it } from 'vitest';
+
+import { dropReplaced } from './drop-replaced.js';
+import type { BackendServer } from './types.js';
+
+function server(instanceId: string, port: number, startedAt: number | undefined): BackendServer {
+  return {
+    instanceId,
+    service: 'service',
+    host: '10.0.0.1',
+    port,
+    availabilityZone: 'zone',
+    slots: 1,
+    draining: false,
+    groupRank: undefined,
+    startedAt,
+  };
+}
+
+function kept(...servers: BackendServer[]): string[] {
+  return [...dropReplaced(new Map(servers.map((one) => [one.instanceId, one]))).keys()];
+}
+
+it('keeps the server that started last at an address', () => {
+  // All servers restart after a loss of power, and their former rows are listed for seconds yet.
+  // A caller whose request goes to two former ones is refused although every server is idle.
+  expect(kept(server('new', 1, 2000), server('former', 1, 1000))).toEqual(['new']);
+  expect(kept(server('former', 1, 1000), server('new', 1, 2000))).toEqual(['new']);
+});
+
+it('keeps servers at other addresses, and those that do not say when they started', () => {
+  const listed = [server('one', 1, 2000), server('two', 2, 1000), server('silent', 1, undefined)];
+  expect(kept(...listed)).toEqual(['one', 'two', 'silent']);
+});
--- a/packages/catalog/src/index.ts
+++ b/packages/catalog/src/index.ts
@@ -22,6 +22,7 @@
 export type { FollowOptions, TableFollower } from './follow-table.js';
 export { FeedKind, TransactionKind } from './store.js';
 export type { Feed, RowList, RowWrite, Store, StoreRow, TransactionResult } from './store.js';
+export { dropReplaced } from './drop-replaced.js';
 export { LAPSE_MILLISECONDS, retainLapsed } from './retain-lapsed.js';
 export type { LapseInput } from './retain-lapsed.js';
 export { decodeCopy, encodeCopy } from './table-copy.js';
--- a/packages/catalog/src/types.ts
+++ b/packages/catalog/src/types.ts
@@ -104,4 +104,6 @@
   /** Takes no new work, and will end. */
   readonly draining: boolean;
   readonly groupRank: GroupRank | undefined;
+  /** Unix milliseconds of its start by its own clock; undefined where it does not say. */
+  readonly startedAt: number | undefined;
 }
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -183,6 +183,7 @@
       slots: 4,
       draining: false,
       groupRank: options.groups?.[instanceId],
+      startedAt: undefined,
     });
   }
   const catalog = createCatalog();
--- a/packages/forwarding/src/group-health.test.ts
+++ b/packages/forwarding/src/group-health.test.ts
@@ -14,6 +14,7 @@
     slots: 8,
     draining: false,
     groupRank: { group: 'group', epoch, rank, open },
+    startedAt: undefined,
   };
 }
 
