--- a/packages/cli/src/commands/incident.ts
+++ b/packages/cli/src/commands/incident.ts
@@ -26,8 +26,11 @@
   }
 
   protected print(timeline: Timeline): void {
-    const { requests, answered, refused, failed } = timeline;
-    this.line(`${requests} requests: ${answered} answered, ${refused} refused, ${failed} failed`);
+    const { requests, answered, improper, refused, failed } = timeline;
+    this.line(
+      `${requests} requests: ${answered} answered, ${improper} improper, ` +
+        `${refused} refused, ${failed} failed`,
+    );
     const rows = timeline.periods.map((period) => [
       period.from,
       period.milliseconds === undefined ? 'to the end' : `${period.milliseconds} ms`,
--- a/packages/log-story/src/draw-timeline.ts
+++ b/packages/log-story/src/draw-timeline.ts
@@ -21,6 +21,8 @@
   readonly periods: readonly Period[];
   readonly requests: number;
   readonly answered: number;
+  /** Improper requests: without an id, a known key or a route, or too large. No fault of ours. */
+  readonly improper: number;
   readonly refused: number;
   readonly failed: number;
   /** Requests that were refused or failed while nothing was lost at their instance. */
@@ -32,6 +34,9 @@
 const TOGETHER_MILLISECONDS = 3000;
 const MAXIMUM_EXAMPLES = 3;
 
+/** Statuses of improper requests, as refusals name them. */
+const IMPROPER: ReadonlySet<string> = new Set(['400', '401', '404', '413']);
+
 interface Open {
   readonly matter: string;
   readonly fromAt: number;
@@ -114,9 +119,10 @@
 export function drawTimeline(lines: readonly LogLine[]): Timeline {
   const periods = collectPeriods(lines);
   const outcomes = [...outcomesOf(lines)];
-  const wrong = outcomes.filter(([, { kind }]) => kind !== 'answer');
+  const proper = outcomes.filter(([, { choice }]) => !IMPROPER.has(choice ?? ''));
+  const wrong = proper.filter(([, { kind }]) => kind !== 'answer');
   const unexplained = wrong.filter(([, line]) => !periods.some((one) => touches(one, line)));
-  const count = (kind: string): number => outcomes.filter(([, line]) => line.kind === kind).length;
+  const count = (kind: string): number => proper.filter(([, line]) => line.kind === kind).length;
   return {
     periods: periods.map((period) => {
       const touched = wrong.filter(([, line]) => touches(period, line));
@@ -134,6 +140,7 @@
     }),
     requests: outcomes.length,
     answered: count('answer'),
+    improper: outcomes.length - proper.length,
     refused: count('refusal'),
     failed: count('failure'),
     unexplained: unexplained.length,
--- a/packages/log-story/src/log-story.test.ts
+++ b/packages/log-story/src/log-story.test.ts
@@ -111,6 +111,14 @@
     expect(timeline).toMatchObject({ requests: 3, refused: 2, failed: 1, unexplained: 1 });
   });
 
+  it('counts improper requests apart, since nothing that was lost explains them', () => {
+    const lost = { second: 1, event: 'store lost', reason: 'no answer in time' };
+    const unknownKey = { second: 2, kind: 'refusal', subject: 'id', choice: '401' };
+    const timeline = drawTimeline(linesOf(lost, unknownKey));
+    expect(timeline).toMatchObject({ requests: 1, improper: 1, refused: 0, unexplained: 0 });
+    expect(timeline.periods).toMatchObject([{ refused: 0 }]);
+  });
+
   it('leaves open what was not regained', () => {
     const lines = linesOf({ second: 1, event: 'group lost', group: 'g', cause: 'refused' });
     expect(drawTimeline(lines).periods).toMatchObject([
