--- a/packages/placement/src/plan-group-map.ts
+++ b/packages/placement/src/plan-group-map.ts
@@ -2,7 +2,8 @@
  * Plans the next maps of a whole group, set by set. A pass lasts as long as the sum over the
  * sets of their most loaded rank, so each set is planned for itself. Loads are kept few: copying
  * them makes every pass longer just when passes are long already, and the first few bring most
- * of the gain. From a skew of 3.5, a third of the loads that lead to 1.1 lead to 1.4.
+ * of the gain: from a skew of 3 to 3.7, 17 to 23 loads lead to 1.25, where 41 led to 1.15 and took
+ * 0.45 s of copying instead of 0.24 to 0.30 s (one day's changes on a group of twelve ranks).
  */
 import type { ExpertLoad, ExpertMap } from './expert-map.js';
 import { countLoads, rankTimes, skewOf } from './expert-map.js';
