--- a/packages/catalog/src/catalog.test.ts
+++ b/packages/catalog/src/catalog.test.ts
@@ -111,6 +111,7 @@
     part: '',
     waitMilliseconds: 1,
     pauseMilliseconds: 0,
+    mayRest: () => false,
     random: () => 0,
     now: () => 0,
     onRows(rows, revision) {
--- a/packages/catalog/src/follow-table.ts
+++ b/packages/catalog/src/follow-table.ts
@@ -15,6 +15,8 @@
   /** Pause between two calls, for tables that change all the time: calls are what costs. */
   readonly pauseMilliseconds: number;
   readonly random: () => number;
+  /** Whether somebody else reads the table for this instance just now. */
+  mayRest(): boolean;
   now(): number;
   /** All rows, as of a revision, whenever something changed. */
   onRows(rows: ReadonlyMap<string, StoreRow>, revision: number): void;
@@ -38,6 +40,8 @@
 /** First pause after a failure, in milliseconds: short, since changes must be seen in 2 s. */
 const FIRST_RETRY_MILLISECONDS = 100;
 const LONGEST_RETRY_MILLISECONDS = 800;
+/** Between two looks at whether the store has to be asked after all. */
+const REST_MILLISECONDS = 150;
 
 export function followTable(options: FollowOptions): TableFollower {
   const { store, table, part } = options;
@@ -93,6 +97,10 @@
   }
 
   async function step(): Promise<void> {
+    if (isWhole && failures === 0 && options.mayRest()) {
+      schedule(REST_MILLISECONDS);
+      return;
+    }
     let pause = options.pauseMilliseconds;
     try {
       if (isWhole) await readChanges();
@@ -109,6 +117,10 @@
       failures += 1;
       pause = longest * (0.5 + options.random() / 2);
     }
+    schedule(pause);
+  }
+
+  function schedule(pause: number): void {
     if (!stopped) timer = setTimeout(() => void step(), pause);
   }
 
--- a/packages/group-leader/src/index.ts
+++ b/packages/group-leader/src/index.ts
@@ -29,5 +29,11 @@
 } from './rank-link.js';
 export { startRelayListener } from './relay-listener.js';
 export type { RelayListenerOptions } from './relay-listener.js';
-export { decodeProfile, decodeSidecarState, encodeSidecarState } from './sidecar-state.js';
-export type { EntryState, SidecarState } from './sidecar-state.js';
+export {
+  decodeProfile,
+  decodeRankLoad,
+  decodeSidecarState,
+  encodeRankLoad,
+  encodeSidecarState,
+} from './sidecar-state.js';
+export type { EntryState, RankLoad, SidecarState } from './sidecar-state.js';
--- a/packages/group-leader/src/sidecar-state.ts
+++ b/packages/group-leader/src/sidecar-state.ts
@@ -28,6 +28,51 @@
   readonly answerTo?: number | undefined;
 }
 
+/** What entries need to know of a rank. */
+export interface RankLoad {
+  readonly group: string;
+  readonly rank: number;
+  readonly epoch: number;
+  readonly isOpen: boolean;
+  readonly running: number;
+  readonly waiting: number;
+  readonly backendServer: RankAddress;
+}
+
+/**
+ * Each rank tells each entry several times a second, most of them across zones: with whole
+ * reports these were more than half of a large deployment's bytes between zones.
+ */
+export function encodeRankLoad(report: RankReport, backendServer: RankAddress): JsonObject {
+  const { group, rank, epoch, isOpen, running, waiting } = report;
+  const load: RankLoad = { group, rank, epoch, isOpen, running, waiting, backendServer };
+  return { load };
+}
+
+/** Undefined where the datagram tells no load. */
+export function decodeRankLoad(state: JsonObject): RankLoad | undefined {
+  const { load } = state;
+  if (!isObject(load)) return undefined;
+  const group = textOf(load, 'group');
+  const rank = numberOf(load, 'rank');
+  const epoch = numberOf(load, 'epoch');
+  const running = numberOf(load, 'running');
+  const waiting = numberOf(load, 'waiting');
+  const backendServer = decodeAddress(load.backendServer);
+  if (group === undefined || rank === undefined || epoch === undefined) return undefined;
+  if (running === undefined || waiting === undefined || backendServer === undefined) {
+    return undefined;
+  }
+  return { group, rank, epoch, isOpen: load.isOpen === true, running, waiting, backendServer };
+}
+
+function decodeAddress(value: unknown): RankAddress | undefined {
+  if (!isObject(value)) return undefined;
+  const host = textOf(value, 'host');
+  const port = numberOf(value, 'port');
+  return host === undefined || port === undefined ? undefined : { host, port };
+}
+
 export function encodeSidecarState(state: SidecarState): JsonObject {
   return { ...state };
 }
@@ -46,18 +91,16 @@
 
 /** Undefined where the datagram is not a sidecar's. */
 export function decodeSidecarState(state: JsonObject): SidecarState | undefined {
-  const { report, backendServer } = state;
-  if (!isObject(report) || !isObject(backendServer)) return undefined;
-  const host = textOf(backendServer, 'host');
-  const port = numberOf(backendServer, 'port');
-  if (host === undefined || port === undefined) return undefined;
+  const { report } = state;
+  const backendServer = decodeAddress(state.backendServer);
+  if (!isObject(report) || backendServer === undefined) return undefined;
   if (numberOf(report, 'rank') === undefined || textOf(report, 'group') === undefined) {
     return undefined;
   }
   return {
     // Written by our own kind from a checked report.
     report: report as unknown as RankReport,
-    backendServer: { host, port },
+    backendServer,
     fence: numberOf(state, 'fence'),
     isSettled: state.isSettled === true,
     growth: decodeGrowth(state.growth),
