Keep streams for half a second for a server's share, and bound what many entries send to a cold server

And with more entries than a server bears requests a second each sent one all the same: 39 where 14 were allowed, in a test that failed first. Change: the share says when there is room, a stream waits for it up to 0.6 s; above that many entries each server is sent to by as many as it bears, found by rendezvous.

--- a/packages/forwarding/src/choose-server.ts
+++ b/packages/forwarding/src/choose-server.ts
@@ -25,7 +25,7 @@
     const coldRate = profile?.coldRequestsPerSecond ?? 0;
     views.push(
       context.ledger.view(server, {
-        maySend: context.coldShare.maySend(server.instanceId, coldRate),
+        roomInMilliseconds: context.coldShare.roomIn(server.instanceId, coldRate),
         brokenForMilliseconds: context.groupHealth.brokenFor(server),
       }),
     );
--- a/packages/forwarding/src/cold-share.ts
+++ b/packages/forwarding/src/cold-share.ts
@@ -3,18 +3,38 @@
  * and says so late, and far above its cold rate it crashes. So every server of a service with
  * a cold phase is treated as cold: its rate in any second, divided among the entries, is more
  * than even loads need, and no late message can break it.
+ *
+ * Where there are more entries than a server bears requests a second, one request each would
+ * be too many. Then each server is sent to only by as many entries, by rendezvous: everybody
+ * finds the same ones without asking, and another set for each server.
  */
+import { rendezvousOrder } from '@lapisbridge/routing';
+
 export interface ColdShare {
-  /** Whether one more request may be sent now. */
-  maySend(instanceId: string, coldRequestsPerSecond: number): boolean;
+  /**
+   * Milliseconds until one more request may be sent: 0 for now, infinite where this entry is not
+   * to send to the server at all.
+   */
+  roomIn(instanceId: string, coldRequestsPerSecond: number): number;
   noteSent(instanceId: string): void;
   forget(instanceId: string): void;
 }
 
+/** The entries that share a server's cold rate. */
+export interface ColdEntries {
+  readonly own: string;
+  /** All that are known, this one included; a new list whenever it changes. */
+  readonly names: readonly string[];
+  /** Entries to be reckoned with, where not all of them are known yet. */
+  readonly count: number;
+}
+
 const WINDOW_MILLISECONDS = 1000;
 
-export function createColdShare(entries: () => number, now: () => number): ColdShare {
+export function createColdShare(entries: () => ColdEntries, now: () => number): ColdShare {
   const sent = new Map<string, number[]>();
+  let ranked: readonly string[] = [];
+  const ranks = new Map<string, number>();
 
   function recent(instanceId: string): number[] {
     const times = sent.get(instanceId) ?? [];
@@ -23,12 +43,39 @@
     return times;
   }
 
+  /** Place of this entry among those that may send to a server. */
+  function rankAt(instanceId: string, { own, names }: ColdEntries): number {
+    if (names !== ranked) {
+      ranked = names;
+      ranks.clear();
+    }
+    let rank = ranks.get(instanceId);
+    if (rank === undefined) {
+      rank = rendezvousOrder(instanceId, names).indexOf(own);
+      ranks.set(instanceId, rank);
+    }
+    return rank;
+  }
+
+  /** Requests that this entry may send to the server in one second. */
+  function shareOf(instanceId: string, coldRequestsPerSecond: number): number {
+    const known = entries();
+    const share = Math.floor(coldRequestsPerSecond / Math.max(1, known.count));
+    if (share >= 1) return share;
+    // Those that are not known yet take their part of the places.
+    const places = (coldRequestsPerSecond * known.names.length) / Math.max(1, known.count);
+    return rankAt(instanceId, known) < Math.max(1, Math.floor(places)) ? 1 : 0;
+  }
+
   return {
-    maySend(instanceId, coldRequestsPerSecond) {
-      if (coldRequestsPerSecond <= 0) return true;
-      // One request a second at least: below that an entry could never use the server at all.
-      const share = Math.max(1, Math.floor(coldRequestsPerSecond / Math.max(1, entries())));
-      return recent(instanceId).length < share;
+    roomIn(instanceId, coldRequestsPerSecond) {
+      if (coldRequestsPerSecond <= 0) return 0;
+      const share = shareOf(instanceId, coldRequestsPerSecond);
+      if (share === 0) return Infinity;
+      const times = recent(instanceId);
+      if (times.length < share) return 0;
+      const freeing = times[times.length - share] ?? now();
+      return Math.max(1, freeing + WINDOW_MILLISECONDS - now());
     },
     noteSent(instanceId) {
       const times = recent(instanceId);
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -13,6 +13,7 @@
 import { createCallerListener } from './caller-listener.js';
 import type { CallerProtocol } from './caller-protocol.js';
 import { createColdShare } from './cold-share.js';
+import type { ColdEntries } from './cold-share.js';
 import type { ForwardContext } from './forward-context.js';
 import { createGroupHealth } from './group-health.js';
 import type { GroupHealth } from './group-health.js';
@@ -45,6 +46,9 @@
   readonly route?: Partial<Route>;
   readonly withConfiguration?: boolean;
   readonly retrySlack?: number;
+  /** Requests a second that each server bears while cold, over all entries; no bound without it. */
+  readonly coldRate?: number;
+  readonly coldEntries?: ColdEntries;
   /** Ranks of lock-step groups, by instance id. */
   readonly groups?: Readonly<Record<string, GroupRank>>;
 }
@@ -115,11 +119,21 @@
   resumable: false,
 };
 
-function configurationWith(route: Route): Configuration {
+function configurationWith(route: Route, coldRate: number): Configuration {
   return {
     version: 1,
     routes: [route],
-    services: new Map(),
+    services: new Map([
+      [
+        SERVICE,
+        {
+          name: SERVICE,
+          maximumConnections: 100,
+          coldRequestsPerSecond: coldRate,
+          engine: undefined,
+        },
+      ],
+    ]),
     accountsByKey: undefined,
     limits: {
       maximumBodyBytes: 1000,
@@ -155,6 +169,8 @@
   });
 }
 
+const ALONE: ColdEntries = { own: 'entry', names: ['entry'], count: 1 };
+
 export async function startFixture(options: FixtureOptions): Promise<Fixture> {
   const arrivals: Arrival[] = [];
   const running: Server[] = [];
@@ -192,7 +208,7 @@
   if (options.withConfiguration !== false) {
     catalog.replaceOperators({
       revision: 1,
-      configuration: configurationWith({ ...ROUTE, ...options.route }),
+      configuration: configurationWith({ ...ROUTE, ...options.route }, options.coldRate ?? 0),
       drainedZones: new Set(),
     });
   }
@@ -208,7 +224,7 @@
       () => 1,
       now,
     ),
-    coldShare: createColdShare(() => 1, now),
+    coldShare: createColdShare(() => options.coldEntries ?? ALONE, now),
     arrivals: createArrivalMeter(now),
     entries: () => 1,
     pulse: { ...createPulse(now), isStuck: () => isStuck.value },
--- a/packages/forwarding/src/group-wait.test.ts
+++ b/packages/forwarding/src/group-wait.test.ts
@@ -4,6 +4,7 @@
 import { request } from 'node:http';
 
 import { RequestKind } from '@lapisbridge/catalog';
+import { sleep } from '@lapisbridge/kernel';
 import { afterEach, expect, it } from 'vitest';
 
 import { startFixture, streamEvents } from './forwarding-fixture.js';
@@ -115,3 +116,17 @@
   expect((await stream()).status).toBe(503);
   expect(fixture.arrivals).toHaveLength(1);
 });
+
+it('wait for a server that has had its share for this second', async () => {
+  // A burst uses up what this entry may send to servers that could be cold. They stand half
+  // empty, and a caller that is refused comes back later than a wait of half a second.
+  fixture = await startFixture({
+    servers: { one: streamEvents(2) },
+    route: STREAM,
+    coldRate: 1,
+  });
+  expect((await stream()).status).toBe(200);
+  await sleep(500);
+  expect((await stream()).status).toBe(200);
+  expect(fixture.arrivals).toHaveLength(2);
+});
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -13,7 +13,7 @@
   ReportedLoad,
 } from './caller-protocol.js';
 export { createColdShare } from './cold-share.js';
-export type { ColdShare } from './cold-share.js';
+export type { ColdEntries, ColdShare } from './cold-share.js';
 export type { ForwardContext } from './forward-context.js';
 export { createGroupHealth } from './group-health.js';
 export type { GroupHealth, RankHealth } from './group-health.js';
--- a/packages/forwarding/src/plan-wait.test.ts
+++ b/packages/forwarding/src/plan-wait.test.ts
@@ -2,7 +2,7 @@
 import type { Route } from '@lapisbridge/catalog';
 import { expect, it } from 'vitest';
 
-import { callerPatience, planWait } from './plan-wait.js';
+import { callerPatience, planRoomWait, planWait } from './plan-wait.js';
 import type { WaitInput } from './plan-wait.js';
 
 const ROUTE: Route = {
@@ -64,3 +64,20 @@
   expect(callerPatience({ ...ROUTE, objectiveMilliseconds: 900 })).toBe(3600);
   expect(callerPatience({ ...ROUTE, gapMilliseconds: 400 })).toBe(3200);
 });
+
+it('waits for room at a server that comes soon, and refuses where it comes late', () => {
+  const room = (roomInMilliseconds: number, silenceMilliseconds = 0, remaining = 8000): number =>
+    planRoomWait({
+      route: ROUTE,
+      silenceMilliseconds,
+      remainingMilliseconds: remaining,
+      roomInMilliseconds,
+    });
+  expect(room(200)).toBe(200);
+  expect(room(900)).toBe(0);
+  expect(room(Infinity)).toBe(0);
+  // A caller that has waited already is not kept for another turn.
+  expect(room(300, 400)).toBe(0);
+  // Nor is one that would be gone before its first event.
+  expect(room(300, 0, 600)).toBe(0);
+});
--- a/packages/forwarding/src/plan-wait.ts
+++ b/packages/forwarding/src/plan-wait.ts
@@ -36,6 +36,36 @@
   );
 }
 
+/**
+ * Longest wait for a server's cold-start share, in milliseconds. Shares are counted over one
+ * second, so room comes within that time; a caller that waits longer gets its first event late,
+ * and others that arrive meanwhile would find less room.
+ */
+const LONGEST_ROOM_MILLISECONDS = 600;
+
+export interface RoomWaitInput {
+  readonly route: Route;
+  /** Since the request arrived, or since its caller's last event. */
+  readonly silenceMilliseconds: number;
+  readonly remainingMilliseconds: number;
+  /** Until the first server takes one more request. */
+  readonly roomInMilliseconds: number;
+}
+
+/**
+ * Milliseconds to wait for room at a server; 0 when the stream is to be refused at once. A
+ * burst uses up an entry's shares of all servers while these stand half empty: thirty callers
+ * of one day were refused so although none had been tried anywhere.
+ */
+export function planRoomWait(input: RoomWaitInput): number {
+  const patience = callerPatience(input.route) - input.silenceMilliseconds;
+  const longest = Math.min(
+    LONGEST_ROOM_MILLISECONDS - input.silenceMilliseconds,
+    Math.min(patience, input.remainingMilliseconds) - FIRST_EVENT_MILLISECONDS,
+  );
+  return input.roomInMilliseconds <= longest ? input.roomInMilliseconds : 0;
+}
+
 export interface WaitInput {
   readonly route: Route;
   /** Since the request arrived, or since its caller's last event. */
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -7,7 +7,6 @@
 import { sleep } from '@lapisbridge/kernel';
 import { LatencyKind } from '@lapisbridge/metrics';
 import { ServerChoiceKind } from '@lapisbridge/routing';
-import type { ServerChoice } from '@lapisbridge/routing';
 
 import type { AnswerHead } from './caller-protocol.js';
 import { chooseServer } from './choose-server.js';
@@ -18,7 +17,7 @@
 import type { Outcome } from './outcome.js';
 import { fail, refuse } from './own-answer.js';
 import { RefusalCause } from './plan-retry-after.js';
-import { planWait } from './plan-wait.js';
+import { planRoomWait, planWait } from './plan-wait.js';
 import type { WaitInput } from './plan-wait.js';
 import { roundedOrNone } from './rounded-or-none.js';
 import { startStreamAttempt, StreamEndKind } from './stream-attempt.js';
@@ -33,6 +32,8 @@
 enum StartKind {
   Started = 'started',
   GroupBroken = 'groupBroken',
+  /** Every server has had this entry's share for now. */
+  Limited = 'limited',
   None = 'none',
 }
 
@@ -43,6 +44,7 @@
       readonly attempt: StreamAttempt;
     }
   | { readonly kind: StartKind.GroupBroken; readonly forMilliseconds: number }
+  | { readonly kind: StartKind.Limited; readonly roomInMilliseconds: number }
   | { readonly kind: StartKind.None; readonly cause: RefusalCause };
 
 interface StreamState {
@@ -115,9 +117,8 @@
     return context.now() - state.lastEventAt;
   }
 
-  function causeOf({ kind }: ServerChoice): RefusalCause {
-    if (kind === ServerChoiceKind.AllLimited || progress.sends > 0) return RefusalCause.Full;
-    return RefusalCause.NoServer;
+  function causeOf(): RefusalCause {
+    return progress.sends > 0 ? RefusalCause.Full : RefusalCause.NoServer;
   }
 
   /** Starts one more attempt, or says why none can be started. */
@@ -130,7 +131,10 @@
     if (choice.kind === ServerChoiceKind.AllBroken) {
       return { kind: StartKind.GroupBroken, forMilliseconds: choice.brokenForMilliseconds };
     }
-    if (server === undefined) return { kind: StartKind.None, cause: causeOf(choice) };
+    if (choice.kind === ServerChoiceKind.AllLimited) {
+      return { kind: StartKind.Limited, roomInMilliseconds: choice.roomInMilliseconds };
+    }
+    if (server === undefined) return { kind: StartKind.None, cause: causeOf() };
     if (progress.sends > 0 && !context.retryShare.spend(service)) {
       return { kind: StartKind.None, cause: RefusalCause.BudgetSpent };
     }
@@ -219,6 +223,26 @@
     return !state.isExpired;
   }
 
+  /** Waits until a server takes one more request; false when that is too far away. */
+  async function waitForRoom(roomInMilliseconds: number): Promise<boolean> {
+    const wait = planRoomWait({
+      route,
+      silenceMilliseconds: silence(),
+      remainingMilliseconds: remainingOf(context, accepted),
+      roomInMilliseconds,
+    });
+    context.logger.decision({
+      kind: 'wait',
+      subject: accepted.requestId,
+      choice: wait === 0 ? 'give up' : 'keep',
+      reason: 'every server has had its share',
+      facts: { roomIn: roundedOrNone(roomInMilliseconds), silence: Math.round(silence()) },
+    });
+    if (wait === 0) return false;
+    await sleep(wait);
+    return !state.isExpired;
+  }
+
   answer.onGone(() => state.current?.cancel('caller gone'));
   const expiry = setTimeout(
     () => {
@@ -236,6 +260,11 @@
         conclude(RefusalCause.GroupBroken);
         return;
       }
+      if (start.kind === StartKind.Limited) {
+        if (await waitForRoom(start.roomInMilliseconds)) continue;
+        conclude(RefusalCause.Full);
+        return;
+      }
       if (start.kind === StartKind.None) {
         conclude(start.cause);
         return;
--- a/packages/forwarding/src/server-ledger.ts
+++ b/packages/forwarding/src/server-ledger.ts
@@ -20,7 +20,7 @@
   isQueueing(instanceId: string): boolean;
   view(
     server: BackendServer,
-    limits: Pick<ServerView, 'maySend' | 'brokenForMilliseconds'>,
+    limits: Pick<ServerView, 'roomInMilliseconds' | 'brokenForMilliseconds'>,
   ): ServerView;
   /** Forgets servers that are gone. */
   keepOnly(instanceIds: ReadonlyMap<string, unknown>): void;
--- a/packages/forwarding/src/shares.test.ts
+++ b/packages/forwarding/src/shares.test.ts
@@ -6,6 +6,9 @@
 
 const BOUNDS = { ratio: 0.2, slack: 90, windowMilliseconds: 10_000 };
 
+const NAMES = ['a', 'b', 'c', 'd', 'e', 'f', 'g'];
+const ENTRIES = { own: 'a', names: NAMES, count: 7 };
+
 interface Step {
   readonly entry: number;
   readonly wait: number;
@@ -64,7 +67,7 @@
         let now = 0;
         const shares = Array.from({ length: 7 }, () =>
           createColdShare(
-            () => 7,
+            () => ENTRIES,
             () => now,
           ),
         );
@@ -72,7 +75,7 @@
         for (const { entry, wait } of played) {
           now += wait / 20;
           const share = shares[entry];
-          if (share?.maySend('server', rate) === true) {
+          if (share?.roomIn('server', rate) === 0) {
             share.noteSent('server');
             sent.push(now);
           }
@@ -84,12 +87,46 @@
     );
   });
 
+  it('of a cold server never add up to more where entries are more than it bears requests', () => {
+    // 39 entries see a server come back, and each sends it one request: twice what it bears.
+    const rate = 14;
+    const names = Array.from({ length: 39 }, (_, index) => `entry-${index}`);
+    const now = 0;
+    for (const server of ['one', 'two', 'three']) {
+      let sent = 0;
+      for (const own of names) {
+        const share = createColdShare(
+          () => ({ own, names, count: names.length }),
+          () => now,
+        );
+        while (share.roomIn(server, rate) === 0) {
+          share.noteSent(server);
+          sent += 1;
+        }
+      }
+      expect(sent).toBe(rate);
+    }
+  });
+
+  it('tells when there is room again', () => {
+    let now = 0;
+    const share = createColdShare(
+      () => ENTRIES,
+      () => now,
+    );
+    share.noteSent('server');
+    now = 300;
+    expect(share.roomIn('server', 7)).toBe(700);
+    now = 1001;
+    expect(share.roomIn('server', 7)).toBe(0);
+  });
+
   it('leaves a server without a cold phase alone', () => {
     const share = createColdShare(
-      () => 7,
+      () => ENTRIES,
       () => 0,
     );
     for (let index = 0; index < 100; index += 1) share.noteSent('server');
-    expect(share.maySend('server', 0)).toBe(true);
+    expect(share.roomIn('server', 0)).toBe(0);
   });
 });
--- a/packages/peers/src/peers.ts
+++ b/packages/peers/src/peers.ts
@@ -26,6 +26,8 @@
   live(role: PeerRole): readonly Peer[];
   /** Sends this instance's state to one peer now, with what else is to be told to it. */
   tell(name: PeerName, more?: Readonly<Record<string, unknown>>): void;
+  /** Names of the instances of a role, this one included; a new list whenever it changes. */
+  names(role: PeerRole): readonly string[];
   /** Largest number of instances of a role seen in the last half minute, this one included. */
   countOf(role: PeerRole): number;
 }
@@ -69,6 +71,7 @@
   const peers = new Map<string, Peer>();
   const rumoured = new Map<string, PeerName>();
   const toldAt = new Map<string, number>();
+  const namesByRole = new Map<PeerRole, readonly string[]>();
   const socket = createSocket('udp4');
   let sequence = Date.now();
   let beats = 0;
@@ -106,11 +109,21 @@
     );
   }
 
+  function namesOf(role: PeerRole): readonly string[] {
+    const known = namesByRole.get(role);
+    if (known !== undefined) return known;
+    const names = self.role === role ? [self.instanceId] : [];
+    for (const { name } of peers.values()) if (name.role === role) names.push(name.instanceId);
+    namesByRole.set(role, names);
+    return names;
+  }
+
   function forgetSilent(): void {
     for (const [instanceId, { name, heardAt }] of peers) {
       if (now() - heardAt > FORGET_MILLISECONDS) {
         peers.delete(instanceId);
         toldAt.delete(instanceId);
+        namesByRole.clear();
         logger.info('peer forgotten', { peer: instanceId, host: name.host });
       }
     }
@@ -167,6 +180,7 @@
       }
     }
     if (known === undefined) {
+      namesByRole.clear();
       logger.info('peer found', { peer: from.instanceId, host: from.host });
       tell(from, FIRST_MEMBERS);
     }
@@ -196,10 +210,7 @@
       return live;
     },
     tell: (name, more) => tell(name, 0, more),
-    countOf(role) {
-      let count = self.role === role ? 1 : 0;
-      for (const { name } of peers.values()) if (name.role === role) count += 1;
-      return count;
-    },
+    names: namesOf,
+    countOf: (role) => namesOf(role).length,
   };
 }
--- a/packages/routing/src/plan-server.test.ts
+++ b/packages/routing/src/plan-server.test.ts
@@ -13,7 +13,7 @@
     typicalMilliseconds: 100,
     reportAge: undefined,
     suspicion: 0,
-    maySend: true,
+    roomInMilliseconds: 0,
     brokenForMilliseconds: undefined,
     ...fields,
   };
@@ -55,11 +55,13 @@
     const broken = view('broken', { brokenForMilliseconds: 5 });
     expect(choose([broken, view('open', { outstanding: 8 })])).toBe('open');
     expect(choose([broken])).toBe(ServerChoiceKind.AllBroken);
-    expect(choose([broken, view('cold', { maySend: false })])).toBe(ServerChoiceKind.AllLimited);
+    expect(choose([broken, view('cold', { roomInMilliseconds: 200 })])).toBe(
+      ServerChoiceKind.AllLimited,
+    );
   });
 
   it('tells servers that are limited from servers that are not there', () => {
-    expect(choose([view('cold', { maySend: false })])).toBe(ServerChoiceKind.AllLimited);
+    expect(choose([view('cold', { roomInMilliseconds: 200 })])).toBe(ServerChoiceKind.AllLimited);
     expect(choose([])).toBe(ServerChoiceKind.NoneLeft);
   });
 });
--- a/packages/routing/src/plan-server.ts
+++ b/packages/routing/src/plan-server.ts
@@ -20,8 +20,8 @@
   readonly reportAge: number | undefined;
   /** Recent failures, decayed; 0 for a sound server. */
   readonly suspicion: number;
-  /** Whether the cold-start share allows one more request now. */
-  readonly maySend: boolean;
+  /** Milliseconds until the cold-start share allows one more request; 0 for now. */
+  readonly roomInMilliseconds: number;
   /**
    * For how long its lock-step group has stood still, in milliseconds; undefined while it runs.
    * Until the group forms anew the server can run nothing.
@@ -55,7 +55,11 @@
 export type ServerChoice =
   | { readonly kind: ServerChoiceKind.Chosen; readonly view: ServerView; readonly cost: number }
   | { readonly kind: ServerChoiceKind.NoneLeft }
-  | { readonly kind: ServerChoiceKind.AllLimited }
+  | {
+      readonly kind: ServerChoiceKind.AllLimited;
+      /** Until the first of them takes one more; infinite where none will. */
+      readonly roomInMilliseconds: number;
+    }
   | {
       readonly kind: ServerChoiceKind.AllBroken;
       /** Of the group that has stood still for longest, and is likely to be back first. */
@@ -107,7 +111,7 @@
 
 export function planServer(input: ServerChoiceInput): ServerChoice {
   const usable: ServerView[] = [];
-  let isLimited = false;
+  let roomIn: number | undefined;
   let brokenFor = -1;
   for (const view of input.views) {
     if (input.excluded.has(view.instanceId)) continue;
@@ -115,8 +119,8 @@
       brokenFor = Math.max(brokenFor, view.brokenForMilliseconds);
       continue;
     }
-    if (!view.maySend) {
-      isLimited = true;
+    if (view.roomInMilliseconds > 0) {
+      roomIn = Math.min(roomIn ?? Infinity, view.roomInMilliseconds);
       continue;
     }
     usable.push(view);
@@ -133,7 +137,9 @@
     }
   }
   if (best !== undefined) return { kind: ServerChoiceKind.Chosen, view: best, cost: bestCost };
-  if (isLimited) return { kind: ServerChoiceKind.AllLimited };
+  if (roomIn !== undefined) {
+    return { kind: ServerChoiceKind.AllLimited, roomInMilliseconds: roomIn };
+  }
   if (brokenFor < 0) return { kind: ServerChoiceKind.NoneLeft };
   return { kind: ServerChoiceKind.AllBroken, brokenForMilliseconds: brokenFor };
 }
--- a/packages/routing/src/stale-reports.test.ts
+++ b/packages/routing/src/stale-reports.test.ts
@@ -52,7 +52,7 @@
       typicalMilliseconds: 200,
       reportAge: REPORT_MILLISECONDS / 2,
       suspicion: 0,
-      maySend: true,
+      roomInMilliseconds: 0,
       brokenForMilliseconds: undefined,
     }));
     const guess = (REQUESTS_PER_SECOND * REPORT_MILLISECONDS) / 2000;
