--- a/platform/src/knowledge.ts
+++ b/packages/direct-entry/src/knowledge.ts
@@ -7,7 +7,6 @@
 import type { Server } from 'node:http';
 
 import {
-  createCatalog,
   createReaderWatch,
   decodeCopy,
   decodeCopyWord,
@@ -31,7 +30,7 @@
 import type { Random } from '@lapisbridge/kernel';
 import type { Logger } from '@lapisbridge/logger';
 
-import { decodeOperatorOrders, decodeServerList } from './decode-tables.js';
+import type { TableAdapter, TableRows } from './adapters.js';
 
 /** A change is told at once; without one the call returns after this, which shows it lives. */
 const OPERATORS_WAIT_MILLISECONDS = 2500;
@@ -59,7 +58,10 @@
 
 export interface KnowledgeOptions {
   readonly instanceId: string;
+  /** Kept up to date. */
+  readonly catalog: Catalog;
   readonly store: Store;
+  readonly tables: TableAdapter;
   readonly logger: Logger;
   readonly random: Random;
   readonly host: string;
@@ -73,7 +75,6 @@
 }
 
 export interface Knowledge {
-  readonly catalog: Catalog;
   start(): void;
   /** What is told to the other entries of the zone. */
   describe(): JsonObject;
@@ -85,7 +86,7 @@
 
 enum Table {
   /** What operators ask for. */
-  Operators = 'op',
+  Operators = 'operators',
   Servers = 'servers',
 }
 
@@ -95,8 +96,7 @@
 }
 
 export function createKnowledge(options: KnowledgeOptions): Knowledge {
-  const { store, logger, random } = options;
-  const catalog = createCatalog();
+  const { store, logger, random, tables, catalog } = options;
   let storeReachable = true;
   let storeLostAt = Infinity;
   let returnedAt = -Infinity;
@@ -118,8 +118,8 @@
     logger.info(succeeded ? 'store regained' : 'store lost', { reason });
   }
 
-  function takeServers(rows: Parameters<typeof decodeServerList>[0], revision: number): void {
-    const listed = decodeServerList(rows, revision);
+  function takeServers(rows: TableRows, revision: number): void {
+    const listed = tables.decodeServers(rows, revision);
     const servers = retainLapsed({
       before: catalog.servers().servers,
       listed: dropReplaced(listed.servers),
@@ -150,13 +150,13 @@
   const followers: Readonly<Record<Table, TableFollower>> = {
     [Table.Operators]: followTable({
       ...shared,
-      table: Table.Operators,
+      table: tables.operatorsTable,
       // Followed by everyone: one call lasts for seconds, and a removed key must be known at once.
       mayRest: () => false,
       waitMilliseconds: OPERATORS_WAIT_MILLISECONDS,
       pauseMilliseconds: 0,
       onRows(rows, revision) {
-        const orders = decodeOperatorOrders(rows, revision);
+        const orders = tables.decodeOperators(rows, revision);
         catalog.replaceOperators(orders);
         logger.info('configuration in force', {
           version: catalog.operators().configuration?.version,
@@ -167,7 +167,7 @@
     }),
     [Table.Servers]: followTable({
       ...shared,
-      table: Table.Servers,
+      table: tables.serversTable,
       mayRest,
       waitMilliseconds: SERVERS_WAIT_MILLISECONDS,
       pauseMilliseconds: SERVERS_PAUSE_MILLISECONDS,
@@ -245,7 +245,6 @@
   }
 
   return {
-    catalog,
     start() {
       serveCopies();
       for (const follower of Object.values(followers)) follower.start();
--- /dev/null
+++ b/packages/direct-entry/src/start-entry.ts
@@ -0,0 +1,158 @@
+/**
+ * The entry program: takes callers' requests and forwards them to backend servers.
+ */
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+
+import { createCatalog } from '@lapisbridge/catalog';
+import {
+  createArrivalMeter,
+  createCallerListener,
+  createColdShare,
+  createGroupHealth,
+  createPulse,
+  createRetryShare,
+  createServerLedger,
+} from '@lapisbridge/forwarding';
+import type { ForwardContext } from '@lapisbridge/forwarding';
+import type { Address } from '@lapisbridge/json-call';
+import { createRandom, monotonicClock } from '@lapisbridge/kernel';
+import { createMetrics, startMetricsListener } from '@lapisbridge/metrics';
+import { PeerRole } from '@lapisbridge/peers';
+import type { Peers } from '@lapisbridge/peers';
+import { beginLife, endOnSignal } from '@lapisbridge/process-life';
+
+import type { EntryAdapters } from './adapters.js';
+import { createEntryPeers, livingInZone } from './entry-peers.js';
+import { createKnowledge } from './knowledge.js';
+import type { Knowledge } from './knowledge.js';
+
+/** Longest wait for an answer of the store, beyond the wait that was asked for. */
+const STORE_MILLISECONDS = 700;
+/** The balancer takes an instance out after two missed checks, one a second. */
+const LINGER_MILLISECONDS = 2600;
+/** Entries assumed until the others had time to make themselves heard. */
+const ASSUMED_ENTRIES = 8;
+const ASSUMED_MILLISECONDS = 5000;
+
+function serveReadiness(address: Address, isReady: () => boolean): Server {
+  const server = createServer((request, response) => {
+    request.resume();
+    response.writeHead(isReady() ? 200 : 503, { 'content-length': 0 });
+    response.end();
+  });
+  return server.listen(address.port, address.host);
+}
+
+/** Runs until a signal ends the process. */
+export async function startDirectEntry(adapters: EntryAdapters): Promise<void> {
+  const life = beginLife('entry');
+  const { logger } = life;
+  const settings = life.settings();
+  const random = createRandom(Math.floor(Math.random() * 0x7fffffff));
+  const startedAt = monotonicClock();
+  const catalog = createCatalog();
+  const ledger = createServerLedger(monotonicClock);
+  const groupHealth = createGroupHealth(monotonicClock, logger);
+  const metrics = createMetrics();
+  let isStopping = false;
+  catalog.onChange(() => ledger.keepOnly(catalog.servers().servers));
+
+  const peers: Peers = createEntryPeers({
+    settings: () => life.settings(),
+    catalog,
+    ledger,
+    groupHealth,
+    logger,
+    random,
+    knowledge: () => knowledge,
+  });
+  const knowledge: Knowledge = createKnowledge({
+    instanceId: settings.instanceId,
+    catalog,
+    store: adapters.createStore({
+      ...settings.storeAddress,
+      timeoutMilliseconds: STORE_MILLISECONDS,
+    }),
+    tables: adapters.tables,
+    logger,
+    random,
+    host: settings.host,
+    port: settings.peerPort,
+    peerHosts: () => peers.live(PeerRole.Entry).map(({ name }) => name.host),
+    living: () => ({
+      inZone: livingInZone(peers, settings.availabilityZone).map(({ instanceId }) => instanceId),
+      count: peers.live(PeerRole.Entry).length,
+    }),
+    onNews() {
+      for (const name of livingInZone(peers, settings.availabilityZone)) peers.tell(name);
+    },
+  });
+
+  /** Entries that share a bound; too many rather than too few while they are not all known. */
+  function entries(): number {
+    const known = peers.countOf(PeerRole.Entry);
+    const isYoung = monotonicClock() - startedAt < ASSUMED_MILLISECONDS;
+    return isYoung ? Math.max(known, ASSUMED_ENTRIES) : known;
+  }
+
+  const context: ForwardContext = {
+    metrics,
+    protocol: adapters.protocol,
+    catalog,
+    ledger,
+    retryShare: createRetryShare(
+      () => ({
+        ratio: life.settings().retryRatio,
+        slack: life.settings().retrySlack,
+        windowMilliseconds: life.settings().retryWindowMilliseconds,
+      }),
+      entries,
+      monotonicClock,
+    ),
+    coldShare: createColdShare(
+      () => ({
+        own: settings.instanceId,
+        names: peers.names(PeerRole.Entry),
+        count: entries(),
+      }),
+      monotonicClock,
+    ),
+    arrivals: createArrivalMeter(monotonicClock),
+    entries,
+    pulse: createPulse(monotonicClock),
+    groupHealth,
+    logger,
+    ownZone: settings.availabilityZone,
+    now: monotonicClock,
+    random,
+  };
+
+  const listener =
+    settings.callerAddress === undefined
+      ? undefined
+      : createCallerListener({
+          ...settings.callerAddress,
+          context,
+          isOutdated: () => knowledge.isOutdated(),
+          lingerMilliseconds: LINGER_MILLISECONDS,
+        });
+
+  startMetricsListener(metrics, settings.host, settings.metricsPort, (error) => {
+    logger.warn('metrics not served', { reason: error.message });
+  });
+  if (settings.readinessAddress !== undefined) {
+    serveReadiness(
+      settings.readinessAddress,
+      () => !isStopping && catalog.operators().configuration !== undefined,
+    );
+  }
+  await peers.start();
+  knowledge.start();
+  await listener?.start();
+
+  endOnSignal(life, async () => {
+    isStopping = true;
+    await listener?.stop();
+  });
+}
--- a/packages/group-leader/src/demand-watch.ts
+++ b/packages/group-leader/src/demand-watch.ts
@@ -9,7 +9,6 @@
 import type { GroupMap, RankReport } from '@lapisbridge/placement';
 
 import type { Demand } from './demand.js';
-import { planPace } from './plan-pace.js';
 
 /** What a model's engines allow. */
 export interface GroupProfile {
@@ -53,10 +52,12 @@
 const SHIFT_SKEW = 1.75;
 /** A change must shorten the experts' part of a pass by this share: loading slows passes. */
 const MINIMUM_GAIN = 0.1;
-/** After a shift, choices are gathered for this long before a plan is made of them alone. */
+/**
+ * After a shift, choices are gathered for this long before a plan is made of them alone. Also in
+ * large groups, whose ranks tell more rarely: there a shift is noticed later too, so that what
+ * they tell next was chosen after it.
+ */
 const GATHER_MILLISECONDS = 190;
-/** The same beyond the time in which every rank has told its counts once. */
-const GATHER_AFTER_TOLD_MILLISECONDS = 90;
 /**
  * Choices of each expert on average that must be in a window before it says anything: those of
  * about five requests in a group of 12 ranks with 4 sets of 72 experts.
@@ -117,11 +118,7 @@
       });
       if (hasShifted) return undefined;
     }
-    const gather = Math.max(
-      GATHER_MILLISECONDS,
-      planPace(own.size).counts + GATHER_AFTER_TOLD_MILLISECONDS,
-    );
-    const isEnough = demand.age() > gather && demand.total() > fewest;
+    const isEnough = demand.age() > GATHER_MILLISECONDS && demand.total() > fewest;
     if (!isEnough) return undefined;
     isGathering = false;
     const policy = {
--- /dev/null
+++ b/packages/group-sidecar/src/start-sidecar.ts
@@ -0,0 +1,89 @@
+/**
+ * The sidecar program: tells entries the load of the backend server beside it, and tends that
+ * server's part in its lock-step group.
+ */
+import type { Store } from '@lapisbridge/catalog';
+import { askLeader, createLeadership, startRelayListener } from '@lapisbridge/group-leader';
+import type { RankAddress, RankEngine } from '@lapisbridge/group-leader';
+import { createRandom, monotonicClock } from '@lapisbridge/kernel';
+import { createMetrics, startMetricsListener } from '@lapisbridge/metrics';
+import type { Metrics } from '@lapisbridge/metrics';
+import { beginLife, endOnSignal } from '@lapisbridge/process-life';
+
+import { createRankMember } from './rank-member.js';
+import type { RankMember } from './rank-member.js';
+
+export interface SidecarAdapters {
+  readonly engine: RankEngine;
+  /** `timeoutMilliseconds` is for one call. */
+  createStore(options: RankAddress & { readonly timeoutMilliseconds: number }): Store;
+}
+
+const STORE_MILLISECONDS = 700;
+
+function describeMember(metrics: Metrics, member: RankMember, leads: () => boolean): void {
+  metrics.gauge(
+    'lapisbridge_group_epoch',
+    'Epoch of the group; rises as it forms anew.',
+    () => member.report()?.epoch ?? -1,
+  );
+  metrics.gauge(
+    'lapisbridge_map_version',
+    'Version of the map in force.',
+    () => member.report()?.activeVersion ?? -1,
+  );
+  metrics.gauge('lapisbridge_leading', '1 while this sidecar leads its group.', () =>
+    leads() ? 1 : 0,
+  );
+}
+
+/** Runs until a signal ends the process. */
+export async function startGroupSidecar(adapters: SidecarAdapters): Promise<void> {
+  const life = beginLife('sidecar');
+  const { logger } = life;
+  const settings = life.settings();
+  const { host, instanceId, peerPort, backendServerAddress } = settings;
+  const random = createRandom(Math.floor(Math.random() * 0x7fffffff));
+  const metrics = createMetrics();
+  startMetricsListener(metrics, host, settings.metricsPort, (error) => {
+    logger.warn('metrics not served', { reason: error.message });
+  });
+  if (backendServerAddress === undefined) {
+    logger.warn('nothing to tend', { reason: 'the settings name no backend server' });
+    endOnSignal(life, async () => undefined);
+    return;
+  }
+  const leadership = createLeadership({
+    store: adapters.createStore({
+      ...settings.storeAddress,
+      timeoutMilliseconds: STORE_MILLISECONDS,
+    }),
+    instanceId,
+    host,
+    ask: (leaderHost) => askLeader({ host: leaderHost, port: peerPort }),
+    logger,
+    now: monotonicClock,
+    random,
+  });
+  const member = createRankMember({
+    settings: () => life.settings(),
+    backendServer: backendServerAddress,
+    engine: adapters.engine,
+    leadership,
+    logger,
+    now: monotonicClock,
+    random,
+  });
+  startRelayListener({
+    host,
+    port: peerPort,
+    backendServer: backendServerAddress,
+    engine: adapters.engine,
+    logger,
+    acceptFence: (fence) => leadership.accept(fence),
+    ownFence: () => leadership.fence(),
+  });
+  describeMember(metrics, member, () => leadership.fence() !== undefined);
+  await member.start();
+  endOnSignal(life, async () => member.stop());
+}
--- a/platform/src/process-life.ts
+++ b/packages/process-life/src/process-life.ts
@@ -1,16 +1,16 @@
 /**
- * The life of one process on the platform: settings, logs, signals, and faults that would end
+ * The life of one process: settings, logs, signals, and faults that would end
  * it. A fault in one request ends that request; the process itself ends only when told to.
  */
 import { createBoundedWriter, createLogger, LogFormat, LogLevel } from '@lapisbridge/logger';
 import type { BoundedWriter, Logger } from '@lapisbridge/logger';
 
 import { readSettings, SettingsError } from './settings.js';
-import type { PlatformSettings } from './settings.js';
+import type { ProcessSettings } from './settings.js';
 
 export interface ProcessLife {
   /** As read last: bounds and seeds may change while the process runs. */
-  settings(): PlatformSettings;
+  settings(): ProcessSettings;
   readonly logger: Logger;
   readonly writer: BoundedWriter;
 }
@@ -22,7 +22,7 @@
 const REREAD_MILLISECONDS = 5000;
 
 /** Reads the settings again at SIGHUP and now and then; bad ones change nothing. */
-function followSettings(first: PlatformSettings, logger: Logger): () => PlatformSettings {
+function followSettings(first: ProcessSettings, logger: Logger): () => ProcessSettings {
   let current = first;
 
   function reread(cause: string): void {
@@ -43,7 +43,7 @@
 }
 
 export function beginLife(role: string): ProcessLife {
-  let settings: PlatformSettings;
+  let settings: ProcessSettings;
   try {
     settings = readSettings();
   } catch (thrown) {
--- a/platform/src/settings.ts
+++ b/packages/process-life/src/settings.ts
@@ -5,16 +5,10 @@
  */
 import { readFileSync } from 'node:fs';
 
-import { numberOf, parseObject, textOf } from '@lapisbridge/json-call';
-import type { JsonObject } from '@lapisbridge/json-call';
-import { parseAddress } from './decode-server.js';
+import { numberOf, parseAddress, parseObject, textOf } from '@lapisbridge/json-call';
+import type { Address, JsonObject } from '@lapisbridge/json-call';
 
-export interface Address {
-  readonly host: string;
-  readonly port: number;
-}
-
-export interface PlatformSettings {
+export interface ProcessSettings {
   readonly instanceId: string;
   readonly host: string;
   readonly availabilityZone: string;
@@ -64,7 +58,7 @@
   return address;
 }
 
-export function parseSettings(bytes: Buffer): PlatformSettings {
+export function parseSettings(bytes: Buffer): ProcessSettings {
   const object = parseObject(bytes);
   if (object === undefined) throw new SettingsError('the settings are not a JSON object');
   const storeAddress = optionalAddress(object, 'storeAddress');
@@ -94,7 +88,7 @@
   };
 }
 
-export function readSettings(): PlatformSettings {
+export function readSettings(): ProcessSettings {
   const file = process.env[SETTINGS_VARIABLE];
   if (file === undefined) throw new SettingsError(`${SETTINGS_VARIABLE} names no file`);
   return parseSettings(readFileSync(file));
