Soak the real programs under drawn faults, on loopback with stand-ins and proxies

Change: npm run soak starts three entries and four sidecars as processes, stand-ins of store, rank group and plain servers behind proxies, and ten callers; twenty kinds of faults overlap; packages/history's checkers judge what was seen.

--- /dev/null
+++ b/packages/soak/src/bin.ts
@@ -0,0 +1,53 @@
+/**
+ * `npm run soak -- [--seed N] [--runs N] [--seconds N] [--entries N] [--ranks N]
+ * [--programs FOLDER]`: plays drawn faults on real processes and prints a line for each run; exit
+ * code 1 when a promise was broken. Other programs than the bundled ones show what it finds.
+ */
+import { resolve } from 'node:path';
+import { parseArgs } from 'node:util';
+
+import { runSoak } from './run-soak.js';
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: 'string', default: '1' },
+    runs: { type: 'string', default: '1' },
+    seconds: { type: 'string', default: '10' },
+    entries: { type: 'string', default: '3' },
+    ranks: { type: 'string', default: '4' },
+    programs: { type: 'string' },
+  },
+});
+
+function wholeNumber(name: keyof typeof values): number {
+  const value = Number(values[name]);
+  if (!Number.isInteger(value) || value <= 0) {
+    process.stderr.write(`--${name} must be a whole number above 0, and is "${values[name]}"\n`);
+    process.exit(2);
+  }
+  return value;
+}
+
+/** Loopback networks that runs take by turns. */
+const NETWORKS = 200;
+
+const first = wholeNumber('seed');
+let broken = 0;
+for (let seed = first; seed < first + wholeNumber('runs'); seed += 1) {
+  const result = await runSoak({
+    seed,
+    milliseconds: wholeNumber('seconds') * 1000,
+    entries: wholeNumber('entries'),
+    ranks: wholeNumber('ranks'),
+    network: 10 + (seed % NETWORKS),
+    ...(values.programs === undefined ? {} : { programs: resolve(values.programs) }),
+  });
+  const { served, sent, faults, violations, mapVersion, folder } = result;
+  if (violations.length > 0) broken += 1;
+  const verdict = violations.length === 0 ? 'kept' : `BROKEN ${violations.slice(0, 5).join('; ')}`;
+  const where = violations.length === 0 ? '' : ` logs in ${folder}`;
+  process.stdout.write(
+    `seed ${seed}: ${faults.length} faults, ${served} of ${sent} served, map ${mapVersion}, ${verdict}${where}\n`,
+  );
+}
+process.exit(broken === 0 ? 0 : 1);
--- /dev/null
+++ b/packages/soak/src/callers.ts
@@ -0,0 +1,146 @@
+/**
+ * Callers of a site: each sends one request after the other to some entry, keeps its connections
+ * until the process behind them is gone, and records what it saw.
+ */
+import { Agent } from 'node:http';
+
+import { EventKind } from '@lapisbridge/history';
+import type { History } from '@lapisbridge/history';
+import type { Random } from '@lapisbridge/kernel';
+import { Ran } from '@lapisbridge/types';
+import {
+  BOOKING_PREFIX,
+  callAsCaller,
+  eventText,
+  LOOK_UP_PREFIX,
+  plainBody,
+  STREAM_EVENTS,
+  STREAM_PREFIX,
+} from '@lapisbridge/users-platform';
+import type { CallerOutcome } from '@lapisbridge/users-platform';
+
+import type { Site } from './site.js';
+
+export enum Kind {
+  Stream = 'stream',
+  Booking = 'booking',
+  LookUp = 'look-up',
+}
+
+export interface Callers {
+  /** Violations that need no look at the whole history. */
+  readonly violations: readonly string[];
+  /** Sends one request to an entry; true when the whole answer came. */
+  call(entry: number, kind: Kind): Promise<boolean>;
+  /** Ends when all callers have had their last answer. */
+  run(count: number, milliseconds: number): Promise<void>;
+  /** Answered wholly, and sent. */
+  tally(): { readonly served: number; readonly sent: number };
+  close(): void;
+}
+
+/** These say that the request has not run and never will. */
+const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Every request of these callers is proper in every configuration. */
+const DENIALS: ReadonlySet<number> = new Set([400, 401, 403, 404, 413, 431]);
+const PATIENCE_MILLISECONDS = 3500;
+const PREFIXES: Readonly<Record<Kind, string>> = {
+  [Kind.Stream]: STREAM_PREFIX,
+  [Kind.Booking]: BOOKING_PREFIX,
+  [Kind.LookUp]: LOOK_UP_PREFIX,
+};
+
+function expectedText(kind: Kind, requestId: string): string {
+  if (kind !== Kind.Stream) return plainBody(requestId);
+  let text = '';
+  for (let id = 1; id <= STREAM_EVENTS; id += 1) text += eventText(requestId, id);
+  return text;
+}
+
+export function createCallers(site: Site, history: History, random: Random, key: string): Callers {
+  const violations: string[] = [];
+  const agents = site.entries.map(() => new Agent({ keepAlive: true }));
+  let sent = 0;
+  let served = 0;
+
+  function check(requestId: string, kind: Kind, outcome: CallerOutcome): boolean {
+    const { status, isWhole, isSigned, text } = outcome;
+    if (DENIALS.has(status)) violations.push(`denied: ${requestId} got ${status}`);
+    const isSuccess = status >= 200 && status < 300;
+    if (!isSuccess) return false;
+    if (!isSigned) violations.push(`unsigned: ${requestId} got ${status}`);
+    if (outcome.requestId !== requestId) violations.push(`foreign: ${requestId} got another's`);
+    const expected = expectedText(kind, requestId);
+    // One that is broken off visibly counts as told; the code only has to be there.
+    const code = isWhole ? undefined : status;
+    history.record({
+      kind: EventKind.Answer,
+      request: requestId,
+      text,
+      expected,
+      complete: isWhole,
+      ...(code === undefined ? {} : { code }),
+    });
+    return isWhole && text === expected;
+  }
+
+  async function call(entry: number, kind: Kind): Promise<boolean> {
+    sent += 1;
+    const requestId = `${kind}-${sent}`;
+    const program = site.entries[entry];
+    const agent = agents[entry];
+    if (program === undefined || agent === undefined) throw new Error(`there is no entry ${entry}`);
+    const before = program.stops();
+    history.record({ kind: EventKind.Invoke, request: requestId, callKey: requestId });
+    const outcome = await callAsCaller({
+      ...site.callersAt(entry),
+      requestId,
+      path: `${PREFIXES[kind]}${requestId}`,
+      method: kind === Kind.LookUp ? 'GET' : 'POST',
+      key,
+      patienceMilliseconds: PATIENCE_MILLISECONDS,
+      agent,
+    });
+    history.record({
+      kind: EventKind.Reply,
+      request: requestId,
+      callKey: requestId,
+      status: outcome.status,
+      ...(NOT_RUN.has(outcome.status) ? { ran: Ran.No } : {}),
+    });
+    const after = program.stops();
+    // Sent before the stop was asked for, and ended without an answer while it went on.
+    if (outcome.status === 0 && after.asked > before.asked && before.asked === before.ended) {
+      history.record({ kind: EventKind.Stopped, instanceId: program.name, cutOff: 1 });
+    }
+    const isServed = check(requestId, kind, outcome);
+    if (isServed) served += 1;
+    return isServed;
+  }
+
+  async function callAlways(until: number): Promise<void> {
+    const kinds = Object.values(Kind);
+    while (performance.now() < until) {
+      const kind = kinds[Math.floor(random() * kinds.length)];
+      const isServed = await call(Math.floor(random() * site.entries.length), kind);
+      // Callers that were refused or lost wait before they ask for something else.
+      const pause = isServed ? 5 : 80;
+      await new Promise((resolve) => {
+        setTimeout(resolve, pause * (0.5 + random()));
+      });
+    }
+  }
+
+  return {
+    violations,
+    call,
+    async run(count, milliseconds) {
+      const until = performance.now() + milliseconds;
+      await Promise.all(Array.from({ length: count }, () => callAlways(until)));
+    },
+    tally: () => ({ served, sent }),
+    close() {
+      for (const agent of agents) agent.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/packages/soak/src/inject-fault.ts
@@ -0,0 +1,115 @@
+/**
+ * Brings a drawn fault about at a site from outside its processes, and takes it away again.
+ */
+import { StoreFault } from '@lapisbridge/users-platform';
+
+import { LinkMode } from './link.js';
+import { FaultKind } from './plan-faults.js';
+import type { Fault } from './plan-faults.js';
+import type { Program } from './program.js';
+import type { Site, SiteServer } from './site.js';
+
+const BAD_SHARE = 0.4;
+const LATE_SHARE = 0.4;
+
+const STORE_FAULTS: Readonly<Partial<Record<FaultKind, StoreFault>>> = {
+  [FaultKind.StoreDown]: StoreFault.Down,
+  [FaultKind.StoreSilent]: StoreFault.Silent,
+  [FaultKind.StoreSlow]: StoreFault.Slow,
+  [FaultKind.StoreLosesAnswers]: StoreFault.LosesAnswers,
+  [FaultKind.StoreForgetful]: StoreFault.Forgetful,
+};
+
+const LINK_MODES: Readonly<Partial<Record<FaultKind, LinkMode>>> = {
+  [FaultKind.LinkDelayed]: LinkMode.Delayed,
+  [FaultKind.LinkReset]: LinkMode.Resetting,
+  [FaultKind.LinkSilent]: LinkMode.Silent,
+  [FaultKind.LinkOneWay]: LinkMode.OneWay,
+};
+
+function pick<T>(items: readonly T[], target: number): T {
+  const item = items[target % items.length];
+  if (item === undefined) throw new Error('the site has nothing of the kind');
+  return item;
+}
+
+function pause(program: Program): () => void {
+  program.signal('SIGSTOP');
+  return () => program.signal('SIGCONT');
+}
+
+function nothing(): void {
+  // Whoever was killed starts again by itself.
+}
+
+/** Returns what takes the fault away. */
+export function injectFault(site: Site, fault: Fault): () => void {
+  const { kind, target } = fault;
+  const servers: readonly SiteServer[] = [...site.ranks, ...site.plainServers];
+  switch (kind) {
+    case FaultKind.KillEntry:
+      pick(site.entries, target).signal('SIGKILL');
+      return nothing;
+    case FaultKind.TerminateEntry:
+      pick(site.entries, target).signal('SIGTERM');
+      return nothing;
+    case FaultKind.HangUpEntry:
+      pick(site.entries, target).signal('SIGHUP');
+      return nothing;
+    case FaultKind.PauseEntry:
+      return pause(pick(site.entries, target));
+    case FaultKind.KillSidecar:
+      pick(site.sidecars, target).signal('SIGKILL');
+      return nothing;
+    case FaultKind.PauseSidecar:
+      return pause(pick(site.sidecars, target));
+    case FaultKind.StoreDown:
+    case FaultKind.StoreSilent:
+    case FaultKind.StoreSlow:
+    case FaultKind.StoreLosesAnswers:
+    case FaultKind.StoreForgetful:
+      site.store.fault = STORE_FAULTS[kind] ?? StoreFault.None;
+      return () => {
+        site.store.fault = StoreFault.None;
+      };
+    case FaultKind.CrashRank: {
+      const rank = target % site.ranks.length;
+      site.group.crash(rank);
+      return () => site.group.restart(rank);
+    }
+    case FaultKind.BadAnswers: {
+      const { runner } = pick(servers, target);
+      runner.badShare = BAD_SHARE;
+      return () => {
+        runner.badShare = 0;
+      };
+    }
+    case FaultKind.LateOrders:
+      site.group.lateShare = LATE_SHARE;
+      return () => {
+        site.group.lateShare = 0;
+      };
+    case FaultKind.LinkDelayed:
+    case FaultKind.LinkReset:
+    case FaultKind.LinkSilent:
+    case FaultKind.LinkOneWay: {
+      const { link } = pick(servers, target);
+      link.setMode(LINK_MODES[kind] ?? LinkMode.Passing);
+      return () => link.setMode(LinkMode.Passing);
+    }
+    case FaultKind.ChangeConfiguration:
+      site.configure(['key', `other-${target}`]);
+      return () => site.configure(['key']);
+    case FaultKind.DrainServer: {
+      const server = pick(site.plainServers, target);
+      server.isDraining = true;
+      return () => {
+        server.isDraining = false;
+      };
+    }
+    default: {
+      const unreachable: never = kind;
+      throw new Error(String(unreachable));
+    }
+  }
+}
--- /dev/null
+++ b/packages/soak/src/link.ts
@@ -0,0 +1,71 @@
+/**
+ * A loopback proxy in front of one server, which delays, resets, silences or cuts one way the
+ * connections that pass it.
+ */
+import { connect, createServer } from 'node:net';
+import type { Server, Socket } from 'node:net';
+
+export enum LinkMode {
+  Passing = 'passing',
+  Delayed = 'delayed',
+  /** Resets what is open, and whatever is opened. */
+  Resetting = 'resetting',
+  /** Swallows all bytes both ways; connections stay open. */
+  Silent = 'silent',
+  /** Requests arrive, answers do not. */
+  OneWay = 'oneWay',
+}
+
+export interface Link {
+  readonly server: Server;
+  setMode(mode: LinkMode): void;
+}
+
+const DELAY_MILLISECONDS = 150;
+
+export function createLink(target: { readonly host: string; readonly port: number }): Link {
+  let mode = LinkMode.Passing;
+  const open = new Set<Socket>();
+
+  function pipe(from: Socket, to: Socket, isAnswer: boolean): void {
+    from.on('data', (chunk: Buffer) => {
+      if (mode === LinkMode.Silent || (isAnswer && mode === LinkMode.OneWay)) return;
+      const forward = (): void => {
+        if (!to.destroyed) to.write(chunk);
+      };
+      if (mode === LinkMode.Delayed) setTimeout(forward, DELAY_MILLISECONDS);
+      else forward();
+    });
+    from.on('end', () => {
+      if (mode === LinkMode.Delayed) setTimeout(() => to.end(), DELAY_MILLISECONDS);
+      else to.end();
+    });
+    from.on('close', (hadError) => {
+      open.delete(from);
+      if (hadError && !to.destroyed) to.resetAndDestroy();
+    });
+    // Told by 'close', which follows.
+    from.on('error', () => undefined);
+  }
+
+  const server = createServer({ allowHalfOpen: true }, (caller) => {
+    if (mode === LinkMode.Resetting) {
+      caller.on('error', () => undefined);
+      caller.resetAndDestroy();
+      return;
+    }
+    const onward = connect({ ...target, allowHalfOpen: true });
+    open.add(caller);
+    open.add(onward);
+    pipe(caller, onward, false);
+    pipe(onward, caller, true);
+  });
+  return {
+    server,
+    setMode(next) {
+      mode = next;
+      if (next !== LinkMode.Resetting) return;
+      for (const socket of open) socket.resetAndDestroy();
+    },
+  };
+}
--- /dev/null
+++ b/packages/soak/src/program.ts
@@ -0,0 +1,78 @@
+/**
+ * One of the real programs as a process of its own, started again when it ends.
+ */
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { createWriteStream, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+
+export interface ProgramOptions {
+  readonly name: string;
+  /** Bundled program. */
+  readonly file: string;
+  readonly folder: string;
+  readonly settings: Readonly<Record<string, unknown>>;
+  /** The process ended and nobody had asked it to. */
+  onOwnEnd(name: string, code: number | null): void;
+}
+
+export interface Program {
+  readonly name: string;
+  start(): void;
+  /** Sends a signal; one that ends the process is followed by a start. */
+  signal(signal: NodeJS.Signals): void;
+  /** How often it was sent SIGTERM, and has ended since. */
+  stops(): { readonly asked: number; readonly ended: number };
+  /** Ends it for good. */
+  end(): Promise<void>;
+}
+
+const RESTART_MILLISECONDS = 300;
+
+export function createProgram(options: ProgramOptions): Program {
+  const { name, folder } = options;
+  const settingsFile = join(folder, `${name}.json`);
+  const log = createWriteStream(join(folder, `${name}.log`), { flags: 'a' });
+  let child: ChildProcess | undefined;
+  let isOver = false;
+  let isExpected = false;
+  let asked = 0;
+  let ended = 0;
+
+  function start(): void {
+    writeFileSync(settingsFile, JSON.stringify(options.settings));
+    const started = spawn(process.execPath, ['--max-old-space-size=96', options.file], {
+      env: { LAPISBRIDGE_SETTINGS: settingsFile },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    child = started;
+    isExpected = false;
+    started.stdout.pipe(log, { end: false });
+    started.stderr.pipe(log, { end: false });
+    started.on('exit', (code) => {
+      if (!isExpected && !isOver) options.onOwnEnd(name, code);
+      ended = asked;
+      if (!isOver) setTimeout(start, RESTART_MILLISECONDS);
+    });
+  }
+
+  return {
+    name,
+    start,
+    signal(signal) {
+      if (signal === 'SIGKILL' || signal === 'SIGTERM') isExpected = true;
+      if (signal === 'SIGTERM') asked += 1;
+      child?.kill(signal);
+    },
+    stops: () => ({ asked, ended }),
+    async end() {
+      isOver = true;
+      const ending = child;
+      if (ending === undefined || ending.exitCode !== null || ending.signalCode !== null) return;
+      await new Promise((resolve) => {
+        ending.on('exit', resolve);
+        ending.kill('SIGKILL');
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/soak/src/site.ts
@@ -0,0 +1,235 @@
+/**
+ * A small site on loopback addresses: the real programs, and stand-ins for what surrounds them
+ * behind proxies.
+ */
+import { mkdtempSync } from 'node:fs';
+import type { Server } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { EventKind } from '@lapisbridge/history';
+import type { History } from '@lapisbridge/history';
+import type { Random } from '@lapisbridge/kernel';
+import {
+  configurationRow,
+  createRankGroup,
+  createRunnerStandIn,
+  createStoreStandIn,
+  MODEL_SERVICE,
+  PLAIN_SERVICE,
+  serverRow,
+} from '@lapisbridge/users-platform';
+import type { RankGroup, RunnerStandIn, StoreStandIn } from '@lapisbridge/users-platform';
+
+import { createLink } from './link.js';
+import type { Link } from './link.js';
+import { createProgram } from './program.js';
+import type { Program } from './program.js';
+
+export interface SiteServer {
+  readonly instanceId: string;
+  readonly runner: RunnerStandIn;
+  readonly link: Link;
+  isDraining: boolean;
+}
+
+export interface Site {
+  /** Programs' logs and settings are here. */
+  readonly folder: string;
+  readonly store: StoreStandIn;
+  readonly group: RankGroup;
+  readonly ranks: readonly SiteServer[];
+  readonly plainServers: readonly SiteServer[];
+  readonly entries: readonly Program[];
+  readonly sidecars: readonly Program[];
+  callersAt(entry: number): { readonly host: string; readonly port: number };
+  readinessAt(entry: number): { readonly host: string; readonly port: number };
+  /** Writes the configuration with these keys under a new version. */
+  configure(keys: readonly string[]): void;
+  stop(): Promise<void>;
+}
+
+export interface SiteOptions {
+  readonly random: Random;
+  readonly history: History;
+  readonly entries: number;
+  readonly ranks: number;
+  readonly plainServers: number;
+  /** Folder of the bundled programs. */
+  readonly programs: string;
+  /** 1 to 250; keeps the addresses of runs on one machine apart. */
+  readonly network: number;
+  onOwnEnd(name: string, code: number | null): void;
+}
+
+const SIZE = { sets: 2, experts: 16, placesPerRank: 8 };
+const HEARTBEAT_MILLISECONDS = 400;
+const CALLERS_PORT = 21_001;
+const READINESS_PORT = 21_002;
+const PEER_PORT = 21_003;
+const METRICS_PORT = 21_004;
+const SERVER_PORT = 21_005;
+const LINK_PORT = 21_006;
+const STORE_PORT = 21_007;
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+/** The third number of a loopback address, by what stands there. */
+enum Net {
+  Entries = 1,
+  Servers = 2,
+  Store = 3,
+}
+
+function listen(server: Server, host: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => resolve());
+  });
+}
+
+export async function startSite(options: SiteOptions): Promise<Site> {
+  const { random, history, network } = options;
+  const folder = mkdtempSync(join(tmpdir(), 'lapisbridge-soak-'));
+  const addressOf = (net: Net, index: number): string => `127.${network}.${net}.${index + 1}`;
+  const store = createStoreStandIn();
+  const group = createRankGroup({
+    ...SIZE,
+    ranks: options.ranks,
+    random,
+    onPass(rank, step, mapVersion) {
+      const name = `group in epoch ${group.epoch()}`;
+      history.record({ kind: EventKind.MapStep, group: name, rank, step, mapVersion });
+    },
+  });
+  const servers: Server[] = [];
+  await listen(store.server, addressOf(Net.Store, 0), STORE_PORT);
+  servers.push(store.server);
+
+  async function startServer(index: number, rank: number | undefined): Promise<SiteServer> {
+    const instanceId = rank === undefined ? `plain-${index}` : `rank-${rank}`;
+    const runner = createRunnerStandIn({
+      instanceId,
+      random,
+      rank: rank === undefined ? undefined : { group, index: rank },
+      onRun(requestId) {
+        const isOnce = requestId.startsWith('booking');
+        if (isOnce) history.record({ kind: EventKind.Effect, callKey: requestId });
+      },
+    });
+    const host = addressOf(Net.Servers, index);
+    const link = createLink({ host, port: SERVER_PORT });
+    await listen(runner.server, host, SERVER_PORT);
+    await listen(link.server, host, LINK_PORT);
+    servers.push(runner.server, link.server);
+    return { instanceId, runner, link, isDraining: false };
+  }
+
+  const ranks: SiteServer[] = [];
+  const plainServers: SiteServer[] = [];
+  for (let rank = 0; rank < options.ranks; rank += 1) ranks.push(await startServer(rank, rank));
+  for (let index = 0; index < options.plainServers; index += 1) {
+    plainServers.push(await startServer(options.ranks + index, undefined));
+  }
+
+  let sequence = 0;
+  function beat(): void {
+    sequence += 1;
+    for (const [index, server] of [...ranks, ...plainServers].entries()) {
+      const isRank = index < ranks.length;
+      if (isRank && group.ranks[index]?.isAlive === false) continue;
+      const row = {
+        service: isRank ? MODEL_SERVICE : PLAIN_SERVICE,
+        address: `${addressOf(Net.Servers, index)}:${LINK_PORT}`,
+        zone: ZONES[index % ZONES.length] ?? '',
+        isDraining: server.isDraining,
+        startedAt: 1,
+        group: isRank
+          ? {
+              name: 'group',
+              epoch: group.epoch(),
+              rank: index,
+              state: group.isOpen() ? 'open' : 'broken',
+            }
+          : undefined,
+      };
+      store.put('servers', server.instanceId, serverRow(row, sequence));
+    }
+  }
+  beat();
+  const heartbeat = setInterval(beat, HEARTBEAT_MILLISECONDS);
+
+  let version = 0;
+  function configure(keys: readonly string[]): void {
+    version += 1;
+    store.put('op', 'config', configurationRow(version, keys, SIZE));
+  }
+
+  const seeds = Array.from(
+    { length: Math.min(3, options.entries) },
+    (_, index) => `${addressOf(Net.Entries, index)}:${PEER_PORT}`,
+  );
+  const shared = {
+    peerPort: PEER_PORT,
+    metricsPort: METRICS_PORT,
+    seedAddresses: seeds.join(','),
+    storeAddress: `${addressOf(Net.Store, 0)}:${STORE_PORT}`,
+    graceSeconds: 8,
+    retryRatio: 0.2,
+    retrySlack: 90,
+    retryWindowSeconds: 10,
+  };
+  const { onOwnEnd } = options;
+  const entries = Array.from({ length: options.entries }, (_, index) => {
+    const host = addressOf(Net.Entries, index);
+    return createProgram({
+      name: `entry-${index}`,
+      file: join(options.programs, 'entry.js'),
+      folder,
+      onOwnEnd,
+      settings: {
+        ...shared,
+        instanceId: `entry-${index}`,
+        host,
+        availabilityZone: ZONES[index % ZONES.length],
+        callerAddress: `${host}:${CALLERS_PORT}`,
+        readinessAddress: `${host}:${READINESS_PORT}`,
+      },
+    });
+  });
+  const sidecars = ranks.map((_, index) => {
+    const host = addressOf(Net.Servers, index);
+    return createProgram({
+      name: `sidecar-${index}`,
+      file: join(options.programs, 'sidecar.js'),
+      folder,
+      onOwnEnd,
+      settings: {
+        ...shared,
+        instanceId: `sidecar-${index}`,
+        host,
+        availabilityZone: ZONES[index % ZONES.length],
+        service: MODEL_SERVICE,
+        backendServerAddress: `${host}:${LINK_PORT}`,
+      },
+    });
+  });
+  for (const program of [...entries, ...sidecars]) program.start();
+
+  return {
+    folder,
+    store,
+    group,
+    ranks,
+    plainServers,
+    entries,
+    sidecars,
+    callersAt: (entry) => ({ host: addressOf(Net.Entries, entry), port: CALLERS_PORT }),
+    readinessAt: (entry) => ({ host: addressOf(Net.Entries, entry), port: READINESS_PORT }),
+    configure,
+    async stop() {
+      clearInterval(heartbeat);
+      group.stop();
+      await Promise.all([...entries, ...sidecars].map((program) => program.end()));
+      for (const server of servers) server.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/soak/src/soak.test.ts
@@ -0,0 +1,31 @@
+import { describe, expect, it } from 'vitest';
+
+import { KEPT_SEEDS } from './kept-seeds.js';
+import { FaultKind, planFaults } from './plan-faults.js';
+import { runSoak } from './run-soak.js';
+
+describe('drawn faults', () => {
+  it('are the same for the same seed, of all kinds, and overlap', () => {
+    const faults = planFaults(7, 600_000);
+    expect(planFaults(7, 600_000)).toEqual(faults);
+    expect(new Set(faults.map(({ kind }) => kind)).size).toBe(Object.keys(FaultKind).length);
+    const overlapping = faults.filter(
+      ({ at, lasts }, index) => (faults[index + 1]?.at ?? Infinity) < at + lasts,
+    );
+    expect(overlapping.length).toBeGreaterThan(faults.length / 2);
+  });
+});
+
+describe('the real programs under drawn faults', () => {
+  // Entries and sidecars are killed, paused and told to stop, the store fails in five ways, links
+  // to backend servers are reset or silenced, ranks crash and orders are carried out late, all at
+  // once. Whatever a caller is told has to be true, and a site without faults serves again.
+  const seeds = [{ seed: 1, milliseconds: 5000, cause: 'a first run' }, ...KEPT_SEEDS];
+  for (const { seed, milliseconds } of seeds) {
+    it(`keep every promise with seed ${seed}`, async () => {
+      const result = await runSoak({ seed, milliseconds, network: 1 + (seed % 9) });
+      expect(result.violations).toEqual([]);
+      expect(result.served).toBeGreaterThan(0);
+    });
+  }
+});
--- a/vitest.config.js
+++ b/vitest.config.js
@@ -7,6 +7,9 @@
 const alias = Object.fromEntries(
   readdirSync(packages).map((name) => [`@lapisbridge/${name}`, `${packages}${name}/src/index.ts`]),
 );
+alias['@lapisbridge/users-platform'] = fileURLToPath(
+  new URL('platform/src/stand-ins/index.ts', import.meta.url),
+);
 
 /** Unit tests run from the sources; whole-process tests start the built daemons. */
 export default defineConfig({
