Tell streams that would be late to come back, so that those after them are in time

Entries had sent every stream that had waited to servers of 8 slots, 15 to 18 each, and each new one waited behind them although more was served a second than came. Change: a stream is offered only where it begins in time (first tries: 15% of the slots may wait; returned callers as long as they stay), counting that other entries do as this one does since the last report; otherwise it is looked at again after a report and told to come back. Ruled out: lower priority for late streams, which would lose those that wait.

--- a/packages/forwarding/src/choose-server.ts
+++ b/packages/forwarding/src/choose-server.ts
@@ -24,10 +24,14 @@
     if (drainedZones.has(server.availabilityZone)) continue;
     const coldRate = profile?.coldRequestsPerSecond ?? 0;
     views.push(
-      context.ledger.view(server, {
-        roomInMilliseconds: context.coldShare.roomIn(server.instanceId, coldRate),
-        brokenForMilliseconds: context.groupHealth.brokenFor(server),
-      }),
+      context.ledger.view(
+        server,
+        {
+          roomInMilliseconds: context.coldShare.roomIn(server.instanceId, coldRate),
+          brokenForMilliseconds: context.groupHealth.brokenFor(server),
+        },
+        context.entries(),
+      ),
     );
   }
   return { views, byId };
@@ -60,6 +64,7 @@
   context: ForwardContext,
   accepted: AcceptedRequest,
   progress: Progress,
+  fits: (view: ServerView) => boolean = () => true,
 ): ChosenServer {
   const { views, byId } = viewsOf(context, accepted);
   const engine = accepted.configuration.services.get(accepted.service)?.engine;
@@ -69,6 +74,7 @@
     excluded: progress.tried,
     readTokensPerMillisecond: engine === undefined ? NO_PROMPTS : engine.readTokensPerSecond / 1000,
     unseenArrivals: guessUnseen(context, accepted.service, views),
+    fits,
     random: context.random,
   });
   const chosen = choice.kind === ServerChoiceKind.Chosen;
--- a/packages/forwarding/src/plan-retry-after.ts
+++ b/packages/forwarding/src/plan-retry-after.ts
@@ -10,6 +10,8 @@
   NoServer = 'noServer',
   /** Every server that could be tried is full. */
   Full = 'full',
+  /** Every slot is taken, and whoever waited for one would be late. */
+  Crowded = 'crowded',
   /** The lock-step group is broken and forms anew. */
   GroupBroken = 'groupBroken',
   /** Repeating it now would exceed the retry budget. */
@@ -26,6 +28,8 @@
   [RefusalCause.NoServer]: 1500,
   // Answers last one to two seconds, so that a queue moves on in that time.
   [RefusalCause.Full]: 1200,
+  // A crowd after an outage is gone in two to six seconds; callers come back once, so rather late.
+  [RefusalCause.Crowded]: 2400,
   // A rank that died or was cut off is rarely back sooner than after a stall of 1.5 s and the
   // forming of the group; callers come back once, so rather late than in vain.
   [RefusalCause.GroupBroken]: 2600,
--- a/packages/forwarding/src/plan-wait.ts
+++ b/packages/forwarding/src/plan-wait.ts
@@ -14,7 +14,7 @@
  * From a send to the first event: 170 ms at the median of a day at high load, and up to 550 at
  * the 90th percentile in seconds in which a map changes.
  */
-const FIRST_EVENT_MILLISECONDS = 400;
+export const FIRST_EVENT_MILLISECONDS = 400;
 /** A started stream can only be saved or broken off, so the last moment is used as well. */
 const NEXT_EVENT_MILLISECONDS = 100;
 
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -7,6 +7,7 @@
 import { sleep } from '@lapisbridge/kernel';
 import { LatencyKind } from '@lapisbridge/metrics';
 import { ServerChoiceKind } from '@lapisbridge/routing';
+import type { ServerView } from '@lapisbridge/routing';
 
 import type { AnswerHead } from './caller-protocol.js';
 import { chooseServer } from './choose-server.js';
@@ -16,6 +17,7 @@
 import { describeOutcome, OutcomeKind, proveNotRun } from './outcome.js';
 import type { Outcome } from './outcome.js';
 import { fail, refuse } from './own-answer.js';
+import { canOffer, planCrowdWait } from './plan-offer.js';
 import { RefusalCause } from './plan-retry-after.js';
 import { planRoomWait, planWait } from './plan-wait.js';
 import type { WaitInput } from './plan-wait.js';
@@ -32,6 +34,8 @@
 enum StartKind {
   Started = 'started',
   GroupBroken = 'groupBroken',
+  /** Every slot is taken, and a place in a queue would be too late. */
+  Crowded = 'crowded',
   /** Every server has had this entry's share for now. */
   Limited = 'limited',
   None = 'none',
@@ -44,6 +48,7 @@
       readonly attempt: StreamAttempt;
     }
   | { readonly kind: StartKind.GroupBroken; readonly forMilliseconds: number }
+  | { readonly kind: StartKind.Crowded }
   | { readonly kind: StartKind.Limited; readonly roomInMilliseconds: number }
   | { readonly kind: StartKind.None; readonly cause: RefusalCause };
 
@@ -121,13 +126,27 @@
     return progress.sends > 0 ? RefusalCause.Full : RefusalCause.NoServer;
   }
 
+  /** Whether a server can begin the stream in time; unknown where it does not report its load. */
+  function fits({ slots, expected, reportAge }: ServerView): boolean {
+    if (reportAge === undefined) return true;
+    return canOffer({
+      route,
+      slots,
+      expectedStreams: expected,
+      hasBegun: answer.hasBegun,
+      hasComeBack: accepted.hasComeBack,
+      silenceMilliseconds: silence(),
+    });
+  }
+
   /** Starts one more attempt, or says why none can be started. */
   function startNext(): Start {
     if (state.isExpired) return { kind: StartKind.None, cause: RefusalCause.Expired };
     if (progress.sends - state.groupRefusals >= MAXIMUM_SENDS) {
       return { kind: StartKind.None, cause: RefusalCause.Full };
     }
-    const { choice, server } = chooseServer(context, accepted, progress);
+    const { choice, server } = chooseServer(context, accepted, progress, fits);
+    if (choice.kind === ServerChoiceKind.AllCrowded) return { kind: StartKind.Crowded };
     if (choice.kind === ServerChoiceKind.AllBroken) {
       return { kind: StartKind.GroupBroken, forMilliseconds: choice.brokenForMilliseconds };
     }
@@ -223,6 +242,26 @@
     return !state.isExpired;
   }
 
+  /** Waits for newer reports; false when the caller is to be told to come back. */
+  async function waitForCrowd(): Promise<boolean> {
+    const wait = planCrowdWait({
+      route,
+      hasComeBack: accepted.hasComeBack,
+      silenceMilliseconds: silence(),
+      remainingMilliseconds: remainingOf(context, accepted),
+    });
+    context.logger.decision({
+      kind: 'wait',
+      subject: accepted.requestId,
+      choice: wait === 0 ? 'give up' : 'keep',
+      reason: 'every slot is taken',
+      facts: { silence: Math.round(silence()), hasComeBack: accepted.hasComeBack },
+    });
+    if (wait === 0) return false;
+    await sleep(wait);
+    return !state.isExpired;
+  }
+
   /** Waits until a server takes one more request; false when that is too far away. */
   async function waitForRoom(roomInMilliseconds: number): Promise<boolean> {
     const wait = planRoomWait({
@@ -260,6 +299,11 @@
         conclude(RefusalCause.GroupBroken);
         return;
       }
+      if (start.kind === StartKind.Crowded) {
+        if (await waitForCrowd()) continue;
+        conclude(RefusalCause.Crowded);
+        return;
+      }
       if (start.kind === StartKind.Limited) {
         if (await waitForRoom(start.roomInMilliseconds)) continue;
         conclude(RefusalCause.Full);
--- a/packages/forwarding/src/server-ledger.ts
+++ b/packages/forwarding/src/server-ledger.ts
@@ -18,9 +18,11 @@
   inFlight(instanceId: string): number;
   /** Whether requests wait at the server, by its last report. */
   isQueueing(instanceId: string): boolean;
+  /** `senders` are the entries that send to the same servers. */
   view(
     server: BackendServer,
     limits: Pick<ServerView, 'roomInMilliseconds' | 'brokenForMilliseconds'>,
+    senders: number,
   ): ServerView;
   /** Forgets servers that are gone. */
   keepOnly(instanceIds: ReadonlyMap<string, unknown>): void;
@@ -82,8 +84,18 @@
   function outstanding(entry: Entry): number {
     const { report } = entry;
     if (report === undefined || reportAge(entry) === undefined) return entry.inFlight;
-    const corrected = report.running + report.waiting + entry.inFlight - entry.inFlightAtReport;
-    return Math.max(entry.inFlight, corrected);
+    return Math.max(entry.inFlight, report.running + report.waiting + grown(entry));
+  }
+
+  /** Own requests there, more or fewer than when the report was taken. */
+  function grown(entry: Entry): number {
+    return entry.inFlight - entry.inFlightAtReport;
+  }
+
+  /** Where this entry sends, others do too: all have seen the same report. */
+  function expected(entry: Entry, senders: number): number {
+    const unseen = reportAge(entry) === undefined ? 0 : Math.max(0, grown(entry));
+    return outstanding(entry) + unseen * Math.max(0, senders - 1);
   }
 
   return {
@@ -122,13 +134,14 @@
       return entry.report.waiting > 0;
     },
     inFlight: (instanceId) => entries.get(instanceId)?.inFlight ?? 0,
-    view(server, limits) {
+    view(server, limits, senders) {
       const entry = entryOf(server.instanceId);
       return {
         instanceId: server.instanceId,
         availabilityZone: server.availabilityZone,
         slots: server.slots,
         outstanding: outstanding(entry),
+        expected: expected(entry, senders),
         unreadTokens: entry.unreadTokens,
         typicalMilliseconds: entry.typical,
         reportAge: reportAge(entry),
--- a/packages/routing/src/plan-server.test.ts
+++ b/packages/routing/src/plan-server.test.ts
@@ -9,6 +9,7 @@
     availabilityZone: 'zone',
     slots: 8,
     outstanding: 0,
+    expected: 0,
     unreadTokens: 0,
     typicalMilliseconds: 100,
     reportAge: undefined,
--- a/packages/routing/src/plan-server.ts
+++ b/packages/routing/src/plan-server.ts
@@ -12,6 +12,8 @@
   readonly slots: number;
   /** Requests running and waiting there: the last report, corrected by what was sent since. */
   readonly outstanding: number;
+  /** The same where every other entry has sent as many as this one since the report. */
+  readonly expected: number;
   /** Prompt tokens sent there by this entry that are not read yet, as far as it can tell. */
   readonly unreadTokens: number;
   /** Typical time of one answer or first event, in milliseconds; 0 when unknown. */
@@ -39,6 +41,8 @@
    * as far as this entry can guess; 0 where nobody else sends.
    */
   readonly unseenArrivals: number;
+  /** Whether a server can take the request in time for its caller; others are left out. */
+  readonly fits?: (view: ServerView) => boolean;
   readonly random: () => number;
 }
 
@@ -48,6 +52,8 @@
   NoneLeft = 'noneLeft',
   /** Servers are there, and the cold-start share of each is used up for now. */
   AllLimited = 'allLimited',
+  /** Every server that could be sent to is too full for this request. */
+  AllCrowded = 'allCrowded',
   /** The groups of all servers that are left stand still. */
   AllBroken = 'allBroken',
 }
@@ -55,6 +61,7 @@
 export type ServerChoice =
   | { readonly kind: ServerChoiceKind.Chosen; readonly view: ServerView; readonly cost: number }
   | { readonly kind: ServerChoiceKind.NoneLeft }
+  | { readonly kind: ServerChoiceKind.AllCrowded }
   | {
       readonly kind: ServerChoiceKind.AllLimited;
       /** Until the first of them takes one more; infinite where none will. */
@@ -112,6 +119,7 @@
 export function planServer(input: ServerChoiceInput): ServerChoice {
   const usable: ServerView[] = [];
   let roomIn: number | undefined;
+  let isCrowded = false;
   let brokenFor = -1;
   for (const view of input.views) {
     if (input.excluded.has(view.instanceId)) continue;
@@ -123,6 +131,10 @@
       roomIn = Math.min(roomIn ?? Infinity, view.roomInMilliseconds);
       continue;
     }
+    if (input.fits?.(view) === false) {
+      isCrowded = true;
+      continue;
+    }
     usable.push(view);
   }
   const slowest = Math.max(...input.views.map(typicalOf));
@@ -137,6 +149,7 @@
     }
   }
   if (best !== undefined) return { kind: ServerChoiceKind.Chosen, view: best, cost: bestCost };
+  if (isCrowded) return { kind: ServerChoiceKind.AllCrowded };
   if (roomIn !== undefined) {
     return { kind: ServerChoiceKind.AllLimited, roomInMilliseconds: roomIn };
   }
--- a/packages/routing/src/stale-reports.test.ts
+++ b/packages/routing/src/stale-reports.test.ts
@@ -48,6 +48,7 @@
       availabilityZone: 'zone',
       slots: SLOTS,
       outstanding: (reported[index] ?? 0) + (own[entry]?.[index] ?? 0),
+      expected: 0,
       unreadTokens: 0,
       typicalMilliseconds: 200,
       reportAge: REPORT_MILLISECONDS / 2,
