Split what delays a stream from serving it, and the pace of orders from leading

One module now plans, logs and waits out all delays (stream-delay.ts); order-pacer.ts keeps orders from being repeated too soon.

--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -4,10 +4,9 @@
  * broken off visibly, so that the caller never takes a part for the whole.
  */
 import type { BackendServer } from '@lapisbridge/catalog';
-import { sleep } from '@lapisbridge/kernel';
 import { LatencyKind } from '@lapisbridge/metrics';
 import { ServerChoiceKind } from '@lapisbridge/routing';
-import type { ServerView } from '@lapisbridge/routing';
+import type { ServerChoice, ServerView } from '@lapisbridge/routing';
 
 import type { AnswerHead } from './caller-protocol.js';
 import { chooseServer } from './choose-server.js';
@@ -17,11 +16,11 @@
 import { describeOutcome, OutcomeKind, proveNotRun } from './outcome.js';
 import type { Outcome } from './outcome.js';
 import { fail, refuse } from './own-answer.js';
-import { canOffer, planCrowdWait } from './plan-offer.js';
+import { canOffer } from './plan-offer.js';
 import { RefusalCause } from './plan-retry-after.js';
-import { planRoomWait, planWait } from './plan-wait.js';
-import type { WaitInput } from './plan-wait.js';
 import { roundedOrNone } from './rounded-or-none.js';
+import { DelayKind, REFUSAL_OF, waitOut } from './stream-delay.js';
+import type { Delay } from './stream-delay.js';
 import { startStreamAttempt, StreamEndKind } from './stream-attempt.js';
 import type { StreamAttempt, StreamEnd, StreamSink } from './stream-attempt.js';
 
@@ -33,11 +32,7 @@
 
 enum StartKind {
   Started = 'started',
-  GroupBroken = 'groupBroken',
-  /** Every slot is taken, and a place in a queue would be too late. */
-  Crowded = 'crowded',
-  /** Every server has had this entry's share for now. */
-  Limited = 'limited',
+  Delayed = 'delayed',
   None = 'none',
 }
 
@@ -47,9 +42,7 @@
       readonly server: BackendServer;
       readonly attempt: StreamAttempt;
     }
-  | { readonly kind: StartKind.GroupBroken; readonly forMilliseconds: number }
-  | { readonly kind: StartKind.Crowded }
-  | { readonly kind: StartKind.Limited; readonly roomInMilliseconds: number }
+  | { readonly kind: StartKind.Delayed; readonly delay: Delay }
   | { readonly kind: StartKind.None; readonly cause: RefusalCause };
 
 interface StreamState {
@@ -82,6 +75,27 @@
   }
 }
 
+/** What keeps a stream from being sent now; undefined where a server was chosen or none is left. */
+function delayOf(choice: ServerChoice): Delay | undefined {
+  switch (choice.kind) {
+    case ServerChoiceKind.AllBroken: {
+      const { brokenForMilliseconds } = choice;
+      return { kind: DelayKind.GroupBroken, brokenForMilliseconds };
+    }
+    case ServerChoiceKind.AllCrowded:
+      return { kind: DelayKind.Crowded };
+    case ServerChoiceKind.AllLimited:
+      return { kind: DelayKind.Limited, roomInMilliseconds: choice.roomInMilliseconds };
+    case ServerChoiceKind.Chosen:
+    case ServerChoiceKind.NoneLeft:
+      return undefined;
+    default: {
+      const unreachable: never = choice;
+      return unreachable;
+    }
+  }
+}
+
 /** Serves one stream to its end. */
 export async function serveStream(
   context: ForwardContext,
@@ -146,13 +160,8 @@
       return { kind: StartKind.None, cause: RefusalCause.Full };
     }
     const { choice, server } = chooseServer(context, accepted, progress, fits);
-    if (choice.kind === ServerChoiceKind.AllCrowded) return { kind: StartKind.Crowded };
-    if (choice.kind === ServerChoiceKind.AllBroken) {
-      return { kind: StartKind.GroupBroken, forMilliseconds: choice.brokenForMilliseconds };
-    }
-    if (choice.kind === ServerChoiceKind.AllLimited) {
-      return { kind: StartKind.Limited, roomInMilliseconds: choice.roomInMilliseconds };
-    }
+    const delay = delayOf(choice);
+    if (delay !== undefined) return { kind: StartKind.Delayed, delay };
     if (server === undefined) return { kind: StartKind.None, cause: causeOf() };
     if (progress.sends > 0 && !context.retryShare.spend(service)) {
       return { kind: StartKind.None, cause: RefusalCause.BudgetSpent };
@@ -211,77 +220,6 @@
     else refuse(context, accepted, cause, proof);
   }
 
-  /** Waits until some group has changed; false once the caller has left or is to be told. */
-  async function waitForGroup(brokenForMilliseconds: number): Promise<boolean> {
-    const input: WaitInput = {
-      route,
-      silenceMilliseconds: silence(),
-      remainingMilliseconds: remainingOf(context, accepted),
-      hasBegun: answer.hasBegun,
-      hasComeBack: accepted.hasComeBack,
-      brokenForMilliseconds,
-    };
-    const longest = planWait(input);
-    context.logger.decision({
-      kind: 'wait',
-      subject: accepted.requestId,
-      choice: longest === 0 ? 'give up' : 'keep',
-      reason: 'its group stands still',
-      facts: {
-        longest: Math.round(longest),
-        silence: Math.round(input.silenceMilliseconds),
-        remaining: input.remainingMilliseconds,
-        hasBegun: input.hasBegun,
-        hasComeBack: input.hasComeBack,
-        brokenFor: Math.round(brokenForMilliseconds),
-      },
-    });
-    if (longest === 0) return false;
-    await Promise.race([context.groupHealth.nextChange(), sleep(longest)]);
-    progress.tried.clear();
-    return !state.isExpired;
-  }
-
-  /** Waits for newer reports; false when the caller is to be told to come back. */
-  async function waitForCrowd(): Promise<boolean> {
-    const wait = planCrowdWait({
-      route,
-      hasComeBack: accepted.hasComeBack,
-      silenceMilliseconds: silence(),
-      remainingMilliseconds: remainingOf(context, accepted),
-    });
-    context.logger.decision({
-      kind: 'wait',
-      subject: accepted.requestId,
-      choice: wait === 0 ? 'give up' : 'keep',
-      reason: 'every slot is taken',
-      facts: { silence: Math.round(silence()), hasComeBack: accepted.hasComeBack },
-    });
-    if (wait === 0) return false;
-    await sleep(wait);
-    return !state.isExpired;
-  }
-
-  /** Waits until a server takes one more request; false when that is too far away. */
-  async function waitForRoom(roomInMilliseconds: number): Promise<boolean> {
-    const wait = planRoomWait({
-      route,
-      silenceMilliseconds: silence(),
-      remainingMilliseconds: remainingOf(context, accepted),
-      roomInMilliseconds,
-    });
-    context.logger.decision({
-      kind: 'wait',
-      subject: accepted.requestId,
-      choice: wait === 0 ? 'give up' : 'keep',
-      reason: 'every server has had its share',
-      facts: { roomIn: roundedOrNone(roomInMilliseconds), silence: Math.round(silence()) },
-    });
-    if (wait === 0) return false;
-    await sleep(wait);
-    return !state.isExpired;
-  }
-
   answer.onGone(() => state.current?.cancel('caller gone'));
   const expiry = setTimeout(
     () => {
@@ -294,20 +232,16 @@
     for (;;) {
       if (answer.isOver) return;
       const start = startNext();
-      if (start.kind === StartKind.GroupBroken) {
-        if (await waitForGroup(start.forMilliseconds)) continue;
-        conclude(RefusalCause.GroupBroken);
-        return;
-      }
-      if (start.kind === StartKind.Crowded) {
-        if (await waitForCrowd()) continue;
-        conclude(RefusalCause.Crowded);
-        return;
-      }
-      if (start.kind === StartKind.Limited) {
-        if (await waitForRoom(start.roomInMilliseconds)) continue;
-        conclude(RefusalCause.Full);
-        return;
+      if (start.kind === StartKind.Delayed) {
+        const { delay } = start;
+        const isOver = !(await waitOut(context, accepted, delay, silence()));
+        if (isOver || state.isExpired) {
+          conclude(REFUSAL_OF[delay.kind]);
+          return;
+        }
+        // Ranks that refused for their group may run again.
+        if (delay.kind === DelayKind.GroupBroken) progress.tried.clear();
+        continue;
       }
       if (start.kind === StartKind.None) {
         conclude(start.cause);
--- /dev/null
+++ b/packages/forwarding/src/stream-delay.ts
@@ -0,0 +1,100 @@
+/**
+ * What keeps a stream from being sent to a server just now, and how long it is kept for that.
+ */
+import { sleep } from '@lapisbridge/kernel';
+
+import { remainingOf } from './forward-context.js';
+import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { planCrowdWait } from './plan-offer.js';
+import { RefusalCause } from './plan-retry-after.js';
+import { planRoomWait, planWait } from './plan-wait.js';
+
+export enum DelayKind {
+  /** The lock-step groups of all servers stand still. */
+  GroupBroken = 'groupBroken',
+  /** Every slot is taken, and a place in a queue would be too late. */
+  Crowded = 'crowded',
+  /** Every server has had this entry's share for now. */
+  Limited = 'limited',
+}
+
+export type Delay =
+  | { readonly kind: DelayKind.GroupBroken; readonly brokenForMilliseconds: number }
+  | { readonly kind: DelayKind.Crowded }
+  | { readonly kind: DelayKind.Limited; readonly roomInMilliseconds: number };
+
+/** Why a caller is refused whose stream is not kept any longer. */
+export const REFUSAL_OF: Readonly<Record<DelayKind, RefusalCause>> = {
+  [DelayKind.GroupBroken]: RefusalCause.GroupBroken,
+  [DelayKind.Crowded]: RefusalCause.Crowded,
+  [DelayKind.Limited]: RefusalCause.Full,
+};
+
+const REASON_OF: Readonly<Record<DelayKind, string>> = {
+  [DelayKind.GroupBroken]: 'its group stands still',
+  [DelayKind.Crowded]: 'every slot is taken',
+  [DelayKind.Limited]: 'every server has had its share',
+};
+
+/** Milliseconds for which the stream is kept; 0 when it has to be given up now. */
+function planDelay(
+  { route, hasComeBack }: AcceptedRequest,
+  delay: Delay,
+  situation: Situation,
+): number {
+  switch (delay.kind) {
+    case DelayKind.GroupBroken:
+      return planWait({ ...situation, ...delay, route, hasComeBack });
+    case DelayKind.Crowded:
+      return planCrowdWait({ ...situation, route, hasComeBack });
+    case DelayKind.Limited:
+      return planRoomWait({ ...situation, ...delay, route });
+    default: {
+      const unreachable: never = delay;
+      return unreachable;
+    }
+  }
+}
+
+interface Situation {
+  /** Since the request arrived, or since its caller's last event. */
+  readonly silenceMilliseconds: number;
+  readonly remainingMilliseconds: number;
+  /** Whether the caller has had events. */
+  readonly hasBegun: boolean;
+}
+
+/** Waits until a server may take the stream; false when its caller is to be told instead. */
+export async function waitOut(
+  context: ForwardContext,
+  accepted: AcceptedRequest,
+  delay: Delay,
+  silenceMilliseconds: number,
+): Promise<boolean> {
+  const situation = {
+    silenceMilliseconds,
+    remainingMilliseconds: remainingOf(context, accepted),
+    hasBegun: accepted.answer.hasBegun,
+  };
+  const wait = planDelay(accepted, delay, situation);
+  const { kind, ...details } = delay;
+  context.logger.decision({
+    kind: 'wait',
+    subject: accepted.requestId,
+    choice: wait === 0 ? 'give up' : 'keep',
+    reason: REASON_OF[kind],
+    facts: {
+      longest: Math.round(wait),
+      silence: Math.round(silenceMilliseconds),
+      remaining: situation.remainingMilliseconds,
+      hasBegun: situation.hasBegun,
+      hasComeBack: accepted.hasComeBack,
+      ...details,
+    },
+  });
+  if (wait === 0) return false;
+  if (kind === DelayKind.GroupBroken) {
+    await Promise.race([context.groupHealth.nextChange(), sleep(wait)]);
+  } else await sleep(wait);
+  return true;
+}
--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -8,7 +8,6 @@
   initialRollout,
   OrderOutcome,
   planHoldRollout,
-  RankOrderKind,
   RolloutPhase,
 } from '@lapisbridge/placement';
 import type {
@@ -23,6 +22,7 @@
 import type { Leadership } from './leadership.js';
 import { composeMap } from './compose-map.js';
 import { firstMap } from './first-map.js';
+import { createOrderPacer } from './order-pacer.js';
 import { createPassClock } from './pass-clock.js';
 import type { RankLink, RankTarget, VersionedMap } from './rank-link.js';
 
@@ -57,21 +57,11 @@
 const STALE_MILLISECONDS = 800;
 /** Versions of one leader; the next leader's begin above them. */
 const VERSIONS_PER_FENCE = 1000;
-/** Pauses before the same order goes to the same rank again. */
-const REPEAT_MILLISECONDS: Readonly<Record<RankOrderKind, number>> = {
-  // A copy of a few experts takes some hundred milliseconds.
-  [RankOrderKind.Prepare]: 500,
-  [RankOrderKind.Arm]: 60,
-  [RankOrderKind.Disarm]: 60,
-  [RankOrderKind.Hold]: 60,
-  [RankOrderKind.Release]: 60,
-};
-
 export function createGroupLeader(options: GroupLeaderOptions): GroupLeader {
   const { leadership, link, demandWatch, logger, now } = options;
   const maps = new Map<number, GroupMap>();
   const passClock = createPassClock(now);
-  const sentAt = new Map<string, number>();
+  const orderPacer = createOrderPacer(now);
   let state: RolloutState = initialRollout(-1);
   let ledFence: number | undefined;
   let versions = 0;
@@ -94,7 +84,7 @@
     voidingVersion = nextVersion(fence);
     state = initialRollout(-1);
     maps.clear();
-    sentAt.clear();
+    orderPacer.forget();
   }
 
   async function readReports(size: number): Promise<(RankReport | undefined)[]> {
@@ -147,15 +137,6 @@
     state = { ...state, target: { version, map } };
   }
 
-  function mayRepeat({ rank, order }: AddressedOrder): boolean {
-    const detail = 'version' in order ? order.version : order.step;
-    const key = `${rank}/${order.kind}/${order.epoch}/${detail}/${'step' in order ? order.step : ''}`;
-    const last = sentAt.get(key) ?? -Infinity;
-    if (now() - last < REPEAT_MILLISECONDS[order.kind]) return false;
-    sentAt.set(key, now());
-    return true;
-  }
-
   async function send(
     fence: number,
     orders: readonly AddressedOrder[],
@@ -163,12 +144,14 @@
   ): Promise<void> {
     const targets = options.targets();
     await Promise.all(
-      orders.filter(mayRepeat).map(async ({ rank, order }) => {
-        const target = targets.get(rank);
-        if (target === undefined) return;
-        const outcome = await link.order(target, { fence, order, base });
-        if (outcome === OrderOutcome.Fenced) leadership.doubt();
-      }),
+      orders
+        .filter((addressed) => orderPacer.isDue(addressed))
+        .map(async ({ rank, order }) => {
+          const target = targets.get(rank);
+          if (target === undefined) return;
+          const outcome = await link.order(target, { fence, order, base });
+          if (outcome === OrderOutcome.Fenced) leadership.doubt();
+        }),
     );
   }
 
@@ -186,7 +169,7 @@
       },
     });
     lastPhase = plan.phase;
-    if (plan.phase === RolloutPhase.Done) sentAt.clear();
+    if (plan.phase === RolloutPhase.Done) orderPacer.forget();
   }
 
   /** A version higher than the target's at any rank makes the target unreachable. */
