Read reports apart in the model of a rollout, and tell what the soak finds

Cause: reports are asked for one by one, now by datagram, while the model read all of one look in one moment. No running code changed.

--- a/packages/placement/src/group-model.ts
+++ b/packages/placement/src/group-model.ts
@@ -40,6 +40,11 @@
   readonly ranks: number;
   /** Ticks with faults; as many without follow. */
   readonly ticks: number;
+  /**
+   * Reports of one look are read one after the other, and passes begin and late orders are carried
+   * out in between, as they are where a leader asks many ranks.
+   */
+  readonly readsApart?: boolean;
   /** Changes a plan before it is carried out; for proofs that a mechanism matters. */
   mutate?(plan: RolloutPlan, reports: readonly (RankReport | undefined)[]): RolloutPlan;
 }
@@ -60,6 +65,9 @@
 const LEADER_ENDS = 0.05;
 const FORMS_ANEW = 0.01;
 const NEW_TARGET = 0.4;
+/** Between the reports of two ranks that are read apart. */
+const PASS_BETWEEN = 0.15;
+const LATE_ORDER_BETWEEN = 0.3;
 const LONGEST_DELAY = 40;
 const VERSIONS_PER_FENCE = 1000;
 
@@ -143,6 +151,14 @@
     }
   }
 
+  function happenBetween(now: number, isCalm: boolean): void {
+    if (random() < LATE_ORDER_BETWEEN) {
+      const next = late.shift();
+      if (next !== undefined) carryOut(ranks[next.addressed.rank], next.addressed.order);
+    }
+    if (random() < PASS_BETWEEN) beginPass(now, isCalm);
+  }
+
   function beginPass(now: number, isCalm: boolean): void {
     const next = step + 1;
     if (ranks.some(({ held }) => held === next)) return;
@@ -187,6 +203,7 @@
     const hidden = !isCalm && random() < OUT_OF_SIGHT ? Math.floor(random() * size) : -1;
     const isFormerFrozen = !isCalm && random() < 0.5;
     const reports = Array.from({ length: size }, (_, rank) => {
+      if (options.readsApart === true) happenBetween(now, isCalm);
       if (rank === hidden && rank !== leader.rank) return undefined;
       if (isFormerFrozen && rank === leader.formerRank && rank !== leader.rank) return undefined;
       return reportOf(rank);
--- a/packages/placement/src/plan-hold-rollout.test.ts
+++ b/packages/placement/src/plan-hold-rollout.test.ts
@@ -11,11 +11,12 @@
 
 type Mutate = NonNullable<Parameters<typeof runGroupModel>[0]['mutate']>;
 
-function run(seed: number, mutate?: Mutate): ModelResult {
+function run(seed: number, mutate?: Mutate, readsApart = false): ModelResult {
   return runGroupModel({
     seed,
     ranks: RANKS,
     ticks: TICKS,
+    readsApart,
     ...(mutate === undefined ? {} : { mutate }),
   });
 }
@@ -48,6 +49,16 @@
     expect(run(seed).mixedAt).toBeUndefined();
   });
 
+  it('never does so either where reports of one look are read one after the other', () => {
+    // A leader of many ranks reads their reports over some tenths of a second. Passes begin and
+    // late orders are carried out in between, so that no two reports need be of one moment.
+    for (let seed = 1; seed <= RUNS; seed += 1) {
+      const result = run(seed, undefined, true);
+      expect(result.mixedAt, `seed ${seed}`).toBeUndefined();
+      expect(result.calmPasses, `seed ${seed}`).toBeGreaterThan(TICKS / 4);
+    }
+  });
+
   it('leaves no group held once faults end', () => {
     // A leader ends while it holds the group, or a hold arrives after it was given up. Nobody
     // else would release it, and every caller of the group would wait for ever.
