Start no process again after a soak run has ended

Cause: seed 323 reported that entry-1 ended by itself with code 0, again and again. Its log begins with EADDRINUSE for 127.133.1.2; there listened process 23701, entry-1 of an earlier run (seed 123, the same network number), 1,186 s old and without a parent: its restart was due when that run ended. Fault of the soak's own launcher; the orphan was ended by its id. The new test fails without the change and passes with it; the seed is kept. Noticed, not changed: a program that cannot bind its addresses logs the errors and ends with code 0.

--- a/packages/soak/src/kept-seeds.ts
+++ b/packages/soak/src/kept-seeds.ts
@@ -15,4 +15,10 @@
     cause:
       'The stand-in of a group let a rank that ran start again without breaking the group, so that it went on with map 0 among ranks with another.',
   },
+  {
+    seed: 323,
+    milliseconds: 10_000,
+    cause:
+      'A process was started again just after its run had ended, stayed behind, and held the addresses that this run was given.',
+  },
 ];
--- a/packages/soak/src/program.ts
+++ b/packages/soak/src/program.ts
@@ -34,6 +34,7 @@
   const settingsFile = join(folder, `${name}.json`);
   const log = createWriteStream(join(folder, `${name}.log`), { flags: 'a' });
   let child: ChildProcess | undefined;
+  let restart: NodeJS.Timeout | undefined;
   let isOver = false;
   let isExpected = false;
   let asked = 0;
@@ -52,7 +53,7 @@
     started.on('exit', (code) => {
       if (!isExpected && !isOver) options.onOwnEnd(name, code);
       ended = asked;
-      if (!isOver) setTimeout(start, RESTART_MILLISECONDS);
+      if (!isOver) restart = setTimeout(start, RESTART_MILLISECONDS);
     });
   }
 
@@ -67,6 +68,8 @@
     stops: () => ({ asked, ended }),
     async end() {
       isOver = true;
+      // A start that is due would leave a process behind that takes the addresses of a later run.
+      clearTimeout(restart);
       const ending = child;
       if (ending === undefined || ending.exitCode !== null || ending.signalCode !== null) return;
       await new Promise((resolve) => {
