Repeat an order that got no answer at once, and end with a code of its own when an address is taken

While the leader's machine is frozen its rank answers nobody (11 direct calls timed out), so no map can change then: no remedy. And a program whose addresses are taken logged errors and ended with code 0. Change: unanswered orders are due again at the next look; one line and code 71.

--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -2,7 +2,6 @@
  * The entry program: takes callers' requests and forwards them to backend servers.
  */
 import { createServer } from 'node:http';
-import type { Server } from 'node:http';
 
 import { createCatalog } from '@lapisbridge/catalog';
 import {
@@ -20,7 +19,7 @@
 import { createMetrics, startMetricsListener } from '@lapisbridge/metrics';
 import { PeerRole } from '@lapisbridge/peers';
 import type { Peers } from '@lapisbridge/peers';
-import { beginLife, endOnSignal } from '@lapisbridge/process-life';
+import { beginLife, endOnSignal, endUnstarted } from '@lapisbridge/process-life';
 
 import type { EntryAdapters } from './adapters.js';
 import { createEntryPeers, livingInZone } from './entry-peers.js';
@@ -35,13 +34,16 @@
 const ASSUMED_ENTRIES = 8;
 const ASSUMED_MILLISECONDS = 5000;
 
-function serveReadiness(address: Address, isReady: () => boolean): Server {
+function serveReadiness(address: Address, isReady: () => boolean): Promise<void> {
   const server = createServer((request, response) => {
     request.resume();
     response.writeHead(isReady() ? 200 : 503, { 'content-length': 0 });
     response.end();
   });
-  return server.listen(address.port, address.host);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address.port, address.host, () => resolve());
+  });
 }
 
 /** Runs until a signal ends the process. */
@@ -141,15 +143,16 @@
   startMetricsListener(metrics, settings.host, settings.metricsPort, (error) => {
     logger.warn('metrics not served', { reason: error.message });
   });
-  if (settings.readinessAddress !== undefined) {
-    serveReadiness(
-      settings.readinessAddress,
-      () => !isStopping && catalog.operators().configuration !== undefined,
-    );
+  const isReady = (): boolean => !isStopping && catalog.operators().configuration !== undefined;
+  try {
+    const { readinessAddress } = settings;
+    if (readinessAddress !== undefined) await serveReadiness(readinessAddress, isReady);
+    await peers.start();
+    knowledge.start();
+    await listener?.start();
+  } catch (thrown) {
+    await endUnstarted(life, thrown);
   }
-  await peers.start();
-  knowledge.start();
-  await listener?.start();
 
   endOnSignal(life, async () => {
     isStopping = true;
--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -146,11 +146,13 @@
     await Promise.all(
       orders
         .filter((addressed) => orderPacer.isDue(addressed))
-        .map(async ({ rank, order }) => {
+        .map(async (addressed) => {
+          const { rank, order } = addressed;
           const target = targets.get(rank);
           if (target === undefined) return;
           const outcome = await link.order(target, { fence, order, base });
           if (outcome === OrderOutcome.Fenced) leadership.doubt();
+          if (outcome === OrderOutcome.Unknown) orderPacer.unanswered(addressed);
         }),
     );
   }
--- /dev/null
+++ b/packages/group-leader/src/order-pacer.test.ts
@@ -0,0 +1,26 @@
+import { RankOrderKind } from '@lapisbridge/placement';
+import type { AddressedOrder } from '@lapisbridge/placement';
+import { expect, it } from 'vitest';
+
+import { createOrderPacer } from './order-pacer.js';
+
+const PREPARE: AddressedOrder = {
+  rank: 3,
+  order: { kind: RankOrderKind.Prepare, epoch: 1, version: 7, map: { sets: [] } },
+};
+
+it('repeats an order that got no answer at once, and one that was taken only after a while', () => {
+  // A third of the orders is lost for some seconds. A map comes into force when the last rank has
+  // prepared it; half a second for each order that was lost kept the old map for 2.7 and 3.5 s,
+  // and every stream was late.
+  const clock = { now: 0 };
+  const pacer = createOrderPacer(() => clock.now);
+  expect(pacer.isDue(PREPARE)).toBe(true);
+  clock.now = 200;
+  expect(pacer.isDue(PREPARE)).toBe(false);
+  pacer.unanswered(PREPARE);
+  expect(pacer.isDue(PREPARE)).toBe(true);
+  expect(pacer.isDue({ ...PREPARE, rank: 4 })).toBe(true);
+  clock.now = 800;
+  expect(pacer.isDue(PREPARE)).toBe(true);
+});
--- a/packages/group-leader/src/order-pacer.ts
+++ b/packages/group-leader/src/order-pacer.ts
@@ -8,6 +8,8 @@
 export interface OrderPacer {
   /** Whether the order may go out now; it then counts as given. */
   isDue(addressed: AddressedOrder): boolean;
+  /** The order got no answer: it may be lost, and is due again at once. */
+  unanswered(addressed: AddressedOrder): void;
   forget(): void;
 }
 
@@ -21,18 +23,23 @@
   [RankOrderKind.Release]: 60,
 };
 
+function keyOf({ rank, order }: AddressedOrder): string {
+  const version = 'version' in order ? order.version : '';
+  const step = 'step' in order ? order.step : '';
+  return `${rank}/${order.kind}/${order.epoch}/${version}/${step}`;
+}
+
 export function createOrderPacer(now: () => number): OrderPacer {
   const givenAt = new Map<string, number>();
   return {
-    isDue({ rank, order }) {
-      const version = 'version' in order ? order.version : '';
-      const step = 'step' in order ? order.step : '';
-      const key = `${rank}/${order.kind}/${order.epoch}/${version}/${step}`;
+    isDue(addressed) {
+      const key = keyOf(addressed);
       const last = givenAt.get(key) ?? -Infinity;
-      if (now() - last < REPEAT_MILLISECONDS[order.kind]) return false;
+      if (now() - last < REPEAT_MILLISECONDS[addressed.order.kind]) return false;
       givenAt.set(key, now());
       return true;
     },
+    unanswered: (addressed) => void givenAt.delete(keyOf(addressed)),
     forget: () => givenAt.clear(),
   };
 }
--- a/packages/group-sidecar/src/start-sidecar.ts
+++ b/packages/group-sidecar/src/start-sidecar.ts
@@ -8,7 +8,7 @@
 import { createRandom, monotonicClock } from '@lapisbridge/kernel';
 import { createMetrics, startMetricsListener } from '@lapisbridge/metrics';
 import type { Metrics } from '@lapisbridge/metrics';
-import { beginLife, endOnSignal } from '@lapisbridge/process-life';
+import { beginLife, endOnSignal, endUnstarted } from '@lapisbridge/process-life';
 
 import { createRankMember } from './rank-member.js';
 import type { RankMember } from './rank-member.js';
@@ -85,6 +85,10 @@
     ownFence: () => leadership.fence(),
   });
   describeMember(metrics, member, () => leadership.fence() !== undefined);
-  await member.start();
+  try {
+    await member.start();
+  } catch (thrown) {
+    await endUnstarted(life, thrown);
+  }
   endOnSignal(life, async () => member.stop());
 }
--- a/packages/process-life/src/process-life.ts
+++ b/packages/process-life/src/process-life.ts
@@ -18,6 +18,9 @@
 /** Exit code for settings that cannot be used. */
 const BAD_SETTINGS = 78;
 
+/** Exit code when an address cannot be bound: another process may hold it for a moment yet. */
+const CANNOT_START = 71;
+
 /** The settings file may change without a signal; it is read this often. */
 const REREAD_MILLISECONDS = 5000;
 
@@ -71,6 +74,13 @@
   return { settings: follow, logger, writer };
 }
 
+/** Ends with one clear line when what the program needs to start cannot be had. */
+export async function endUnstarted(life: ProcessLife, thrown: unknown): Promise<never> {
+  life.logger.error('cannot start', { reason: String(thrown) });
+  await life.writer.flush();
+  process.exit(CANNOT_START);
+}
+
 /** Runs `stop` at the first SIGTERM, then ends; at the end of the grace time in any case. */
 export function endOnSignal(life: ProcessLife, stop: () => Promise<void>): void {
   /** Kept back from the grace time, to write the last lines. */
