--- a/packages/forwarding/src/plan-offer.test.ts
+++ b/packages/forwarding/src/plan-offer.test.ts
@@ -1,24 +1,8 @@
-import { RequestKind } from '@lapisbridge/catalog';
-import type { Route } from '@lapisbridge/catalog';
 import { createRandom } from '@lapisbridge/kernel';
 import { describe, expect, it } from 'vitest';
 
 import { canOffer, planCrowdWait } from './plan-offer.js';
-
-const ROUTE: Route = {
-  name: 'route',
-  host: 'host',
-  prefix: '/',
-  kind: RequestKind.Streaming,
-  timeoutMilliseconds: 8000,
-  objectiveMilliseconds: 400,
-  gapMilliseconds: 120,
-  priority: 1,
-  targets: [],
-  maximumAttempts: 2,
-  isPublic: false,
-  resumable: true,
-};
+import { STREAM_ROUTE } from './stream-route-fixture.js';
 
 const SERVERS = 12;
 const SLOTS = 8;
@@ -53,7 +37,7 @@
     const loads = running.map((ends, server) => ends.length + (queues[server]?.length ?? 0));
     const best = loads.indexOf(Math.min(...loads));
     const isTaken = canOffer({
-      route: ROUTE,
+      route: STREAM_ROUTE,
       slots: SLOTS,
       expectedStreams: loads[best] ?? 0,
       reportAge: 0,
@@ -120,7 +104,7 @@
 
 describe('a stream', () => {
   const input = {
-    route: ROUTE,
+    route: STREAM_ROUTE,
     slots: SLOTS,
     expectedStreams: 9,
     reportAge: 100,
@@ -148,7 +132,7 @@
   it('is looked at again with the next reports, and given up before its caller leaves', () => {
     const wait = (hasComeBack: boolean, silenceMilliseconds: number): number =>
       planCrowdWait({
-        route: ROUTE,
+        route: STREAM_ROUTE,
         hasComeBack,
         silenceMilliseconds,
         remainingMilliseconds: 5000,
--- a/packages/forwarding/src/plan-wait.test.ts
+++ b/packages/forwarding/src/plan-wait.test.ts
@@ -1,24 +1,8 @@
-import { RequestKind } from '@lapisbridge/catalog';
-import type { Route } from '@lapisbridge/catalog';
 import { expect, it } from 'vitest';
 
 import { callerPatience, planRoomWait, planWait } from './plan-wait.js';
 import type { WaitInput } from './plan-wait.js';
-
-const ROUTE: Route = {
-  name: 'route',
-  host: 'host',
-  prefix: '/',
-  kind: RequestKind.Streaming,
-  timeoutMilliseconds: 8000,
-  objectiveMilliseconds: 400,
-  gapMilliseconds: 120,
-  priority: 1,
-  targets: [],
-  maximumAttempts: 2,
-  isPublic: false,
-  resumable: true,
-};
+import { STREAM_ROUTE } from './stream-route-fixture.js';
 
 function wait(
   silenceMilliseconds: number,
@@ -26,7 +10,7 @@
   fields: Partial<WaitInput> = {},
 ): number {
   return planWait({
-    route: ROUTE,
+    route: STREAM_ROUTE,
     silenceMilliseconds,
     remainingMilliseconds,
     hasBegun: false,
@@ -61,14 +45,14 @@
 });
 
 it('goes by the longest of the times for which callers stay', () => {
-  expect(callerPatience({ ...ROUTE, objectiveMilliseconds: 900 })).toBe(3600);
-  expect(callerPatience({ ...ROUTE, gapMilliseconds: 400 })).toBe(3200);
+  expect(callerPatience({ ...STREAM_ROUTE, objectiveMilliseconds: 900 })).toBe(3600);
+  expect(callerPatience({ ...STREAM_ROUTE, gapMilliseconds: 400 })).toBe(3200);
 });
 
 it('waits for room at a server that comes soon, and refuses where it comes late', () => {
   const room = (roomInMilliseconds: number, silenceMilliseconds = 0, remaining = 8000): number =>
     planRoomWait({
-      route: ROUTE,
+      route: STREAM_ROUTE,
       silenceMilliseconds,
       remainingMilliseconds: remaining,
       roomInMilliseconds,
--- /dev/null
+++ b/packages/forwarding/src/stream-route-fixture.ts
@@ -0,0 +1,20 @@
+/**
+ * A route of streams, for tests of decisions.
+ */
+import { RequestKind } from '@lapisbridge/catalog';
+import type { Route } from '@lapisbridge/catalog';
+
+export const STREAM_ROUTE: Route = {
+  name: 'route',
+  host: 'host',
+  prefix: '/',
+  kind: RequestKind.Streaming,
+  timeoutMilliseconds: 8000,
+  objectiveMilliseconds: 400,
+  gapMilliseconds: 120,
+  priority: 1,
+  targets: [],
+  maximumAttempts: 2,
+  isPublic: false,
+  resumable: true,
+};
