--- /dev/null
+++ b/packages/forwarding/src/fixture-protocol.ts
@@ -0,0 +1,52 @@
+/**
+ * How callers and backend servers speak in tests of forwarding.
+ */
+import type { CallerProtocol } from './caller-protocol.js';
+
+/** Plain names of this fixture's own. */
+export const fixtureProtocol: CallerProtocol = {
+  decodeRequest: (incoming) => ({
+    requestId: incoming.headers['request-id'] as string | undefined,
+    method: incoming.method ?? 'GET',
+    host: 'host',
+    target: incoming.url ?? '/',
+    key: incoming.headers.key as string | undefined,
+    patienceMilliseconds: Number(incoming.headers.patience ?? 5000),
+    lastEventId:
+      incoming.headers['last-event'] === undefined
+        ? undefined
+        : Number(incoming.headers['last-event']),
+    promptTokens: 10,
+    headers: ['Host', 'host', 'Request-Id', String(incoming.headers['request-id'])],
+  }),
+  encodeForward: ({ request, server, lastEventId, bodyBytes, remainingMilliseconds }) => [
+    ...request.headers,
+    'Server-Id',
+    server.instanceId,
+    'Remaining',
+    String(remainingMilliseconds),
+    'Content-Length',
+    String(bodyBytes),
+    ...(lastEventId === undefined ? [] : ['Last-Event', String(lastEventId)]),
+  ],
+  decodeAnswer: (incoming) => ({
+    status: incoming.statusCode ?? 0,
+    requestId: incoming.headers['request-id'] as string | undefined,
+    isSigned: incoming.headers.signature !== undefined,
+    notRun: incoming.headers['not-run'] !== undefined,
+    isMisdirected: incoming.statusCode === 421,
+    faultyAddress: incoming.headers['faulty-address'] as string | undefined,
+    load: undefined,
+    headers: [
+      'Signature',
+      String(incoming.headers.signature),
+      'Content-Type',
+      incoming.headers['content-type'] ?? 'text/plain',
+    ],
+  }),
+  encodeOwnAnswer: (_requestId, retryAfter) => [
+    'Content-Length',
+    '0',
+    ...(retryAfter === undefined ? [] : ['Retry-After', String(retryAfter / 1000)]),
+  ],
+};
--- a/packages/routing/src/plan-server.ts
+++ b/packages/routing/src/plan-server.ts
@@ -1,8 +1,8 @@
 /**
  * Chooses the backend server that answers a request soonest, for servers that anyone may call
  * directly. Pure: what is known of each server comes in with its corrections, a decision with
- * its reason comes out. Made for loads between idle and full queues; beyond that `planRefusal`
- * decides.
+ * its reason comes out. Made for loads between idle and full queues; beyond that `fits`
+ * leaves servers out, and the caller decides what becomes of the request.
  */
 import { pickSome } from '@lapisbridge/kernel';
 
