Write one line for every end of a request, with its route, account and whether it was on time

Cause: reports over logs need to know of each request who asked, whether the answer was on time and whether its caller had come back; this stood in no line, and a caller that left wrote none at all.

--- a/packages/forwarding/src/caller-answer.ts
+++ b/packages/forwarding/src/caller-answer.ts
@@ -18,6 +18,8 @@
   readonly isOver: boolean;
   /** Calls back once when the caller closes its connection before the answer is complete. */
   onGone(listener: () => void): void;
+  /** Whether the caller closed its connection before the answer was complete. */
+  readonly hasLeft: boolean;
   /** Status that was sent; 0 before. */
   readonly status: number;
 }
@@ -25,6 +27,7 @@
 export function createCallerAnswer(response: ServerResponse): CallerAnswer {
   let over = false;
   let gone = false;
+  let hasLeft = false;
   let status = 0;
   const goneListeners: (() => void)[] = [];
 
@@ -33,6 +36,7 @@
     gone = true;
     if (over) return;
     over = true;
+    hasLeft = true;
     for (const listener of goneListeners) listener();
   });
 
@@ -74,6 +78,9 @@
     get isOver() {
       return over;
     },
+    get hasLeft() {
+      return hasLeft;
+    },
     get status() {
       return status;
     },
--- a/packages/forwarding/src/caller-listener.ts
+++ b/packages/forwarding/src/caller-listener.ts
@@ -12,7 +12,8 @@
 import { createCallerAnswer } from './caller-answer.js';
 import type { CallerAnswer } from './caller-answer.js';
 import type { CallerRequest } from './caller-protocol.js';
-import type { ForwardContext } from './forward-context.js';
+import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { EndKind, noteOutcome } from './note-outcome.js';
 import { planRetryAfter, RefusalCause } from './plan-retry-after.js';
 import { createReturnWatch } from './return-watch.js';
 import { servePlain } from './serve-plain.js';
@@ -110,6 +111,15 @@
     context.metrics.countRequest('not admitted', status);
   }
 
+  function noteLeft(accepted: AcceptedRequest): void {
+    noteOutcome(context, accepted, {
+      kind: EndKind.Gone,
+      choice: 'caller',
+      reason: 'the caller left',
+      facts: { hasBegun: accepted.answer.hasBegun },
+    });
+  }
+
   async function serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     const answer = createCallerAnswer(response);
     const arrivedAt = context.now();
@@ -156,6 +166,7 @@
         context.arrivals.note(admission.service);
         if (admission.route.kind === RequestKind.Streaming) await serveStream(context, accepted);
         else await servePlain(context, accepted);
+        if (answer.hasLeft) noteLeft(accepted);
         context.metrics.countRequest(admission.route.kind, answer.status);
         context.metrics.observe(LatencyKind.Answer, context.now() - arrivedAt);
         return;
--- /dev/null
+++ b/packages/forwarding/src/note-outcome.ts
@@ -0,0 +1,44 @@
+/**
+ * Writes down how a request ended: one line whatever the outcome, with what is needed to count it
+ * without any other line, so that reports over gigabytes of logs need no memory of requests.
+ */
+import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+
+/** The value of `kind` in a line that ends a request. */
+export enum EndKind {
+  Answer = 'answer',
+  Refusal = 'refusal',
+  Failure = 'failure',
+  /** The caller left before its answer was complete. */
+  Gone = 'gone',
+}
+
+export interface RequestEnd {
+  readonly kind: EndKind;
+  /** The server that answered, or the cause of another end. */
+  readonly choice: string;
+  readonly reason: string;
+  readonly facts: Readonly<Record<string, string | number | boolean | undefined>>;
+}
+
+export function noteOutcome(
+  context: ForwardContext,
+  accepted: AcceptedRequest,
+  end: RequestEnd,
+): void {
+  const { requestId, route, service, account, hasComeBack, arrivedAt } = accepted;
+  context.logger.decision({
+    kind: end.kind,
+    subject: requestId,
+    choice: end.choice,
+    reason: end.reason,
+    facts: {
+      ...end.facts,
+      route: route.name,
+      service,
+      account: account?.name,
+      hasComeBack,
+      milliseconds: Math.round(context.now() - arrivedAt),
+    },
+  });
+}
--- a/packages/forwarding/src/own-answer.ts
+++ b/packages/forwarding/src/own-answer.ts
@@ -2,6 +2,7 @@
  * Answers of this entry's own. Statuses that promise "not run" take the proof of it.
  */
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { EndKind, noteOutcome } from './note-outcome.js';
 import type { NotRunProof } from './outcome.js';
 import { planRetryAfter } from './plan-retry-after.js';
 import type { RefusalCause } from './plan-retry-after.js';
@@ -30,9 +31,8 @@
 ): void {
   const remaining = remainingOf(context, accepted);
   const retryAfter = planRetryAfter(cause, remaining, context.random());
-  context.logger.decision({
-    kind: 'refusal',
-    subject: accepted.requestId,
+  noteOutcome(context, accepted, {
+    kind: EndKind.Refusal,
     choice: cause,
     reason: proof.reason,
     facts: { remaining, retryAfter },
@@ -47,11 +47,11 @@
   reason: string,
   isTimeout: boolean,
 ): void {
-  context.logger.decision({
-    kind: 'failure',
-    subject: accepted.requestId,
+  noteOutcome(context, accepted, {
+    kind: EndKind.Failure,
     choice: isTimeout ? 'timeout' : 'unknown',
     reason,
+    facts: { hasBegun: accepted.answer.hasBegun },
   });
   if (accepted.answer.hasBegun) accepted.answer.breakOff();
   else sendOwn(context, accepted, isTimeout ? GATEWAY_TIMEOUT : BAD_GATEWAY, undefined);
--- a/packages/forwarding/src/serve-plain.ts
+++ b/packages/forwarding/src/serve-plain.ts
@@ -9,6 +9,7 @@
 import { chooseServer } from './choose-server.js';
 import { remainingOf, startProgress } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { EndKind, noteOutcome } from './note-outcome.js';
 import { describeOutcome, OutcomeKind, proveNotRun } from './outcome.js';
 import type { Answered, Outcome } from './outcome.js';
 import { fail, refuse } from './own-answer.js';
@@ -98,14 +99,14 @@
   }
 
   function pass(outcome: Answered, attempt: RunningAttempt): void {
-    context.logger.decision({
-      kind: 'answer',
-      subject: accepted.requestId,
+    const waited = context.now() - accepted.arrivedAt;
+    noteOutcome(context, accepted, {
+      kind: EndKind.Answer,
       choice: attempt.server.instanceId,
       reason: 'passed on',
       facts: {
         status: outcome.head.status,
-        milliseconds: Math.round(context.now() - accepted.arrivedAt),
+        isOnTime: waited <= route.objectiveMilliseconds,
         sends: progress.sends,
       },
     });
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -13,6 +13,8 @@
 import type { StreamEvent } from './event-splitter.js';
 import { remainingOf, startProgress } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { EndKind, noteOutcome } from './note-outcome.js';
+import type { RequestEnd } from './note-outcome.js';
 import { describeOutcome, OutcomeKind, proveNotRun } from './outcome.js';
 import type { Outcome } from './outcome.js';
 import { fail, refuse } from './own-answer.js';
@@ -195,20 +197,41 @@
     return route.resumable && progress.runs < route.maximumAttempts;
   }
 
-  function note(server: BackendServer, end: StreamEnd): void {
-    const reason = 'reason' in end ? end.reason : 'whole answer';
+  function facts(): RequestEnd['facts'] {
+    return {
+      lastEventId: state.lastEventId,
+      firstEvent: roundedOrNone(state.firstEventMilliseconds),
+      longestPause: Math.round(state.longestPauseMilliseconds),
+      sends: progress.sends,
+    };
+  }
+
+  function noteMiss(server: BackendServer, end: StreamEnd): void {
     context.logger.decision({
-      kind: end.kind === StreamEndKind.Complete ? 'answer' : 'attempt',
+      kind: 'attempt',
       subject: accepted.requestId,
       choice: server.instanceId,
-      reason,
+      reason: 'reason' in end ? end.reason : 'whole answer',
       facts: {
+        ...facts(),
         outcome: end.kind,
-        lastEventId: state.lastEventId,
-        firstEvent: roundedOrNone(state.firstEventMilliseconds),
-        longestPause: Math.round(state.longestPauseMilliseconds),
         milliseconds: Math.round(context.now() - accepted.arrivedAt),
-        sends: progress.sends,
+      },
+    });
+  }
+
+  function noteAnswer(server: BackendServer, status: number): void {
+    const waited = state.firstEventMilliseconds ?? Infinity;
+    noteOutcome(context, accepted, {
+      kind: EndKind.Answer,
+      choice: server.instanceId,
+      reason: 'whole answer',
+      facts: {
+        ...facts(),
+        status,
+        isOnTime:
+          waited <= route.objectiveMilliseconds &&
+          state.longestPauseMilliseconds <= route.gapMilliseconds,
       },
     });
   }
@@ -249,16 +272,21 @@
       }
       const { server } = start;
       const end = await watch(server, start.attempt);
-      note(server, end);
+      if (end.kind !== StreamEndKind.Complete) noteMiss(server, end);
       if (answer.isOver) return;
       progress.outcomes.push(toOutcome(end));
       switch (end.kind) {
         case StreamEndKind.Complete:
+          noteAnswer(server, answer.status);
           answer.finish();
           return;
         case StreamEndKind.Answered:
-          if (answer.hasBegun) conclude(RefusalCause.Full);
-          else answer.send(end.head.status, end.head.headers, end.body);
+          if (answer.hasBegun) {
+            conclude(RefusalCause.Full);
+            return;
+          }
+          noteAnswer(server, end.head.status);
+          answer.send(end.head.status, end.head.headers, end.body);
           return;
         case StreamEndKind.NotRun:
           progress.runs -= 1;
