Report from log lines alone what callers got, by second, route, account, server and cause

Cause: whoever is on call had one request's story (explain) and a list of outages (incident), but not who was late or lost, when, and how many of them had come back.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -18,6 +18,7 @@
 } from './commands/drain-and-restore.js';
 import { ExplainCommand } from './commands/explain.js';
 import { IncidentCommand } from './commands/incident.js';
+import { ReportCommand } from './commands/report.js';
 import { StatusCommand } from './commands/status.js';
 
 export function createCli(): Cli {
@@ -36,6 +37,7 @@
     InstanceRestoreCommand,
     ExplainCommand,
     IncidentCommand,
+    ReportCommand,
     ChangeShowCommand,
     Builtins.HelpCommand,
   ]) {
--- a/packages/log-story/src/draw-timeline.ts
+++ b/packages/log-story/src/draw-timeline.ts
@@ -37,8 +37,10 @@
 /** Statuses of improper requests, as refusals name them. */
 const IMPROPER: ReadonlySet<string> = new Set(['400', '401', '404', '413']);
 
-interface Open {
+/** A time for which something was lost, with the instances that told of it. */
+export interface LossPeriod {
   readonly matter: string;
+  /** Milliseconds since 1970. */
   readonly fromAt: number;
   readonly from: string;
   readonly cause: string;
@@ -67,8 +69,14 @@
   }
 }
 
-function collectPeriods(lines: readonly LogLine[]): Open[] {
-  const periods: Open[] = [];
+/** Whether a line tells that something was lost or regained. */
+export function isChange(line: LogLine): boolean {
+  return changeOf(line) !== undefined;
+}
+
+/** `lines` are in order of time. */
+export function collectPeriods(lines: readonly LogLine[]): LossPeriod[] {
+  const periods: LossPeriod[] = [];
   for (const line of lines) {
     const change = changeOf(line);
     if (change === undefined) continue;
@@ -110,7 +118,7 @@
   return outcomes;
 }
 
-function touches(period: Open, line: LogLine): boolean {
+function touches(period: LossPeriod, line: LogLine): boolean {
   if (!period.instances.has(line.instance) || line.at < period.fromAt) return false;
   return period.until === undefined || line.at <= period.until;
 }
--- a/packages/log-story/src/read-log-lines.ts
+++ b/packages/log-story/src/read-log-lines.ts
@@ -47,7 +47,7 @@
 }
 
 /** Undefined for text that holds no log line. */
-function readLine(text: string): LogLine | undefined {
+export function readLogLine(text: string): LogLine | undefined {
   const start = text.indexOf('{"');
   if (start < 0) return undefined;
   const value = parse(text.slice(start));
@@ -64,7 +64,7 @@
   for (const { text } of texts) {
     for (const row of text.split('\n')) {
       if (row.trim() === '') continue;
-      const line = readLine(row);
+      const line = readLogLine(row);
       if (line === undefined) skipped += 1;
       else lines.push(line);
     }
--- a/vitest.config.js
+++ b/vitest.config.js
@@ -19,6 +19,8 @@
     testTimeout: 120_000,
     hookTimeout: 120_000,
     maxWorkers: 4,
+    // Its ES modules import folders, which only a bundler resolves.
+    server: { deps: { inline: ['clipanion'] } },
     reporters: ['default', './packages/test-support/src/plain-summary-reporter.ts'],
   },
 });
