Keep streams by the chance that their group is back in time, and tell returns by its silence

Callers at their first try were kept only from 3.5 s, those that had come back from 1.5 s, figures found at other deployments; callers refused at their return for a group that came back within their stay were lost, and so were those that an entry's cold shares were used up for although there was room within a second. Change: how long outages lasted before gives the chance that one ends within a caller's stay, from an assumed spread until some were seen; callers that have come back are kept from a chance of 0.1, others from 0.2. Whoever has come back waits for room as long as he stays. While a group is silent and nobody has told why, refusals tell returns as for a broken group.

--- a/packages/forwarding/src/group-health.ts
+++ b/packages/forwarding/src/group-health.ts
@@ -7,6 +7,8 @@
 import type { BackendServer } from '@lapisbridge/catalog';
 import type { Logger } from '@lapisbridge/logger';
 
+import { createOutageForecast } from './outage-forecast.js';
+
 /** What one rank says of its group. */
 export interface RankHealth {
   readonly group: string;
@@ -23,6 +25,8 @@
   refused(server: BackendServer): void;
   /** For how long the server's group has stood still, in milliseconds; undefined while it runs. */
   brokenFor(server: BackendServer): number | undefined;
+  /** Chance that a group that has stood still for so long runs again within the time. */
+  chanceOfReturn(brokenForMilliseconds: number, withinMilliseconds: number): number;
   /** Resolves when a group changes between open and broken. */
   nextChange(): Promise<void>;
 }
@@ -45,6 +49,7 @@
 
 export function createGroupHealth(now: () => number, logger: Logger): GroupHealth {
   const groups = new Map<string, Group>();
+  const forecast = createOutageForecast();
   let wake: () => void = () => undefined;
   let change = nextPromise();
 
@@ -80,6 +85,8 @@
   function note(name: string, group: Group, cause: string): void {
     const isBroken = judge(group);
     if (isBroken === undefined || isBroken === group.isBroken) return;
+    const brokenFor = now() - group.changedAt;
+    if (!isBroken && Number.isFinite(brokenFor)) forecast.note(brokenFor);
     // A group that was found broken may have stood still for long.
     group.changedAt = group.isBroken === undefined ? -Infinity : now();
     group.isBroken = isBroken;
@@ -110,6 +117,7 @@
       if (!isBroken) return undefined;
       return group?.isBroken === true ? now() - group.changedAt : Infinity;
     },
+    chanceOfReturn: forecast.chanceWithin,
     nextChange: () => change,
   };
 }
--- /dev/null
+++ b/packages/forwarding/src/outage-forecast.test.ts
@@ -0,0 +1,48 @@
+import fc from 'fast-check';
+import { expect, it } from 'vitest';
+
+import { createOutageForecast } from './outage-forecast.js';
+
+it('gives a young outage some chance, and an older one a better chance', () => {
+  const { chanceWithin } = createOutageForecast();
+  expect(chanceWithin(0, 1700)).toBeGreaterThan(0.1);
+  expect(chanceWithin(0, 1700)).toBeLessThan(0.3);
+  expect(chanceWithin(4500, 1700)).toBeGreaterThan(chanceWithin(500, 1700));
+});
+
+it('learns that outages are long, so that callers are not kept in vain at their begin', () => {
+  // A deployment whose ranks take five seconds to restart. Callers that are kept for most of two
+  // seconds from the first moment have waited for nothing each time.
+  const forecast = createOutageForecast();
+  for (let outage = 0; outage < 6; outage += 1) forecast.note(5000);
+  expect(forecast.chanceWithin(200, 1700)).toBeLessThan(0.1);
+  expect(forecast.chanceWithin(3600, 1700)).toBeGreaterThan(0.7);
+});
+
+it('learns that outages are short', () => {
+  const forecast = createOutageForecast();
+  for (let outage = 0; outage < 6; outage += 1) forecast.note(700);
+  expect(forecast.chanceWithin(0, 1700)).toBeGreaterThan(0.6);
+});
+
+it('forgets what it saw long ago', () => {
+  const forecast = createOutageForecast();
+  for (let outage = 0; outage < 20; outage += 1) forecast.note(9000);
+  for (let outage = 0; outage < 16; outage += 1) forecast.note(700);
+  expect(forecast.chanceWithin(0, 1700)).toBeGreaterThan(0.7);
+});
+
+it('is a chance whatever was seen, and grows with the time', () => {
+  const length = fc.integer({ min: 0, max: 60_000 });
+  fc.assert(
+    fc.property(fc.array(length), length, length, length, (seen, age, within, more) => {
+      const forecast = createOutageForecast();
+      for (const milliseconds of seen) forecast.note(milliseconds);
+      const chance = forecast.chanceWithin(age, within);
+      expect(chance).toBeGreaterThanOrEqual(0);
+      expect(chance).toBeLessThanOrEqual(1);
+      expect(forecast.chanceWithin(age, within + more)).toBeGreaterThanOrEqual(chance);
+    }),
+  );
+  expect(createOutageForecast().chanceWithin(Infinity, 1000)).toBe(0.5);
+});
--- a/packages/forwarding/src/plan-retry-after.ts
+++ b/packages/forwarding/src/plan-retry-after.ts
@@ -20,6 +20,29 @@
   Expired = 'expired',
 }
 
+/**
+ * The cause that a caller's return is planned for. A lock-step group that is cut in two stands still
+ * for a while before its engines tell; until then connections fail and queues are full. Whoever is
+ * told to come back as for these comes back into the same outage and is lost.
+ */
+export function planRefusalCause(cause: RefusalCause, hasGroupStopped: boolean): RefusalCause {
+  switch (cause) {
+    case RefusalCause.Full:
+    case RefusalCause.Crowded:
+    case RefusalCause.BudgetSpent:
+      return hasGroupStopped ? RefusalCause.GroupBroken : cause;
+    case RefusalCause.NoConfiguration:
+    case RefusalCause.NoServer:
+    case RefusalCause.GroupBroken:
+    case RefusalCause.Expired:
+      return cause;
+    default: {
+      const unreachable: never = cause;
+      return unreachable;
+    }
+  }
+}
+
 /** Time after which each cause has usually passed, in milliseconds. */
 const USUAL_MILLISECONDS: Readonly<Record<RefusalCause, number>> = {
   // The first read of the store takes two round trips.
--- a/packages/forwarding/src/plan-wait.ts
+++ b/packages/forwarding/src/plan-wait.ts
@@ -10,23 +10,18 @@
 const PATIENCE_MILLISECONDS = 2000;
 const PATIENCE_OBJECTIVES = 4;
 const PATIENCE_GAPS = 8;
-/**
- * From a send to the first event: 170 ms at the median of a day at high load, and up to 550 at
- * the 90th percentile in seconds in which a map changes.
- */
+/** From a send to the first event where many are sent at once, as when a group is back. */
 export const FIRST_EVENT_MILLISECONDS = 400;
 /** A started stream can only be saved or broken off, so the last moment is used as well. */
 const NEXT_EVENT_MILLISECONDS = 100;
 
 /**
- * Age of an outage from which callers that have come back are kept. Engines stall for 1.5 s
- * before they tell, and ranks that crash or are cut off are away for three to six seconds, so a
- * younger outage rarely ends within the 1.6 s for which a caller can be kept; a caller that is
- * kept in vain is worse off than one that is refused at once.
+ * Chance of being served from which callers are kept that have come back. They do not come again,
+ * so whoever is not kept is lost; but being told at once is better than waiting for next to nothing.
  */
-const KEEP_RETURNED_MILLISECONDS = 1500;
-/** The same for callers at their first try, who lose nothing by coming back later. */
-const KEEP_FIRST_MILLISECONDS = 3500;
+const RETURNED_CHANCE = 0.1;
+/** The same for callers at their first try, who may as well come back. */
+const FIRST_CHANCE = 0.2;
 
 export function callerPatience(route: Route): number {
   return Math.max(
@@ -37,14 +32,15 @@
 }
 
 /**
- * Longest wait for a server's cold-start share, in milliseconds. Shares are counted over one
- * second, so room comes within that time; a caller that waits longer gets its first event late,
- * and others that arrive meanwhile would find less room.
+ * Longest wait of a caller at its first try for a server's cold-start share, in milliseconds. One
+ * that waits longer gets its first event late, and may as well come back when there is room.
  */
-const LONGEST_ROOM_MILLISECONDS = 600;
+const FIRST_LONGEST_ROOM_MILLISECONDS = 600;
 
 export interface RoomWaitInput {
   readonly route: Route;
+  /** Whether the caller was refused before, so that it will not come back. */
+  readonly hasComeBack: boolean;
   /** Since the request arrived, or since its caller's last event. */
   readonly silenceMilliseconds: number;
   readonly remainingMilliseconds: number;
@@ -54,15 +50,17 @@
 
 /**
  * Milliseconds to wait for room at a server; 0 when the stream is to be refused at once. A
- * burst uses up an entry's shares of all servers while these stand half empty: thirty callers
- * of one day were refused so although none had been tried anywhere.
+ * burst uses up an entry's shares of all servers while these stand half empty. Callers that have
+ * come back are kept as long as they stay: refused once more they would be lost although there
+ * is room within a second.
  */
 export function planRoomWait(input: RoomWaitInput): number {
-  const patience = callerPatience(input.route) - input.silenceMilliseconds;
-  const longest = Math.min(
-    LONGEST_ROOM_MILLISECONDS - input.silenceMilliseconds,
-    Math.min(patience, input.remainingMilliseconds) - FIRST_EVENT_MILLISECONDS,
-  );
+  const { route, hasComeBack, silenceMilliseconds, remainingMilliseconds } = input;
+  const patience = Math.min(callerPatience(route) - silenceMilliseconds, remainingMilliseconds);
+  const stay = patience - FIRST_EVENT_MILLISECONDS;
+  const longest = hasComeBack
+    ? stay
+    : Math.min(stay, FIRST_LONGEST_ROOM_MILLISECONDS - silenceMilliseconds);
   return input.roomInMilliseconds <= longest ? input.roomInMilliseconds : 0;
 }
 
@@ -75,15 +73,16 @@
   readonly hasBegun: boolean;
   /** Whether the caller was refused before, so that it will not come back. */
   readonly hasComeBack: boolean;
-  /** For how long the group has stood still; infinite when it did before this entry knew it. */
-  readonly brokenForMilliseconds: number;
+  /** Chance that the group runs again within so many milliseconds. */
+  chanceOfReturn(withinMilliseconds: number): number;
 }
 
 /** Milliseconds for which the stream may still be kept; 0 when it has to be given up now. */
 export function planWait(input: WaitInput): number {
-  const keepFrom = input.hasComeBack ? KEEP_RETURNED_MILLISECONDS : KEEP_FIRST_MILLISECONDS;
-  if (!input.hasBegun && input.brokenForMilliseconds < keepFrom) return 0;
   const needed = input.hasBegun ? NEXT_EVENT_MILLISECONDS : FIRST_EVENT_MILLISECONDS;
   const patience = callerPatience(input.route) - input.silenceMilliseconds;
-  return Math.max(0, Math.min(patience, input.remainingMilliseconds) - needed);
+  const longest = Math.max(0, Math.min(patience, input.remainingMilliseconds) - needed);
+  if (input.hasBegun) return longest;
+  const fewest = input.hasComeBack ? RETURNED_CHANCE : FIRST_CHANCE;
+  return input.chanceOfReturn(longest) < fewest ? 0 : longest;
 }
--- /dev/null
+++ b/packages/forwarding/src/play-outage.test.ts
@@ -0,0 +1,35 @@
+import { expect, it } from 'vitest';
+
+import { playOutage } from './play-outage.js';
+import type { OutageTally } from './play-outage.js';
+
+const SEEDS = [1, 2, 3, 4, 5];
+
+/** A day at 70% of what the servers can do, with one outage; summed over several seeds. */
+function play(milliseconds: number): OutageTally {
+  const sum: Partial<Record<keyof OutageTally, number>> = {};
+  for (const seed of SEEDS) {
+    const tally = playOutage({ seed, rate: 53, slots: 128, milliseconds });
+    for (const [name, count] of Object.entries(tally) as [keyof OutageTally, number][]) {
+      sum[name] = (sum[name] ?? 0) + count;
+    }
+  }
+  return sum as OutageTally;
+}
+
+it.each([1500, 2500, 3500, 4500, 6000, 7500])(
+  'serves every caller that could be reached in an outage of %i ms',
+  (milliseconds) => {
+    // A rank restarts and its group stands still for some seconds. Callers come back once. Whoever
+    // asks so late that his return and his stay reach beyond the outage must not be refused twice.
+    expect(play(milliseconds).missed).toBe(0);
+  },
+);
+
+it('serves callers whose answer broke off in a short outage', () => {
+  // Their answers stop in the middle, and they ask for the rest at once, which is the one return
+  // they have. The group is back within two seconds of that: refused at once they would all be
+  // lost, as many as the servers had in hand.
+  const { refusedAgain, keptInVain, cutOff } = play(2500);
+  expect(refusedAgain + keptInVain + cutOff).toBe(0);
+});
--- /dev/null
+++ b/packages/forwarding/src/play-outage.ts
@@ -0,0 +1,242 @@
+/**
+ * Plays callers against the decisions on streams while a lock-step group stands still and after it
+ * is back, in simulated time, for tests: what each caller gets is counted, so that a change of the
+ * decisions can be judged without a network. Callers stay for two seconds without an event, come
+ * back once after a refusal, and wait as told up to a third of the time they have left.
+ */
+import { createRandom } from '@lapisbridge/kernel';
+import type { Random } from '@lapisbridge/kernel';
+
+import { createOutageForecast } from './outage-forecast.js';
+import { canOffer, planCrowdWait } from './plan-offer.js';
+import { planRetryAfter, RefusalCause } from './plan-retry-after.js';
+import { callerPatience, FIRST_EVENT_MILLISECONDS, planWait } from './plan-wait.js';
+import { STREAM_ROUTE } from './stream-route-fixture.js';
+
+export interface Outage {
+  readonly seed: number;
+  /** Callers a second. */
+  readonly rate: number;
+  /** Slots of all servers together. */
+  readonly slots: number;
+  /** How long the group stands still, in milliseconds. */
+  readonly milliseconds: number;
+}
+
+/** What callers of each kind got, in numbers of callers. */
+export interface OutageTally {
+  asked: number;
+  inTime: number;
+  late: number;
+  /** Refused once more after they had come back. */
+  refusedAgain: number;
+  /** Left without an event after having been kept or queued. */
+  keptInVain: number;
+  /** Had the begin of an answer when the group broke, and never got the rest. */
+  cutOff: number;
+  /**
+   * Lost callers that could have been reached: told at once to come back as late as they do, they
+   * would still have been there when the group was back.
+   */
+  missed: number;
+}
+
+type OutageEnd = Exclude<keyof OutageTally, 'asked' | 'missed'>;
+
+const BREAK_AT = 5000;
+/** Engines tell of the break only when their own stall has run out. */
+const STALL_MILLISECONDS = 1500;
+const LOAD_MILLISECONDS = 20_000;
+const END_MILLISECONDS = 45_000;
+const STEP_MILLISECONDS = 10;
+const READ_MILLISECONDS = 160;
+const STREAM_MILLISECONDS = 1250;
+/** Passes take so many times as long until a balanced map is in force. */
+const FIRST_MAP_FACTOR = 2.5;
+const FIRST_MAP_MILLISECONDS = 500;
+/** A caller with less time left than this share has been refused before. */
+const RETURN_SHARE = 0.85;
+/** Callers wait no longer than this share of the time they have left. */
+const LONGEST_RETURN_SHARE = 1 / 3;
+const DEADLINE = STREAM_ROUTE.timeoutMilliseconds;
+
+interface Caller {
+  readonly firstAt: number;
+  readonly work: number;
+  attemptAt: number;
+  hasComeBack: boolean;
+  /** When the entry looks at it again. */
+  nextAt: number;
+  /** Undefined until it is queued at a server. */
+  queuedAt: number | undefined;
+  /** Work left, once it runs. */
+  left: number | undefined;
+  hasEvent: boolean;
+  /** Had the begin of an answer when the group broke, so that its one return is spent. */
+  wasCut: boolean;
+  isOver: boolean;
+}
+
+export function playOutage({ seed, rate, slots, milliseconds }: Outage): OutageTally {
+  const random: Random = createRandom(seed);
+  const tally: OutageTally = {
+    asked: 0,
+    inTime: 0,
+    late: 0,
+    refusedAgain: 0,
+    keptInVain: 0,
+    cutOff: 0,
+    missed: 0,
+  };
+  const forecast = createOutageForecast();
+  const backAt = BREAK_AT + milliseconds;
+  const knownAt = BREAK_AT + STALL_MILLISECONDS;
+  let callers: Caller[] = [];
+  let queue: Caller[] = [];
+  let nextArrival = 0;
+
+  const patience = callerPatience(STREAM_ROUTE);
+  const reachableFrom =
+    backAt - DEADLINE * LONGEST_RETURN_SHARE - (patience - FIRST_EVENT_MILLISECONDS);
+
+  function finish(caller: Caller, end: OutageEnd): void {
+    caller.isOver = true;
+    tally[end] += 1;
+    const isLost = end !== 'inTime' && end !== 'late';
+    if (isLost && !caller.wasCut && caller.firstAt >= reachableFrom) tally.missed += 1;
+  }
+
+  function comeBack(caller: Caller, at: number): void {
+    caller.attemptAt = at;
+    caller.nextAt = at;
+    caller.hasComeBack = true;
+    caller.queuedAt = undefined;
+    caller.left = undefined;
+    caller.hasEvent = false;
+  }
+
+  function refuse(caller: Caller, cause: RefusalCause, now: number): void {
+    if (caller.hasComeBack) {
+      finish(caller, 'refusedAgain');
+      return;
+    }
+    const retryAfter = planRetryAfter(cause, caller.firstAt + DEADLINE - now, random());
+    comeBack(caller, now + retryAfter);
+  }
+
+  /** The entry decides on a caller that is at no server. */
+  function decide(caller: Caller, now: number): void {
+    const remainingMilliseconds = caller.firstAt + DEADLINE - now;
+    const situation = {
+      route: STREAM_ROUTE,
+      hasComeBack: remainingMilliseconds < DEADLINE * RETURN_SHARE && caller.hasComeBack,
+      silenceMilliseconds: now - caller.attemptAt,
+      remainingMilliseconds,
+      hasBegun: false,
+    };
+    if (now >= knownAt && now < backAt) {
+      const wait = planWait({
+        ...situation,
+        chanceOfReturn: (within) => forecast.chanceWithin(now - knownAt, within),
+      });
+      if (wait === 0) refuse(caller, RefusalCause.GroupBroken, now);
+      else caller.nextAt = Math.min(now + wait, backAt);
+      return;
+    }
+    const running = callers.filter(({ left }) => left !== undefined).length;
+    const expectedStreams = running + queue.length;
+    if (canOffer({ ...situation, slots, expectedStreams, reportAge: 100 })) {
+      caller.queuedAt = now;
+      queue.push(caller);
+      return;
+    }
+    const wait = planCrowdWait(situation);
+    if (wait === 0) refuse(caller, RefusalCause.Crowded, now);
+    else caller.nextAt = now + wait;
+  }
+
+  function breakGroup(): void {
+    for (const caller of callers) {
+      if (caller.isOver || caller.queuedAt === undefined) continue;
+      caller.wasCut = caller.hasEvent;
+      if (caller.hasEvent && caller.hasComeBack) finish(caller, 'cutOff');
+      else if (caller.hasEvent) comeBack(caller, knownAt);
+      else caller.nextAt = knownAt;
+      caller.queuedAt = undefined;
+      caller.left = undefined;
+    }
+    queue = [];
+  }
+
+  function serve(now: number): void {
+    if (now >= BREAK_AT && now < backAt) return;
+    const isSlow = now >= backAt && now < backAt + FIRST_MAP_MILLISECONDS;
+    const done = STEP_MILLISECONDS / (isSlow ? FIRST_MAP_FACTOR : 1);
+    let running = 0;
+    for (const caller of callers) {
+      if (caller.isOver || caller.left === undefined) continue;
+      running += 1;
+      caller.left -= done;
+      if (!caller.hasEvent && caller.left <= caller.work) {
+        caller.hasEvent = true;
+        const isOnTime = now - caller.firstAt <= STREAM_ROUTE.objectiveMilliseconds;
+        caller.nextAt = isOnTime && !isSlow ? -1 : Infinity;
+      }
+      if (caller.left <= 0) {
+        finish(caller, caller.nextAt === -1 ? 'inTime' : 'late');
+        running -= 1;
+      }
+    }
+    queue.sort((left, right) => Number(right.hasComeBack) - Number(left.hasComeBack));
+    while (running < slots) {
+      const caller = queue.shift();
+      if (caller === undefined) break;
+      if (caller.isOver) continue;
+      caller.left = caller.work + READ_MILLISECONDS;
+      running += 1;
+    }
+  }
+
+  function leave(now: number): void {
+    for (const caller of callers) {
+      if (caller.isOver || now < caller.attemptAt) continue;
+      if (now - caller.firstAt >= DEADLINE)
+        finish(caller, caller.hasEvent ? 'cutOff' : 'keptInVain');
+      else if (!caller.hasEvent && now - caller.attemptAt >= patience) {
+        if (caller.hasComeBack) finish(caller, 'keptInVain');
+        else comeBack(caller, now);
+      }
+    }
+  }
+
+  for (let now = 0; now < END_MILLISECONDS; now += STEP_MILLISECONDS) {
+    while (nextArrival <= now && now < LOAD_MILLISECONDS) {
+      tally.asked += 1;
+      callers.push({
+        firstAt: now,
+        work: STREAM_MILLISECONDS * (0.4 + 1.2 * random()),
+        attemptAt: now,
+        hasComeBack: false,
+        nextAt: now,
+        queuedAt: undefined,
+        left: undefined,
+        hasEvent: false,
+        wasCut: false,
+        isOver: false,
+      });
+      nextArrival += (-Math.log(1 - random()) * 1000) / rate;
+    }
+    if (now === BREAK_AT) breakGroup();
+    // What is sent while the break is not known stalls until the engines tell.
+    const isUnknown = now >= BREAK_AT && now < knownAt;
+    for (const caller of callers) {
+      if (caller.isOver || caller.queuedAt !== undefined || caller.nextAt > now) continue;
+      if (isUnknown) caller.nextAt = knownAt;
+      else decide(caller, now);
+    }
+    serve(now);
+    leave(now);
+    callers = callers.filter(({ isOver }) => !isOver);
+  }
+  return tally;
+}
--- a/packages/forwarding/src/pulse.ts
+++ b/packages/forwarding/src/pulse.ts
@@ -7,10 +7,16 @@
   beat(service: string, instanceId: string): void;
   /** Whether the server is silent while its service is not. */
   isStuck(service: string, instanceId: string, sinceMilliseconds: number): boolean;
+  /** Whether a service that made events a moment ago has stopped altogether. */
+  hasStopped(service: string): boolean;
 }
 
 /** The service counts as alive when another server made an event this lately. */
 const ALIVE_MILLISECONDS = 250;
+/** Two passes of a crowded group with an uneven map, and more. */
+const STOPPED_MILLISECONDS = 600;
+/** A service that made no event for this long may just have had nothing to do. */
+const IDLE_MILLISECONDS = 5000;
 
 export function createPulse(now: () => number): Pulse {
   const byService = new Map<string, number>();
@@ -25,5 +31,9 @@
       const isServerSilent = now() - (byServer.get(instanceId) ?? -Infinity) > sinceMilliseconds;
       return isServiceAlive && isServerSilent;
     },
+    hasStopped(service) {
+      const silence = now() - (byService.get(service) ?? -Infinity);
+      return silence > STOPPED_MILLISECONDS && silence < IDLE_MILLISECONDS;
+    },
   };
 }
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -19,7 +19,7 @@
 import type { Outcome } from './outcome.js';
 import { fail, refuse } from './own-answer.js';
 import { canOffer } from './plan-offer.js';
-import { RefusalCause } from './plan-retry-after.js';
+import { planRefusalCause, RefusalCause } from './plan-retry-after.js';
 import { roundedOrNone } from './rounded-or-none.js';
 import { DelayKind, REFUSAL_OF, waitOut } from './stream-delay.js';
 import type { Delay } from './stream-delay.js';
@@ -78,11 +78,16 @@
 }
 
 /** What keeps a stream from being sent now; undefined where a server was chosen or none is left. */
-function delayOf(choice: ServerChoice): Delay | undefined {
+function delayOf(context: ForwardContext, choice: ServerChoice): Delay | undefined {
   switch (choice.kind) {
     case ServerChoiceKind.AllBroken: {
       const { brokenForMilliseconds } = choice;
-      return { kind: DelayKind.GroupBroken, brokenForMilliseconds };
+      return {
+        kind: DelayKind.GroupBroken,
+        brokenForMilliseconds,
+        chanceOfReturn: (within) =>
+          context.groupHealth.chanceOfReturn(brokenForMilliseconds, within),
+      };
     }
     case ServerChoiceKind.AllCrowded:
       return { kind: DelayKind.Crowded };
@@ -162,7 +167,7 @@
       return { kind: StartKind.None, cause: RefusalCause.Full };
     }
     const { choice, server } = chooseServer(context, accepted, progress, fits);
-    const delay = delayOf(choice);
+    const delay = delayOf(context, choice);
     if (delay !== undefined) return { kind: StartKind.Delayed, delay };
     if (server === undefined) return { kind: StartKind.None, cause: causeOf() };
     if (progress.sends > 0 && !context.retryShare.spend(service)) {
@@ -236,11 +241,16 @@
     });
   }
 
+  function hasGroupStopped(): boolean {
+    const engine = accepted.configuration.services.get(service)?.engine;
+    return engine !== undefined && engine.sets > 0 && context.pulse.hasStopped(service);
+  }
+
   function conclude(cause: RefusalCause): void {
     const reason = progress.outcomes.map(describeOutcome).join('; ') || cause;
     const proof = answer.hasBegun ? undefined : proveNotRun(progress.outcomes, reason);
     if (proof === undefined) fail(context, accepted, reason, state.isExpired);
-    else refuse(context, accepted, cause, proof);
+    else refuse(context, accepted, planRefusalCause(cause, hasGroupStopped()), proof);
   }
 
   answer.onGone(() => state.current?.cancel('caller gone'));
--- a/packages/forwarding/src/stream-delay.ts
+++ b/packages/forwarding/src/stream-delay.ts
@@ -19,7 +19,12 @@
 }
 
 export type Delay =
-  | { readonly kind: DelayKind.GroupBroken; readonly brokenForMilliseconds: number }
+  | {
+      readonly kind: DelayKind.GroupBroken;
+      readonly brokenForMilliseconds: number;
+      /** Chance that the group runs again within so many milliseconds. */
+      chanceOfReturn(withinMilliseconds: number): number;
+    }
   | { readonly kind: DelayKind.Crowded }
   | { readonly kind: DelayKind.Limited; readonly roomInMilliseconds: number };
 
@@ -48,7 +53,26 @@
     case DelayKind.Crowded:
       return planCrowdWait({ ...situation, route, hasComeBack });
     case DelayKind.Limited:
-      return planRoomWait({ ...situation, ...delay, route });
+      return planRoomWait({ ...situation, ...delay, route, hasComeBack });
+    default: {
+      const unreachable: never = delay;
+      return unreachable;
+    }
+  }
+}
+
+/** What decided, for the log. */
+function factsOf(delay: Delay, wait: number): Readonly<Record<string, number>> {
+  switch (delay.kind) {
+    case DelayKind.GroupBroken:
+      return {
+        brokenForMilliseconds: delay.brokenForMilliseconds,
+        chanceOfReturn: Number(delay.chanceOfReturn(wait).toFixed(2)),
+      };
+    case DelayKind.Limited:
+      return { roomInMilliseconds: delay.roomInMilliseconds };
+    case DelayKind.Crowded:
+      return {};
     default: {
       const unreachable: never = delay;
       return unreachable;
@@ -77,7 +101,7 @@
     hasBegun: accepted.answer.hasBegun,
   };
   const wait = planDelay(accepted, delay, situation);
-  const { kind, ...details } = delay;
+  const { kind } = delay;
   context.logger.decision({
     kind: 'wait',
     subject: accepted.requestId,
@@ -89,7 +113,7 @@
       remaining: situation.remainingMilliseconds,
       hasBegun: situation.hasBegun,
       hasComeBack: accepted.hasComeBack,
-      ...details,
+      ...factsOf(delay, wait),
     },
   });
   if (wait === 0) return false;
