Give a stream's record and the watch on stuck servers modules of their own

serveStream held what its caller has had, the watch on silent servers and the loop in one function of 190 lines. No decision changes; 70 tests of forwarding pass.

--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -4,31 +4,25 @@
  * broken off visibly, so that the caller never takes a part for the whole.
  */
 import type { BackendServer } from '@lapisbridge/catalog';
-import { LatencyKind } from '@lapisbridge/metrics';
 import { ServerChoiceKind } from '@lapisbridge/routing';
 import type { ServerChoice, ServerView } from '@lapisbridge/routing';
 
-import type { AnswerHead } from './caller-protocol.js';
 import { chooseServer } from './choose-server.js';
-import type { StreamEvent } from './event-splitter.js';
 import { remainingOf, startProgress } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
 import { EndKind, noteOutcome } from './note-outcome.js';
-import type { RequestEnd } from './note-outcome.js';
 import { describeOutcome, OutcomeKind, proveNotRun } from './outcome.js';
 import type { Outcome } from './outcome.js';
 import { fail, refuse } from './own-answer.js';
 import { canOffer } from './plan-offer.js';
 import { planRefusalCause, RefusalCause } from './plan-retry-after.js';
-import { roundedOrNone } from './rounded-or-none.js';
 import { DelayKind, REFUSAL_OF, waitOut } from './stream-delay.js';
 import type { Delay } from './stream-delay.js';
 import { startStreamAttempt, StreamEndKind } from './stream-attempt.js';
-import type { StreamAttempt, StreamEnd, StreamSink } from './stream-attempt.js';
+import type { StreamAttempt, StreamEnd } from './stream-attempt.js';
+import { createStreamRecord } from './stream-record.js';
+import { watchStuck } from './stuck-watch.js';
 
-/** Silence after which a server is looked at; callers leave after two seconds. */
-const SILENCE_MILLISECONDS = 1000;
-const SILENCE_CHECK_MILLISECONDS = 200;
 /** Sends of one stream before its service is taken to be full. */
 const MAXIMUM_SENDS = 3;
 
@@ -48,12 +42,6 @@
   | { readonly kind: StartKind.None; readonly cause: RefusalCause };
 
 interface StreamState {
-  lastEventId: number | undefined;
-  lastEventAt: number;
-  /** From the request's arrival to its first event. */
-  firstEventMilliseconds: number | undefined;
-  /** Between two events. */
-  longestPauseMilliseconds: number;
   /** Sends refused since the server's group stood still: they say nothing of the service's load. */
   groupRefusals: number;
   isExpired: boolean;
@@ -108,40 +96,10 @@
   context: ForwardContext,
   accepted: AcceptedRequest,
 ): Promise<void> {
-  const { answer, route, service, request } = accepted;
+  const { answer, route, service } = accepted;
   const progress = startProgress();
-  const state: StreamState = {
-    lastEventId: request.lastEventId,
-    lastEventAt: context.now(),
-    firstEventMilliseconds: undefined,
-    longestPauseMilliseconds: 0,
-    groupRefusals: 0,
-    isExpired: false,
-    current: undefined,
-  };
-
-  const sink: StreamSink = {
-    lastEventId: () => state.lastEventId,
-    onEvent(head: AnswerHead, event: StreamEvent) {
-      const at = context.now();
-      if (answer.hasBegun) {
-        const pause = at - state.lastEventAt;
-        state.longestPauseMilliseconds = Math.max(state.longestPauseMilliseconds, pause);
-      } else {
-        answer.begin(head.status, head.headers);
-        state.firstEventMilliseconds = at - accepted.arrivedAt;
-        context.metrics.observe(LatencyKind.FirstEvent, state.firstEventMilliseconds);
-      }
-      state.lastEventId = event.id ?? state.lastEventId;
-      state.lastEventAt = at;
-      return answer.write(event.bytes);
-    },
-    onDrain: (listener) => answer.onDrain(listener),
-  };
-
-  function silence(): number {
-    return context.now() - state.lastEventAt;
-  }
+  const record = createStreamRecord(context, accepted);
+  const state: StreamState = { groupRefusals: 0, isExpired: false, current: undefined };
 
   function causeOf(): RefusalCause {
     return progress.sends > 0 ? RefusalCause.Full : RefusalCause.NoServer;
@@ -156,7 +114,7 @@
       reportAge,
       hasBegun: answer.hasBegun,
       hasComeBack: accepted.hasComeBack,
-      silenceMilliseconds: silence(),
+      silenceMilliseconds: record.silence(),
     });
   }
 
@@ -176,41 +134,15 @@
     progress.sends += 1;
     progress.runs += 1;
     progress.tried.add(server.instanceId);
-    const attempt = startStreamAttempt(context, accepted, server, sink);
+    const attempt = startStreamAttempt(context, accepted, server, record.sink);
     state.current = attempt;
     return { kind: StartKind.Started, server, attempt };
   }
 
-  /** Ends an attempt at a server that is silent while others of its service are not. */
-  async function watch(server: BackendServer, attempt: StreamAttempt): Promise<StreamEnd> {
-    const timer = setInterval(() => {
-      if (silence() < SILENCE_MILLISECONDS || !mayContinue()) return;
-      // Where requests wait their turn, silence is no sign of a fault, and whoever is sent to
-      // the end of another queue loses the place that it has.
-      if (!answer.hasBegun && context.ledger.isQueueing(server.instanceId)) return;
-      if (context.pulse.isStuck(service, server.instanceId, SILENCE_MILLISECONDS)) {
-        attempt.cancel('silent while others answer');
-      }
-    }, SILENCE_CHECK_MILLISECONDS);
-    const end = await attempt.end;
-    clearInterval(timer);
-    state.current = undefined;
-    return end;
-  }
-
   function mayContinue(): boolean {
     return route.resumable && progress.runs < route.maximumAttempts;
   }
 
-  function facts(): RequestEnd['facts'] {
-    return {
-      lastEventId: state.lastEventId,
-      firstEvent: roundedOrNone(state.firstEventMilliseconds),
-      longestPause: Math.round(state.longestPauseMilliseconds),
-      sends: progress.sends,
-    };
-  }
-
   function noteMiss(server: BackendServer, end: StreamEnd): void {
     context.logger.decision({
       kind: 'attempt',
@@ -218,7 +150,8 @@
       choice: server.instanceId,
       reason: 'reason' in end ? end.reason : 'whole answer',
       facts: {
-        ...facts(),
+        ...record.facts(),
+        sends: progress.sends,
         outcome: end.kind,
         milliseconds: Math.round(context.now() - accepted.arrivedAt),
       },
@@ -226,17 +159,15 @@
   }
 
   function noteAnswer(server: BackendServer, status: number): void {
-    const waited = state.firstEventMilliseconds ?? Infinity;
     noteOutcome(context, accepted, {
       kind: EndKind.Answer,
       choice: server.instanceId,
       reason: 'whole answer',
       facts: {
-        ...facts(),
+        ...record.facts(),
+        sends: progress.sends,
         status,
-        isOnTime:
-          waited <= route.objectiveMilliseconds &&
-          state.longestPauseMilliseconds <= route.gapMilliseconds,
+        isOnTime: record.isOnTime(),
       },
     });
   }
@@ -267,7 +198,7 @@
       const start = startNext();
       if (start.kind === StartKind.Delayed) {
         const { delay } = start;
-        const isOver = !(await waitOut(context, accepted, delay, silence()));
+        const isOver = !(await waitOut(context, accepted, delay, record.silence()));
         if (isOver || state.isExpired) {
           conclude(REFUSAL_OF[delay.kind]);
           return;
@@ -280,8 +211,10 @@
         conclude(start.cause);
         return;
       }
-      const { server } = start;
-      const end = await watch(server, start.attempt);
+      const { server, attempt } = start;
+      const { silence } = record;
+      const end = await watchStuck({ context, accepted, server, attempt, silence, mayContinue });
+      state.current = undefined;
       if (end.kind !== StreamEndKind.Complete) noteMiss(server, end);
       if (answer.isOver) return;
       progress.outcomes.push(toOutcome(end));
