Forget shares and pulses of servers that are gone

A server that is only missing from the list for a moment keeps its share of the running second, or a cold one would be sent twice what it bears.

--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -58,7 +58,7 @@
   const groupHealth = createGroupHealth(monotonicClock, logger);
   const metrics = createMetrics();
   let isStopping = false;
-  catalog.onChange(() => ledger.keepOnly(catalog.servers().servers));
+  const pulse = createPulse(monotonicClock);
 
   const peers: Peers = createEntryPeers({
     settings: () => life.settings(),
@@ -98,6 +98,19 @@
     return isYoung ? Math.max(known, ASSUMED_ENTRIES) : known;
   }
 
+  const coldShare = createColdShare(
+    () => ({
+      own: settings.instanceId,
+      names: peers.names(PeerRole.Entry),
+      count: entries(),
+    }),
+    monotonicClock,
+  );
+  catalog.onChange(() => {
+    const { servers } = catalog.servers();
+    for (const memory of [ledger, pulse, coldShare]) memory.keepOnly(servers);
+  });
+
   const context: ForwardContext = {
     metrics,
     protocol: adapters.protocol,
@@ -112,17 +125,10 @@
       entries,
       monotonicClock,
     ),
-    coldShare: createColdShare(
-      () => ({
-        own: settings.instanceId,
-        names: peers.names(PeerRole.Entry),
-        count: entries(),
-      }),
-      monotonicClock,
-    ),
+    coldShare,
     arrivals: createArrivalMeter(monotonicClock),
     entries,
-    pulse: createPulse(monotonicClock),
+    pulse,
     groupHealth,
     logger,
     ownZone: settings.availabilityZone,
--- a/packages/forwarding/src/cold-share.ts
+++ b/packages/forwarding/src/cold-share.ts
@@ -17,7 +17,8 @@
    */
   roomIn(instanceId: string, coldRequestsPerSecond: number): number;
   noteSent(instanceId: string): void;
-  forget(instanceId: string): void;
+  /** Forgets servers that are gone. */
+  keepOnly(instanceIds: ReadonlyMap<string, unknown>): void;
 }
 
 /** The entries that share a server's cold rate. */
@@ -82,8 +83,15 @@
       times.push(now());
       sent.set(instanceId, times);
     },
-    forget(instanceId) {
-      sent.delete(instanceId);
+    keepOnly(instanceIds) {
+      for (const instanceId of sent.keys()) {
+        // A server may be missing from the list for a moment; what it got in this second counts.
+        const isIdle = recent(instanceId).length === 0;
+        if (isIdle && !instanceIds.has(instanceId)) sent.delete(instanceId);
+      }
+      for (const instanceId of ranks.keys()) {
+        if (!instanceIds.has(instanceId)) ranks.delete(instanceId);
+      }
     },
   };
 }
--- a/packages/forwarding/src/pulse.ts
+++ b/packages/forwarding/src/pulse.ts
@@ -9,6 +9,8 @@
   isStuck(service: string, instanceId: string, sinceMilliseconds: number): boolean;
   /** Whether a service that made events a moment ago has stopped altogether. */
   hasStopped(service: string): boolean;
+  /** Forgets servers that are gone. */
+  keepOnly(instanceIds: ReadonlyMap<string, unknown>): void;
 }
 
 /** The service counts as alive when another server made an event this lately. */
@@ -35,5 +37,10 @@
       const silence = now() - (byService.get(service) ?? -Infinity);
       return silence > STOPPED_MILLISECONDS && silence < IDLE_MILLISECONDS;
     },
+    keepOnly(instanceIds) {
+      for (const instanceId of byServer.keys()) {
+        if (!instanceIds.has(instanceId)) byServer.delete(instanceId);
+      }
+    },
   };
 }
--- a/packages/forwarding/src/shares.test.ts
+++ b/packages/forwarding/src/shares.test.ts
@@ -121,6 +121,22 @@
     expect(share.roomIn('server', 7)).toBe(0);
   });
 
+  it('of a server that is missing from the list for a moment are not begun anew', () => {
+    // A row of the list lapses while the store is slow and is back a moment later. Entries that had
+    // forgotten what they sent would send a cold server twice what it bears, and it would crash.
+    let now = 0;
+    const share = createColdShare(
+      () => ENTRIES,
+      () => now,
+    );
+    share.noteSent('server');
+    share.keepOnly(new Map());
+    expect(share.roomIn('server', 7)).toBeGreaterThan(0);
+    now = 1500;
+    share.keepOnly(new Map());
+    expect(share.roomIn('server', 7)).toBe(0);
+  });
+
   it('leaves a server without a cold phase alone', () => {
     const share = createColdShare(
       () => ENTRIES,
