Let callers that can be in time go before the late, and keep and send back by one chance

Change: whoever is late whatever happens leaves the last slots and the first place in the engines' queues to those that can be in time, until he would leave; callers are kept from a chance of one third, first or come back; returns of a broken group are planned for a time at which it is likely to be back.

--- a/packages/forwarding/src/accept-request.ts
+++ b/packages/forwarding/src/accept-request.ts
@@ -33,21 +33,6 @@
   | { readonly kind: AdmissionKind.Improper; readonly fault: Impropriety }
   | { readonly kind: AdmissionKind.NotKnown };
 
-/**
- * Priority at the backend server; 0 is served first. Callers that come back go before others of
- * their rank: they have waited, and a second refusal would lose them.
- */
-export function planPriority(
-  {
-    account,
-    route,
-  }: Pick<Extract<Admission, { kind: AdmissionKind.Accepted }>, 'account' | 'route'>,
-  hasComeBack: boolean,
-): number {
-  const priority = account?.priority ?? route.priority;
-  return hasComeBack ? Math.max(0, priority - 1) : priority;
-}
-
 export interface AdmissionInput {
   readonly configuration: Configuration | undefined;
   /** Whether the configuration may be outdated, so that what it lacks may exist by now. */
--- a/packages/forwarding/src/caller-listener.ts
+++ b/packages/forwarding/src/caller-listener.ts
@@ -8,7 +8,7 @@
 import { RequestKind } from '@lapisbridge/catalog';
 import { LatencyKind } from '@lapisbridge/metrics';
 
-import { AdmissionKind, Impropriety, planAdmission, planPriority } from './accept-request.js';
+import { AdmissionKind, Impropriety, planAdmission } from './accept-request.js';
 import { createCallerAnswer } from './caller-answer.js';
 import type { CallerAnswer } from './caller-answer.js';
 import type { CallerRequest } from './caller-protocol.js';
@@ -93,11 +93,11 @@
   ): void {
     const retryAfter =
       status === SERVICE_UNAVAILABLE
-        ? planRetryAfter(
-            RefusalCause.NoConfiguration,
-            request.patienceMilliseconds ?? ASSUMED_PATIENCE_MILLISECONDS,
-            context.random(),
-          )
+        ? planRetryAfter({
+            cause: RefusalCause.NoConfiguration,
+            remainingMilliseconds: request.patienceMilliseconds ?? ASSUMED_PATIENCE_MILLISECONDS,
+            random: context.random(),
+          })
         : undefined;
     context.logger.decision({
       kind: 'refusal',
@@ -160,7 +160,7 @@
           expiresAt: arrivedAt + admission.timeoutMilliseconds,
           answer,
           hasComeBack,
-          priority: planPriority(admission, hasComeBack),
+          priority: admission.account?.priority ?? admission.route.priority,
         };
         context.retryShare.count(admission.service);
         context.arrivals.note(admission.service);
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -48,7 +48,7 @@
   readonly answer: CallerAnswer;
   /** The caller was refused before, and does not come back another time. */
   readonly hasComeBack: boolean;
-  /** 0 is served first. */
+  /** Of the client account, or else of the route; 0 is served first. */
   readonly priority: number;
 }
 
--- a/packages/forwarding/src/group-health.ts
+++ b/packages/forwarding/src/group-health.ts
@@ -27,6 +27,8 @@
   brokenFor(server: BackendServer): number | undefined;
   /** Chance that a group that has stood still for so long runs again within the time. */
   chanceOfReturn(brokenForMilliseconds: number, withinMilliseconds: number): number;
+  /** Milliseconds within which such a group is likely to run again. */
+  likelyReturn(brokenForMilliseconds: number): number;
   /** Resolves when a group changes between open and broken. */
   nextChange(): Promise<void>;
 }
@@ -118,6 +120,7 @@
       return group?.isBroken === true ? now() - group.changedAt : Infinity;
     },
     chanceOfReturn: forecast.chanceWithin,
+    likelyReturn: forecast.likelyWithin,
     nextChange: () => change,
   };
 }
--- a/packages/forwarding/src/open-forward.ts
+++ b/packages/forwarding/src/open-forward.ts
@@ -7,9 +7,11 @@
 import type { Exchange, ExchangeListener } from './exchange.js';
 import { remainingOf } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { planPriority, urgencyOf } from './plan-priority.js';
 
 /** Time for a connection within a region: some round trips of a few milliseconds. */
 const CONNECT_MILLISECONDS = 300;
+
 export interface ForwardAttempt {
   readonly context: ForwardContext;
   readonly accepted: AcceptedRequest;
@@ -21,9 +23,15 @@
 export function openForward(attempt: ForwardAttempt, listener: ExchangeListener): Exchange {
   const { context, accepted, server, lastEventId } = attempt;
   const { request, body } = accepted;
+  const urgency = urgencyOf({
+    route: accepted.route,
+    hasBegun: accepted.answer.hasBegun,
+    hasComeBack: accepted.hasComeBack,
+    silenceMilliseconds: context.now() - accepted.arrivedAt,
+  });
   const headers = context.protocol.encodeForward({
     request,
-    priority: accepted.priority,
+    priority: planPriority(accepted.priority, urgency),
     server,
     account: accepted.account,
     remainingMilliseconds: remainingOf(context, accepted),
--- a/packages/forwarding/src/outage-forecast.ts
+++ b/packages/forwarding/src/outage-forecast.ts
@@ -1,9 +1,8 @@
 /**
  * How likely a lock-step group that stands still runs again within a time, from how long its
- * outages lasted before. Until some were seen, outages of one to six seconds are assumed, as ranks
- * that are replaced, restart or are cut off for a while make them. What was seen soon outweighs
- * that; an outage that is longer than all of these is expected to last about as long again. Pure
- * but for the lengths it remembers.
+ * outages lasted before. Until some were seen it is assumed that a rank which died, restarts or was
+ * cut off is away for a while, and comes back with the same chance in each second from then on.
+ * What was seen soon outweighs that. Pure but for the lengths it remembers.
  */
 export interface OutageForecast {
   /** Notes that an outage of this length has ended. */
@@ -13,42 +12,64 @@
    * infinite age is one that is not known.
    */
   chanceWithin(ageMilliseconds: number, withinMilliseconds: number): number;
+  /** Milliseconds within which an outage of this age ends in most cases. */
+  likelyWithin(ageMilliseconds: number): number;
 }
 
-const ASSUMED_MILLISECONDS: readonly number[] = [1000, 2000, 3000, 4000, 5000, 6000];
-/** Each assumed outage counts as half of one that was seen. */
-const ASSUMED_WEIGHT = 0.5;
+/** The assumption counts as much as so many outages that were seen. */
+const ASSUMED_OUTAGES = 3;
+/** Assumed length of the shortest, and how much longer they last on average. */
+const SHORTEST_MILLISECONDS = 1500;
+const LONGER_MILLISECONDS = 3000;
 /** Outages remembered: the conditions of a deployment change within hours. */
 const MAXIMUM_REMEMBERED = 16;
-/** One outage of any length, however long: half of such last for longer than this. */
-const LONG_MILLISECONDS = 3000;
 /** Chance for an outage of unknown age. */
 const UNKNOWN_AGE_CHANCE = 0.5;
+/** What is likely: in seven of ten cases. */
+const LIKELY_CHANCE = 0.7;
+/** Fineness and end of the search for a likely time. */
+const STEP_MILLISECONDS = 100;
+const LONGEST_MILLISECONDS = 30_000;
+
+/** Assumed share of outages that last longer than the time. */
+function assumedBeyond(milliseconds: number): number {
+  const longer = Math.max(0, milliseconds - SHORTEST_MILLISECONDS);
+  return Math.exp(-longer / LONGER_MILLISECONDS);
+}
 
 export function createOutageForecast(): OutageForecast {
   const seen: number[] = [];
 
   /** Weight of all outages that last longer than the time. */
   function weightBeyond(milliseconds: number): number {
-    let weight = LONG_MILLISECONDS / (LONG_MILLISECONDS + milliseconds);
-    for (const length of ASSUMED_MILLISECONDS) {
-      if (length > milliseconds) weight += ASSUMED_WEIGHT;
-    }
+    let weight = ASSUMED_OUTAGES * assumedBeyond(milliseconds);
     for (const length of seen) {
       if (length > milliseconds) weight += 1;
     }
     return weight;
   }
 
+  function chanceWithin(ageMilliseconds: number, withinMilliseconds: number): number {
+    if (!Number.isFinite(ageMilliseconds)) return UNKNOWN_AGE_CHANCE;
+    const now = weightBeyond(ageMilliseconds);
+    // After minutes hardly any outage is expected to last longer still; the chance stays a chance.
+    if (now < Number.EPSILON) return UNKNOWN_AGE_CHANCE;
+    return 1 - weightBeyond(ageMilliseconds + withinMilliseconds) / now;
+  }
+
   return {
     note(milliseconds) {
       seen.push(milliseconds);
       if (seen.length > MAXIMUM_REMEMBERED) seen.shift();
     },
-    chanceWithin(ageMilliseconds, withinMilliseconds) {
-      if (!Number.isFinite(ageMilliseconds)) return UNKNOWN_AGE_CHANCE;
-      const beyond = weightBeyond(ageMilliseconds + withinMilliseconds);
-      return 1 - beyond / weightBeyond(ageMilliseconds);
+    chanceWithin,
+    likelyWithin(ageMilliseconds) {
+      const age = Number.isFinite(ageMilliseconds) ? ageMilliseconds : 0;
+      let within = STEP_MILLISECONDS;
+      while (within < LONGEST_MILLISECONDS && chanceWithin(age, within) < LIKELY_CHANCE) {
+        within += STEP_MILLISECONDS;
+      }
+      return within;
     },
   };
 }
--- a/packages/forwarding/src/own-answer.ts
+++ b/packages/forwarding/src/own-answer.ts
@@ -22,20 +22,29 @@
   accepted.answer.send(status, headers, Buffer.alloc(0));
 }
 
-/** Refuses a request that has not run, and says when it is likely to be served. */
+/**
+ * Refuses a request that has not run, and says when it is likely to be served: within
+ * `likelyMilliseconds`, or else as usual for the cause.
+ */
 export function refuse(
   context: ForwardContext,
   accepted: AcceptedRequest,
   cause: RefusalCause,
   proof: NotRunProof,
+  likelyMilliseconds?: number,
 ): void {
   const remaining = remainingOf(context, accepted);
-  const retryAfter = planRetryAfter(cause, remaining, context.random());
+  const retryAfter = planRetryAfter({
+    cause,
+    remainingMilliseconds: remaining,
+    random: context.random(),
+    likelyMilliseconds,
+  });
   noteOutcome(context, accepted, {
     kind: EndKind.Refusal,
     choice: cause,
     reason: proof.reason,
-    facts: { remaining, retryAfter },
+    facts: { remaining, retryAfter, likely: likelyMilliseconds },
   });
   sendOwn(context, accepted, SERVICE_UNAVAILABLE, retryAfter);
 }
--- a/packages/forwarding/src/plan-offer.ts
+++ b/packages/forwarding/src/plan-offer.ts
@@ -6,30 +6,25 @@
  * late for another six, although the servers did more work a second than came. A caller that is
  * told to come back is late too, but alone. Pure.
  */
-import type { Route } from '@lapisbridge/catalog';
-
+import { Urgency, urgencyOf } from './plan-priority.js';
+import type { Waiting } from './plan-priority.js';
 import { callerPatience, FIRST_EVENT_MILLISECONDS } from './plan-wait.js';
 
-/**
- * Streams that may wait at a server, as a share of its slots. At a share of 0.15 one waits for a
- * seventh of a stream's length, 0.25 s, and still has its first event in time.
- */
-const FIRST_WAITING_SHARE = 0.15;
-/** Callers that have come back do not come again: they may wait as long as they stay. */
+/** Streams that may wait at a server, as a share of its slots, and still begin in time. */
+const FRESH_WAITING_SHARE = 0.15;
+/** Late callers that do not come again may wait as long as they stay. */
 const RETURNED_WAITING_SHARE = 0.75;
+/** Slots that late callers leave to those that can be in time, as a share. */
+const LEFT_FREE_SHARE = 0.15;
+/** Late callers that stay for less than this take any place: each would else be lost in a crowd. */
+const YIELDING_MILLISECONDS = 1200;
 
-export interface OfferInput {
-  readonly route: Route;
+export interface OfferInput extends Waiting {
   readonly slots: number;
   /** Streams at the server, with what other entries may have sent since it reported. */
   readonly expectedStreams: number;
   /** Age of that report in milliseconds; undefined where there is none. */
   readonly reportAge: number | undefined;
-  /** Whether the caller has had events. */
-  readonly hasBegun: boolean;
-  readonly hasComeBack: boolean;
-  /** Since the request arrived, or since its caller's last event. */
-  readonly silenceMilliseconds: number;
 }
 
 /**
@@ -39,16 +34,35 @@
  */
 const LONGEST_REPORT_AGE_MILLISECONDS = 700;
 
+/** Streams that a server may have with this one, as a multiple of its slots. */
+function planShare(input: OfferInput): number {
+  const urgency = urgencyOf(input);
+  switch (urgency) {
+    case Urgency.Begun:
+      // Elsewhere it would begin anew, so any place in a queue is better than none.
+      return Infinity;
+    case Urgency.Fresh:
+      return 1 + FRESH_WAITING_SHARE;
+    case Urgency.Late: {
+      const longest = callerPatience(input.route) - FIRST_EVENT_MILLISECONDS;
+      const left = Math.max(0, longest - input.silenceMilliseconds);
+      if (left > YIELDING_MILLISECONDS) return 1 - LEFT_FREE_SHARE;
+      return (
+        1 + (input.hasComeBack ? RETURNED_WAITING_SHARE * (left / longest) : FRESH_WAITING_SHARE)
+      );
+    }
+    default: {
+      const unreachable: never = urgency;
+      return unreachable;
+    }
+  }
+}
+
 /** Whether the server can begin the stream in time for its caller, as far as this entry knows. */
 export function canOffer(input: OfferInput): boolean {
-  // Elsewhere it would begin anew, so any place in a queue is better than none.
-  if (input.hasBegun) return true;
   const { reportAge } = input;
   if (reportAge === undefined || reportAge > LONGEST_REPORT_AGE_MILLISECONDS) return true;
-  const patience = callerPatience(input.route) - FIRST_EVENT_MILLISECONDS;
-  const left = Math.max(0, 1 - input.silenceMilliseconds / patience);
-  const share = input.hasComeBack ? RETURNED_WAITING_SHARE * left : FIRST_WAITING_SHARE;
-  return input.expectedStreams + 1 <= input.slots * (1 + share);
+  return input.expectedStreams + 1 <= input.slots * planShare(input);
 }
 
 /** Time after which reports tell of room that they did not show before. */
--- /dev/null
+++ b/packages/forwarding/src/plan-priority.test.ts
@@ -0,0 +1,28 @@
+import { expect, it } from 'vitest';
+
+import { planPriority, Urgency, urgencyOf } from './plan-priority.js';
+import { STREAM_ROUTE } from './stream-route-fixture.js';
+
+const WAITING = {
+  route: STREAM_ROUTE,
+  hasBegun: false,
+  hasComeBack: false,
+  silenceMilliseconds: 0,
+};
+
+it('tells callers that can be in time from those that are late whatever happens', () => {
+  expect(urgencyOf(WAITING)).toBe(Urgency.Fresh);
+  expect(urgencyOf({ ...WAITING, silenceMilliseconds: 300 })).toBe(Urgency.Late);
+  expect(urgencyOf({ ...WAITING, hasComeBack: true })).toBe(Urgency.Late);
+  expect(urgencyOf({ ...WAITING, hasComeBack: true, hasBegun: true })).toBe(Urgency.Begun);
+});
+
+it('puts what has begun before what can be in time, and that before the late', () => {
+  const order = [Urgency.Begun, Urgency.Fresh, Urgency.Late].map((one) => planPriority(3, one));
+  expect(order).toEqual([2, 3, 4]);
+});
+
+it('stays within the priorities that engines know', () => {
+  expect(planPriority(0, Urgency.Begun)).toBe(0);
+  expect(planPriority(9, Urgency.Late)).toBe(9);
+});
--- a/packages/forwarding/src/plan-retry-after.ts
+++ b/packages/forwarding/src/plan-retry-after.ts
@@ -1,7 +1,7 @@
 /**
  * When a refused caller should come back. Callers wait as told, up to a third of the time they
  * have left, and come back once; a time that is too short spends that one try, and equal times
- * bring them all back together.
+ * bring them all back together. Pure.
  */
 export enum RefusalCause {
   /** This entry does not know the configuration yet. */
@@ -53,24 +53,37 @@
   [RefusalCause.Full]: 1200,
   // A crowd after an outage is gone in two to six seconds; callers come back once, so rather late.
   [RefusalCause.Crowded]: 2400,
-  // A rank that died or was cut off is rarely back sooner than after a stall of 1.5 s and the
-  // forming of the group; callers come back once, so rather late than in vain.
-  [RefusalCause.GroupBroken]: 2600,
+  // Until outages were seen that tell better.
+  [RefusalCause.GroupBroken]: 2900,
   [RefusalCause.BudgetSpent]: 1200,
   [RefusalCause.Expired]: 0,
 };
 
 /** Callers wait no longer than this share of the time they have left. */
 const LONGEST_SHARE = 1 / 3;
-/** Share by which times are shortened at random, so that callers do not come back together. */
+/** Share by which times differ at random, so that callers do not come back together. */
 const SPREAD = 0.35;
 
-/** Milliseconds; `random` is uniform in [0, 1). */
-export function planRetryAfter(
-  cause: RefusalCause,
-  remainingMilliseconds: number,
-  random: number,
-): number {
-  const longest = Math.min(USUAL_MILLISECONDS[cause], remainingMilliseconds * LONGEST_SHARE);
-  return Math.floor(longest * (1 - SPREAD * random));
+export interface RetryAfterInput {
+  readonly cause: RefusalCause;
+  readonly remainingMilliseconds: number;
+  /** Uniform in [0, 1). */
+  readonly random: number;
+  /** Within which a group that stands still is likely to run again. */
+  readonly likelyMilliseconds?: number | undefined;
+}
+
+/** Milliseconds. */
+export function planRetryAfter(input: RetryAfterInput): number {
+  const { cause, remainingMilliseconds, random, likelyMilliseconds } = input;
+  const longest = remainingMilliseconds * LONGEST_SHARE;
+  const usual = likelyMilliseconds ?? USUAL_MILLISECONDS[cause];
+  // Whoever comes back while the group still stands comes in vain, so rather later than sooner;
+  // other causes pass little by little.
+  const isLater = cause === RefusalCause.GroupBroken;
+  return Math.floor(
+    isLater
+      ? Math.min(usual * (1 + SPREAD * random), longest)
+      : Math.min(usual, longest) * (1 - SPREAD * random),
+  );
 }
--- a/packages/forwarding/src/plan-wait.ts
+++ b/packages/forwarding/src/plan-wait.ts
@@ -16,12 +16,10 @@
 const NEXT_EVENT_MILLISECONDS = 100;
 
 /**
- * Chance of being served from which callers are kept that have come back. They do not come again,
- * so whoever is not kept is lost; but being told at once is better than waiting for next to nothing.
+ * Chance of being served from which callers are kept. Whoever has come back does not come again, and
+ * is lost when refused; but to wait for nothing, and to be told then, is worse than to be told at once.
  */
-const RETURNED_CHANCE = 0.1;
-/** The same for callers at their first try, who may as well come back. */
-const FIRST_CHANCE = 0.2;
+const WORTH_WAITING_CHANCE = 1 / 3;
 
 export function callerPatience(route: Route): number {
   return Math.max(
@@ -71,8 +69,6 @@
   readonly remainingMilliseconds: number;
   /** Whether the caller has had events. */
   readonly hasBegun: boolean;
-  /** Whether the caller was refused before, so that it will not come back. */
-  readonly hasComeBack: boolean;
   /** Chance that the group runs again within so many milliseconds. */
   chanceOfReturn(withinMilliseconds: number): number;
 }
@@ -83,6 +79,5 @@
   const patience = callerPatience(input.route) - input.silenceMilliseconds;
   const longest = Math.max(0, Math.min(patience, input.remainingMilliseconds) - needed);
   if (input.hasBegun) return longest;
-  const fewest = input.hasComeBack ? RETURNED_CHANCE : FIRST_CHANCE;
-  return input.chanceOfReturn(longest) < fewest ? 0 : longest;
+  return input.chanceOfReturn(longest) < WORTH_WAITING_CHANCE ? 0 : longest;
 }
--- a/packages/forwarding/src/play-outage.ts
+++ b/packages/forwarding/src/play-outage.ts
@@ -9,6 +9,7 @@
 
 import { createOutageForecast } from './outage-forecast.js';
 import { canOffer, planCrowdWait } from './plan-offer.js';
+import { planPriority, urgencyOf } from './plan-priority.js';
 import { planRetryAfter, RefusalCause } from './plan-retry-after.js';
 import { callerPatience, FIRST_EVENT_MILLISECONDS, planWait } from './plan-wait.js';
 import { STREAM_ROUTE } from './stream-route-fixture.js';
@@ -21,6 +22,10 @@
   readonly slots: number;
   /** How long the group stands still, in milliseconds. */
   readonly milliseconds: number;
+  /** How long outages lasted that the entry has seen before, in milliseconds. */
+  readonly seen?: readonly number[];
+  /** Every stream is offered at once and served in the order of arrival: what the decisions are judged by. */
+  readonly isFirstComeFirstServed?: boolean;
 }
 
 /** What callers of each kind got, in numbers of callers. */
@@ -71,13 +76,16 @@
   queuedAt: number | undefined;
   /** Work left, once it runs. */
   left: number | undefined;
+  /** At the server; 0 is served first. */
+  priority: number;
   hasEvent: boolean;
   /** Had the begin of an answer when the group broke, so that its one return is spent. */
   wasCut: boolean;
   isOver: boolean;
 }
 
-export function playOutage({ seed, rate, slots, milliseconds }: Outage): OutageTally {
+export function playOutage(outage: Outage): OutageTally {
+  const { seed, rate, slots, milliseconds, seen = [], isFirstComeFirstServed = false } = outage;
   const random: Random = createRandom(seed);
   const tally: OutageTally = {
     asked: 0,
@@ -89,6 +97,7 @@
     missed: 0,
   };
   const forecast = createOutageForecast();
+  for (const length of seen) forecast.note(length);
   const backAt = BREAK_AT + milliseconds;
   const knownAt = BREAK_AT + STALL_MILLISECONDS;
   let callers: Caller[] = [];
@@ -120,7 +129,13 @@
       finish(caller, 'refusedAgain');
       return;
     }
-    const retryAfter = planRetryAfter(cause, caller.firstAt + DEADLINE - now, random());
+    const retryAfter = planRetryAfter({
+      cause,
+      remainingMilliseconds: caller.firstAt + DEADLINE - now,
+      random: random(),
+      likelyMilliseconds:
+        cause === RefusalCause.GroupBroken ? forecast.likelyWithin(now - knownAt) : undefined,
+    });
     comeBack(caller, now + retryAfter);
   }
 
@@ -145,8 +160,14 @@
     }
     const running = callers.filter(({ left }) => left !== undefined).length;
     const expectedStreams = running + queue.length;
-    if (canOffer({ ...situation, slots, expectedStreams, reportAge: 100 })) {
+    if (
+      isFirstComeFirstServed ||
+      canOffer({ ...situation, slots, expectedStreams, reportAge: 100 })
+    ) {
       caller.queuedAt = now;
+      if (!isFirstComeFirstServed) {
+        caller.priority = planPriority(STREAM_ROUTE.priority, urgencyOf(situation));
+      }
       queue.push(caller);
       return;
     }
@@ -187,7 +208,7 @@
         running -= 1;
       }
     }
-    queue.sort((left, right) => Number(right.hasComeBack) - Number(left.hasComeBack));
+    queue.sort((left, right) => left.priority - right.priority);
     while (running < slots) {
       const caller = queue.shift();
       if (caller === undefined) break;
@@ -220,6 +241,7 @@
         nextAt: now,
         queuedAt: undefined,
         left: undefined,
+        priority: STREAM_ROUTE.priority,
         hasEvent: false,
         wasCut: false,
         isOver: false,
