--- a/packages/forwarding/src/plan-wait.test.ts
+++ b/packages/forwarding/src/plan-wait.test.ts
@@ -14,6 +14,7 @@
     silenceMilliseconds,
     remainingMilliseconds,
     hasBegun: false,
+    hasComeBack: true,
     chanceOfReturn: () => 0.9,
     ...fields,
   });
@@ -38,9 +39,12 @@
   // once can act, or comes back when it is worth it.
   const chance = (chanceOfReturn: number, fields: Partial<WaitInput> = {}): number =>
     wait(0, 8000, { chanceOfReturn: () => chanceOfReturn, ...fields });
+  const first = { hasComeBack: false };
   expect(chance(0.2)).toBe(0);
-  expect(chance(0.5)).toBe(1600);
-  expect(chance(0.05, { hasBegun: true })).toBe(1900);
+  expect(chance(0.4)).toBe(1600);
+  expect(chance(0.4, first)).toBe(0);
+  expect(chance(0.5, first)).toBe(1600);
+  expect(chance(0.05, { ...first, hasBegun: true })).toBe(1900);
 });
 
 it('asks for the chance within the time for which the caller stays', () => {
--- a/packages/forwarding/src/plan-wait.ts
+++ b/packages/forwarding/src/plan-wait.ts
@@ -16,10 +16,12 @@
 const NEXT_EVENT_MILLISECONDS = 100;
 
 /**
- * Chance of being served from which callers are kept. Whoever has come back does not come again, and
- * is lost when refused; but to wait for nothing, and to be told then, is worse than to be told at once.
+ * Chance of being served from which callers are kept that have come back. They do not come again and
+ * are lost when refused; but to wait for nothing, and to be told then, is worse than to be told at once.
  */
-const WORTH_WAITING_CHANCE = 1 / 3;
+const RETURNED_CHANCE = 1 / 3;
+/** The same for callers at their first try, who can come back at a time that is as good. */
+const FIRST_CHANCE = 1 / 2;
 
 export function callerPatience(route: Route): number {
   return Math.max(
@@ -69,6 +71,8 @@
   readonly remainingMilliseconds: number;
   /** Whether the caller has had events. */
   readonly hasBegun: boolean;
+  /** Whether the caller was refused before, so that it will not come back. */
+  readonly hasComeBack: boolean;
   /** Chance that the group runs again within so many milliseconds. */
   chanceOfReturn(withinMilliseconds: number): number;
 }
@@ -79,5 +83,6 @@
   const patience = callerPatience(input.route) - input.silenceMilliseconds;
   const longest = Math.max(0, Math.min(patience, input.remainingMilliseconds) - needed);
   if (input.hasBegun) return longest;
-  return input.chanceOfReturn(longest) < WORTH_WAITING_CHANCE ? 0 : longest;
+  const fewest = input.hasComeBack ? RETURNED_CHANCE : FIRST_CHANCE;
+  return input.chanceOfReturn(longest) < fewest ? 0 : longest;
 }
--- a/packages/forwarding/src/stream-delay.ts
+++ b/packages/forwarding/src/stream-delay.ts
@@ -49,7 +49,7 @@
 ): number {
   switch (delay.kind) {
     case DelayKind.GroupBroken:
-      return planWait({ ...situation, ...delay, route });
+      return planWait({ ...situation, ...delay, route, hasComeBack });
     case DelayKind.Crowded:
       return planCrowdWait({ ...situation, route, hasComeBack });
     case DelayKind.Limited:
