--- a/packages/forwarding/src/plan-offer.ts
+++ b/packages/forwarding/src/plan-offer.ts
@@ -1,10 +1,9 @@
 /**
  * Whether a stream is offered to a server whose slots are taken, or its caller told to come back.
  * Made for the seconds after an outage and for bursts, in which more streams come than slots: the
- * streams that waited fill every slot at once, and each one that queues behind them makes all
- * that come later wait as long. After one outage of six seconds every first event was 0.8 to 1.9 s
- * late for another six, although the servers did more work a second than came. A caller that is
- * told to come back is late too, but alone. Pure.
+ * streams that waited fill every slot at once, and each one that queues behind them makes all that
+ * come later wait as long, for seconds in which the servers do more work than comes. A caller that
+ * is told to come back is late too, but alone. Pure.
  */
 import { Urgency, urgencyOf } from './plan-priority.js';
 import type { Waiting } from './plan-priority.js';
@@ -30,7 +29,7 @@
 /**
  * Reports older than this say too little: what others may have sent since is a guess that grows
  * with every own request, and callers would be told to come back while servers stand empty. Two
- * reports of a group of 63 ranks, so that a lost one changes nothing.
+ * reports of a large group, so that a lost one changes nothing.
  */
 const LONGEST_REPORT_AGE_MILLISECONDS = 700;
 
--- a/packages/log-story/src/log-story.test.ts
+++ b/packages/log-story/src/log-story.test.ts
@@ -51,6 +51,15 @@
     expect(story?.beliefs).toMatchObject([{ matter: 'group g', ageMilliseconds: 2000 }]);
   });
 
+  it('tells that the caller left, and what was lost then', () => {
+    // Callers give up before their deadline. Without this line the story ended with a send, as if
+    // the process had died.
+    const gone = { second: 3, kind: 'gone', subject: 'id', choice: 'caller', reason: 'x' };
+    const cause = tellStory(linesOf(lost, { ...gone, facts: { milliseconds: 2000 } }), 'id')?.cause;
+    expect(cause).toContain('The caller left after 2000 ms');
+    expect(cause).toContain('group lost');
+  });
+
   it('does not blame what another instance had lost, nor what was regained', () => {
     const elsewhere = { ...lost, instance: 'entry-2' };
     const regained = { second: 2, event: 'group regained', group: 'g', cause: 'rank 2 in epoch 2' };
--- a/packages/log-story/src/name-cause.ts
+++ b/packages/log-story/src/name-cause.ts
@@ -66,6 +66,8 @@
       return last.choice === 'timeout'
         ? `Given up when its time was up; it may have run: ${last.reason}${losses}.`
         : `Failed, and may have run: ${last.reason}${losses}.`;
+    case 'gone':
+      return `The caller left after ${String(last.facts.milliseconds)} ms, before its answer was complete${losses}.`;
     default:
       return `No outcome is logged; the last decision is ${last.kind} (${last.choice})${losses}.`;
   }
