Take back the last slots that late callers left free, and keep from an older outage

Outages are assumed to last 2 s at least from when they are known, so that callers who have come back are kept from 1.6 s on, about as before.

--- a/packages/forwarding/src/outage-forecast.ts
+++ b/packages/forwarding/src/outage-forecast.ts
@@ -19,7 +19,7 @@
 /** The assumption counts as much as so many outages that were seen. */
 const ASSUMED_OUTAGES = 3;
 /** Assumed length of the shortest, and how much longer they last on average. */
-const SHORTEST_MILLISECONDS = 1500;
+const SHORTEST_MILLISECONDS = 2000;
 const LONGER_MILLISECONDS = 3000;
 /** Outages remembered: the conditions of a deployment change within hours. */
 const MAXIMUM_REMEMBERED = 16;
--- a/packages/forwarding/src/plan-offer.ts
+++ b/packages/forwarding/src/plan-offer.ts
@@ -11,12 +11,8 @@
 
 /** Streams that may wait at a server, as a share of its slots, and still begin in time. */
 const FRESH_WAITING_SHARE = 0.15;
-/** Late callers that do not come again may wait as long as they stay. */
+/** Callers that have come back do not come again: they may wait as long as they stay. */
 const RETURNED_WAITING_SHARE = 0.75;
-/** Slots that late callers leave to those that can be in time, as a share. */
-const LEFT_FREE_SHARE = 0.15;
-/** Late callers that stay for less than this take any place: each would else be lost in a crowd. */
-const YIELDING_MILLISECONDS = 1200;
 
 export interface OfferInput extends Waiting {
   readonly slots: number;
@@ -43,12 +39,10 @@
     case Urgency.Fresh:
       return 1 + FRESH_WAITING_SHARE;
     case Urgency.Late: {
-      const longest = callerPatience(input.route) - FIRST_EVENT_MILLISECONDS;
-      const left = Math.max(0, longest - input.silenceMilliseconds);
-      if (left > YIELDING_MILLISECONDS) return 1 - LEFT_FREE_SHARE;
-      return (
-        1 + (input.hasComeBack ? RETURNED_WAITING_SHARE * (left / longest) : FRESH_WAITING_SHARE)
-      );
+      if (!input.hasComeBack) return 1 + FRESH_WAITING_SHARE;
+      const stay = callerPatience(input.route) - FIRST_EVENT_MILLISECONDS;
+      const left = Math.max(0, 1 - input.silenceMilliseconds / stay);
+      return 1 + RETURNED_WAITING_SHARE * left;
     }
     default: {
       const unreachable: never = urgency;
