Hold further ahead where orders go unanswered, and give the missing ones again sooner

A leader waited 180 ms for each answer that did not come, round after round, under a hold planned for one round. Change: a batch under a hold is settled 30 ms after its last answer; the share of orders that got none of late tells how many rounds to plan for, from the hold to its pass. Maps are waited for as before.

--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -8,6 +8,7 @@
   initialRollout,
   OrderOutcome,
   planHoldRollout,
+  RankOrderKind,
   RolloutPhase,
 } from '@lapisbridge/placement';
 import type {
@@ -22,8 +23,10 @@
 import type { Leadership } from './leadership.js';
 import { composeMap } from './compose-map.js';
 import { firstMap } from './first-map.js';
+import { createOrderLosses } from './order-losses.js';
 import { createOrderPacer } from './order-pacer.js';
 import { createPassClock } from './pass-clock.js';
+import { settleMost } from './settle-most.js';
 import type { RankLink, RankTarget, VersionedMap } from './rank-link.js';
 
 export interface GroupLeaderOptions {
@@ -62,6 +65,7 @@
   const maps = new Map<number, GroupMap>();
   const passClock = createPassClock(now);
   const orderPacer = createOrderPacer(now);
+  const orderLosses = createOrderLosses(now);
   let state: RolloutState = initialRollout(-1);
   let ledFence: number | undefined;
   let versions = 0;
@@ -143,18 +147,29 @@
     base: VersionedMap,
   ): Promise<void> {
     const targets = options.targets();
-    await Promise.all(
-      orders
-        .filter((addressed) => orderPacer.isDue(addressed))
-        .map(async (addressed) => {
-          const { rank, order } = addressed;
-          const target = targets.get(rank);
-          if (target === undefined) return;
-          const outcome = await link.order(target, { fence, order, base });
-          if (outcome === OrderOutcome.Fenced) leadership.doubt();
-          if (outcome === OrderOutcome.Unknown) orderPacer.unanswered(addressed);
-        }),
-    );
+    const given: AddressedOrder[] = [];
+    const calls: Promise<OrderOutcome>[] = [];
+    for (const addressed of orders) {
+      const { rank, order } = addressed;
+      const target = targets.get(rank);
+      if (target === undefined || !orderPacer.isDue(addressed)) continue;
+      given.push(addressed);
+      calls.push(link.order(target, { fence, order, base }));
+    }
+    // Maps take long to send; nothing stands still meanwhile, and sent again they take longer.
+    const isUrgent = given.every(({ order }) => order.kind !== RankOrderKind.Prepare);
+    const outcomes = isUrgent
+      ? await settleMost(calls, OrderOutcome.Unknown)
+      : await Promise.all(calls);
+    let unanswered = 0;
+    for (const [index, addressed] of given.entries()) {
+      const outcome = outcomes[index];
+      if (outcome === OrderOutcome.Fenced) leadership.doubt();
+      if (outcome !== OrderOutcome.Unknown) continue;
+      unanswered += 1;
+      orderPacer.unanswered(addressed);
+    }
+    orderLosses.note(given.length, unanswered);
   }
 
   function noteProgress(plan: RolloutPlan): void {
@@ -225,6 +240,7 @@
       formerRank: leadership.formerRank(),
       passMilliseconds: passClock.milliseconds(),
       roundMilliseconds,
+      orderRounds: orderLosses.rounds(own.size),
       voiding: { version: voidingVersion, map },
     });
     // A process that stood still since it asked may have been replaced: what it would order now
--- a/packages/placement/src/group-model.ts
+++ b/packages/placement/src/group-model.ts
@@ -45,6 +45,8 @@
    * out in between, as they are where a leader asks many ranks.
    */
   readonly readsApart?: boolean;
+  /** As how often lost orders are expected to go out; holds are planned further ahead for it. */
+  readonly orderRounds?: number;
   /** Changes a plan before it is carried out; for proofs that a mechanism matters. */
   mutate?(plan: RolloutPlan, reports: readonly (RankReport | undefined)[]): RolloutPlan;
 }
@@ -224,6 +226,7 @@
       formerRank: leader.formerRank,
       passMilliseconds: 200,
       roundMilliseconds: 30,
+      orderRounds: options.orderRounds ?? 1,
       voiding: { version: leader.voiding, map: MAP },
     });
     const plan = options.mutate?.(planned, reports) ?? planned;
--- a/packages/placement/src/plan-hold-orders.test.ts
+++ b/packages/placement/src/plan-hold-orders.test.ts
@@ -44,6 +44,7 @@
     formerRank: undefined,
     passMilliseconds: 40,
     roundMilliseconds: 10,
+    orderRounds: 1,
     voiding: VOIDING,
     ...input,
   });
@@ -64,6 +65,17 @@
     }
   });
 
+  it('hold further ahead where orders are left unanswered', () => {
+    // Ranks leave a tenth of their orders unanswered, and some have to be armed a second and a third
+    // time. Until the last of them is, a hold that was reached makes every open stream pause.
+    const stepOf = (orderRounds: number): number => {
+      const input = { passMilliseconds: 60, roundMilliseconds: 60, orderRounds };
+      const [first] = plan(prepared, settled, input).orders;
+      return first?.order.kind === RankOrderKind.Hold ? first.order.step : 0;
+    };
+    expect((stepOf(3) - stepOf(1)) * 60).toBeGreaterThanOrEqual(2 * 2 * 60);
+  });
+
   it('hold at another rank than the leader’s own', () => {
     // A leader that freezes takes the rank on its machine out of reach; a hold there would keep
     // the group until it wakes.
--- a/packages/placement/src/plan-hold-rollout.test.ts
+++ b/packages/placement/src/plan-hold-rollout.test.ts
@@ -49,6 +49,14 @@
     expect(run(seed).mixedAt).toBeUndefined();
   });
 
+  it('never does so either where holds are planned further ahead for orders that get lost', () => {
+    // Between the hold and its pass more passes run, and more leaders end in them.
+    for (let seed = 1; seed <= RUNS; seed += 1) {
+      const options = { seed, ranks: RANKS, ticks: TICKS, orderRounds: 1 + (seed % 5) };
+      expect(runGroupModel(options).mixedAt, `seed ${seed}`).toBeUndefined();
+    }
+  });
+
   it('never does so either where reports of one look are read one after the other', () => {
     // A leader of many ranks reads their reports over some tenths of a second. Passes begin and
     // late orders are carried out in between, so that no two reports need be of one moment.
--- a/packages/placement/src/plan-hold-rollout.ts
+++ b/packages/placement/src/plan-hold-rollout.ts
@@ -43,6 +43,8 @@
 const SHORTEST_ROLLOUT_MILLISECONDS = 160;
 /** Rounds of reports or of orders from the hold to the release; orders take about as long. */
 const ROUNDS = 4;
+/** An order that got no answer takes a look and another round of orders. */
+const ROUNDS_PER_REPEAT = 2;
 const SLACK_MILLISECONDS = 20;
 const FEWEST_STEPS_AHEAD = 2;
 /** Further ahead the old map would stay in force for long. */
@@ -53,14 +55,13 @@
 
 /**
  * Passes between the one that runs and the one that is held. One more than needed costs a whole
- * pass with the old map, 0.2 s where slots are full and the load is uneven; with 63 ranks the
- * release came 0.3 s after the hold, and the new map 0.9 s after the release.
+ * pass with the old map; one too few, and all streams of the group pause.
  */
-function stepsAhead({ passMilliseconds, roundMilliseconds }: RolloutInput): number {
-  const rollout = Math.max(
-    SHORTEST_ROLLOUT_MILLISECONDS,
-    ROUNDS * roundMilliseconds + SLACK_MILLISECONDS,
-  );
+function stepsAhead({ passMilliseconds, roundMilliseconds, orderRounds }: RolloutInput): number {
+  const repeats = (orderRounds - 1) * ROUNDS_PER_REPEAT * roundMilliseconds;
+  const rollout =
+    Math.max(SHORTEST_ROLLOUT_MILLISECONDS, ROUNDS * roundMilliseconds + SLACK_MILLISECONDS) +
+    repeats;
   const needed = Math.ceil(rollout / Math.max(1, passMilliseconds) + RUNNING_PASS_SHARE);
   return Math.min(MOST_STEPS_AHEAD, Math.max(FEWEST_STEPS_AHEAD, needed));
 }
--- a/packages/placement/src/rollout-state.ts
+++ b/packages/placement/src/rollout-state.ts
@@ -66,6 +66,8 @@
   readonly passMilliseconds: number;
   /** How long it took to read all ranks' reports: more ranks take a leader longer. */
   readonly roundMilliseconds: number;
+  /** Times that an order goes out until most likely every rank has taken it; 1 without losses. */
+  readonly orderRounds: number;
   /** A version and the map in force, to make earlier orders void with. */
   readonly voiding: RolloutTarget;
 }
