--- a/packages/load-report/src/list-outages.ts
+++ b/packages/load-report/src/list-outages.ts
@@ -6,7 +6,6 @@
 import type { LogLine } from '@lapisbridge/log-story';
 
 import type { OutageReport } from './report.js';
-import { costOf } from './second-bins.js';
 import type { TimeBin } from './second-bins.js';
 import { EndClass } from './request-counts.js';
 
@@ -22,8 +21,9 @@
   return kind === 'rollout' && choice === 'done';
 }
 
+/** Failures do not count: there are routes that always fail. */
 function isCalm({ counts }: TimeBin): boolean {
-  return Object.values(EndClass).every((end) => counts[end] === 0 || costOf(end) === 0);
+  return counts[EndClass.Late] === 0 && counts[EndClass.RefusedAgain] === 0;
 }
 
 export function createOutageList(): OutageList {
--- a/packages/load-report/src/load-report.test.ts
+++ b/packages/load-report/src/load-report.test.ts
@@ -128,6 +128,7 @@
       lineAt(7.6, { kind: 'rollout', subject: 'epoch 2', choice: 'done' }),
       end({ second: 8, id: 'a', kind: 'answer', facts: late }),
       end({ second: 9, id: 'b', kind: 'answer', facts: IN_TIME }),
+      end({ second: 9, id: 'c', kind: 'failure', choice: 'timeout' }),
     );
     expect(report.outages).toMatchObject([
       { matter: 'group g', milliseconds: 6000, toMapMilliseconds: 600, toCalmMilliseconds: 2000 },
--- a/packages/load-report/src/report.ts
+++ b/packages/load-report/src/report.ts
@@ -42,7 +42,7 @@
   readonly cause: string;
   /** From its end to the first expert map in force; undefined for other matters, or without one. */
   readonly toMapMilliseconds: number | undefined;
-  /** From its end to the first bin of time in which nobody was late or lost. */
+  /** From its end to the first bin of time in which nobody was late or refused again. */
   readonly toCalmMilliseconds: number | undefined;
 }
 
