--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -8,6 +8,7 @@
 import { createCatalog, RequestKind } from '@lapisbridge/catalog';
 import type { BackendServer, Catalog, Configuration, GroupRank, Route } from '@lapisbridge/catalog';
 import { createSilentLogger } from '@lapisbridge/logger';
+import type { Logger } from '@lapisbridge/logger';
 import { createMetrics } from '@lapisbridge/metrics';
 
 import { createCallerListener } from './caller-listener.js';
@@ -37,6 +38,8 @@
   readonly catalog: Catalog;
   readonly isStuck: { value: boolean };
   readonly groupHealth: GroupHealth;
+  /** Keeps the decisions about each request. */
+  readonly logger: Logger;
   close(): Promise<void>;
 }
 
@@ -165,8 +168,9 @@
     });
   }
   const now = (): number => performance.now();
+  const logger = createSilentLogger();
   const isStuck = { value: false };
-  const groupHealth = createGroupHealth(now, createSilentLogger());
+  const groupHealth = createGroupHealth(now, logger);
   const context: ForwardContext = {
     protocol: fixtureProtocol,
     catalog,
@@ -180,7 +184,7 @@
     arrivals: createArrivalMeter(now),
     entries: () => 1,
     pulse: { ...createPulse(now), isStuck: () => isStuck.value },
-    logger: createSilentLogger(),
+    logger,
     metrics: createMetrics(),
     ownZone: 'zone',
     now,
@@ -203,6 +207,7 @@
     catalog,
     isStuck,
     groupHealth,
+    logger,
     async close() {
       for (const socket of sockets) socket.destroy();
       for (const server of running) server.close();
