--- a/packages/log-story/src/draw-timeline.ts
+++ b/packages/log-story/src/draw-timeline.ts
@@ -74,10 +74,19 @@
   return changeOf(line) !== undefined;
 }
 
+/** The instance has what was lost again, or a process there that never lost it. */
+function endAt(period: LossPeriod, { instance, at }: LogLine): void {
+  const wasLast = period.awaited.delete(instance) && period.awaited.size === 0;
+  if (wasLast) period.until = at;
+}
+
 /** `lines` are in order of time. */
 export function collectPeriods(lines: readonly LogLine[]): LossPeriod[] {
   const periods: LossPeriod[] = [];
   for (const line of lines) {
+    if (line.event === 'started') {
+      for (const period of periods) endAt(period, line);
+    }
     const change = changeOf(line);
     if (change === undefined) continue;
     const { matter, begins, cause } = change;
@@ -101,9 +110,7 @@
       period.instances.add(line.instance);
       period.awaited.add(line.instance);
       period.until = undefined;
-    } else if (current?.awaited.delete(line.instance) === true && current.awaited.size === 0) {
-      current.until = line.at;
-    }
+    } else if (current !== undefined) endAt(current, line);
   }
   return periods;
 }
--- a/packages/log-story/src/log-story.test.ts
+++ b/packages/log-story/src/log-story.test.ts
@@ -100,6 +100,25 @@
 });
 
 describe('a time line', () => {
+  it('ends what a process had lost when it starts anew, and tells later losses apart', () => {
+    // An entry loses the store and is replaced before it is back. The new process never lost it, so
+    // it tells of no return; the loss would last to the end of the logs and swallow all later ones.
+    const lost = { event: 'store lost', reason: 'no answer in time' };
+    const regained = { event: 'store regained', reason: '' };
+    const lines = linesOf(
+      { second: 1, ...lost },
+      { second: 1, instance: 'entry-2', ...lost },
+      { second: 3, event: 'started' },
+      { second: 4, instance: 'entry-2', ...regained },
+      { second: 20, ...lost },
+      { second: 22, ...regained },
+    );
+    expect(drawTimeline(lines).periods).toMatchObject([
+      { matter: 'store', milliseconds: 3000, instances: ['entry-1', 'entry-2'] },
+      { matter: 'store', milliseconds: 2000, instances: ['entry-1'] },
+    ]);
+  });
+
   it('joins what several instances lost together, and counts the requests it touched', () => {
     const lost = { event: 'store lost', reason: 'no answer in time' };
     const regained = { event: 'store regained', reason: '' };
