--- a/packages/group-leader/src/leader-rollout.test.ts
+++ b/packages/group-leader/src/leader-rollout.test.ts
@@ -18,20 +18,20 @@
 /** A group of engines that carry out whatever they are told at once. */
 function createEngines(): { reports: RankReport[]; take(rank: number, order: RankOrder): void } {
   const reports = Array.from({ length: RANKS }, (_, rank): RankReport => ({
-      group: 'group',
-      rank,
-      size: RANKS,
-      epoch: 1,
-      isOpen: true,
-      step: 10,
-      activeVersion: 0,
-      preparedVersion: undefined,
-      armed: undefined,
-      heldStep: undefined,
-      pace: 1,
-      running: 0,
-      waiting: 0,
-    }));
+    group: 'group',
+    rank,
+    size: RANKS,
+    epoch: 1,
+    isOpen: true,
+    step: 10,
+    activeVersion: 0,
+    preparedVersion: undefined,
+    armed: undefined,
+    heldStep: undefined,
+    pace: 1,
+    running: 0,
+    waiting: 0,
+  }));
 
   /** The armed ranks switch with the pass that was held. */
   function goOn(): void {
