--- a/packages/forwarding/src/play-outage.test.ts
+++ b/packages/forwarding/src/play-outage.test.ts
@@ -1,20 +1,21 @@
 import { expect, it } from 'vitest';
 
-import { playOutage } from './play-outage.js';
+import { emptyTally, lostOf, playOutage } from './play-outage.js';
 import type { Outage, OutageTally } from './play-outage.js';
+import { PlayedEnd } from './played-caller.js';
 
 const SEEDS = [1, 2, 3, 4, 5];
 
-/** A day at 70% of what the servers can do, with one outage; summed over several seeds. */
+/** A day at 58% of what the servers can do, with one outage; summed over several seeds. */
 function play(milliseconds: number, fields: Partial<Outage> = {}): OutageTally {
-  const sum: Partial<Record<keyof OutageTally, number>> = {};
+  const sum = emptyTally();
   for (const seed of SEEDS) {
     const tally = playOutage({ seed, rate: 53, slots: 128, milliseconds, ...fields });
-    for (const [name, count] of Object.entries(tally) as [keyof OutageTally, number][]) {
-      sum[name] = (sum[name] ?? 0) + count;
-    }
+    sum.asked += tally.asked;
+    sum.missed += tally.missed;
+    for (const end of Object.values(PlayedEnd)) sum.ends[end] += tally.ends[end];
   }
-  return sum as OutageTally;
+  return sum;
 }
 
 it.each([1500, 2500, 3500, 4500, 6000, 7500])(
@@ -30,8 +31,7 @@
   // Their answers stop in the middle, and they ask for the rest at once, which is the one return
   // they have. The group is back within two seconds of that: refused at once they would all be
   // lost, as many as the servers had in hand.
-  const { refusedAgain, keptInVain, cutOff } = play(2500, { seen: [800, 1000] });
-  expect(refusedAgain + keptInVain + cutOff).toBe(0);
+  expect(lostOf(play(2500, { seen: [800, 1000] }))).toBe(0);
 });
 
 it('has callers in time again sooner than first come, first served', () => {
@@ -39,8 +39,6 @@
   // do more than comes, so the queue shrinks slowly, and every caller is late until then.
   const before = play(4500, { rate: 58, isFirstComeFirstServed: true });
   const after = play(4500, { rate: 58 });
-  const lost = ({ refusedAgain, keptInVain, cutOff }: OutageTally): number =>
-    refusedAgain + keptInVain + cutOff;
-  expect(after.inTime).toBeGreaterThan(1.4 * before.inTime);
-  expect(lost(after)).toBeLessThanOrEqual(lost(before));
+  expect(after.ends[PlayedEnd.InTime]).toBeGreaterThan(1.4 * before.ends[PlayedEnd.InTime]);
+  expect(lostOf(after)).toBeLessThanOrEqual(lostOf(before));
 });
--- a/packages/forwarding/src/play-outage.ts
+++ b/packages/forwarding/src/play-outage.ts
@@ -12,6 +12,8 @@
 import { planPriority, urgencyOf } from './plan-priority.js';
 import { planRetryAfter, RefusalCause } from './plan-retry-after.js';
 import { callerPatience, FIRST_EVENT_MILLISECONDS, planWait } from './plan-wait.js';
+import { arrive, comeBack, PlayedEnd } from './played-caller.js';
+import type { PlayedCaller } from './played-caller.js';
 import { STREAM_ROUTE } from './stream-route-fixture.js';
 
 export interface Outage {
@@ -28,17 +30,10 @@
   readonly isFirstComeFirstServed?: boolean;
 }
 
-/** What callers of each kind got, in numbers of callers. */
+/** Numbers of callers. */
 export interface OutageTally {
   asked: number;
-  inTime: number;
-  late: number;
-  /** Refused once more after they had come back. */
-  refusedAgain: number;
-  /** Left without an event after having been kept or queued. */
-  keptInVain: number;
-  /** Had the begin of an answer when the group broke, and never got the rest. */
-  cutOff: number;
+  readonly ends: Record<PlayedEnd, number>;
   /**
    * Lost callers that could have been reached: told at once to come back as late as they do, they
    * would still have been there when the group was back.
@@ -46,8 +41,6 @@
   missed: number;
 }
 
-type OutageEnd = Exclude<keyof OutageTally, 'asked' | 'missed'>;
-
 const BREAK_AT = 5000;
 /** Engines tell of the break only when their own stall has run out. */
 const STALL_MILLISECONDS = 1500;
@@ -65,68 +58,53 @@
 const LONGEST_RETURN_SHARE = 1 / 3;
 const DEADLINE = STREAM_ROUTE.timeoutMilliseconds;
 
-interface Caller {
-  readonly firstAt: number;
-  readonly work: number;
-  attemptAt: number;
-  hasComeBack: boolean;
-  /** When the entry looks at it again. */
-  nextAt: number;
-  /** Undefined until it is queued at a server. */
-  queuedAt: number | undefined;
-  /** Work left, once it runs. */
-  left: number | undefined;
-  /** At the server; 0 is served first. */
-  priority: number;
-  hasEvent: boolean;
-  /** Had the begin of an answer when the group broke, so that its one return is spent. */
-  wasCut: boolean;
-  isOver: boolean;
+export function emptyTally(): OutageTally {
+  return {
+    asked: 0,
+    ends: {
+      [PlayedEnd.InTime]: 0,
+      [PlayedEnd.Late]: 0,
+      [PlayedEnd.RefusedAgain]: 0,
+      [PlayedEnd.KeptInVain]: 0,
+      [PlayedEnd.CutOff]: 0,
+    },
+    missed: 0,
+  };
+}
+
+function isLost(end: PlayedEnd): boolean {
+  return end !== PlayedEnd.InTime && end !== PlayedEnd.Late;
+}
+
+export function lostOf({ ends }: OutageTally): number {
+  return ends[PlayedEnd.RefusedAgain] + ends[PlayedEnd.KeptInVain] + ends[PlayedEnd.CutOff];
 }
 
 export function playOutage(outage: Outage): OutageTally {
   const { seed, rate, slots, milliseconds, seen = [], isFirstComeFirstServed = false } = outage;
   const random: Random = createRandom(seed);
-  const tally: OutageTally = {
-    asked: 0,
-    inTime: 0,
-    late: 0,
-    refusedAgain: 0,
-    keptInVain: 0,
-    cutOff: 0,
-    missed: 0,
-  };
+  const tally = emptyTally();
   const forecast = createOutageForecast();
   for (const length of seen) forecast.note(length);
   const backAt = BREAK_AT + milliseconds;
   const knownAt = BREAK_AT + STALL_MILLISECONDS;
-  let callers: Caller[] = [];
-  let queue: Caller[] = [];
+  let callers: PlayedCaller[] = [];
+  let queue: PlayedCaller[] = [];
   let nextArrival = 0;
 
   const patience = callerPatience(STREAM_ROUTE);
   const reachableFrom =
     backAt - DEADLINE * LONGEST_RETURN_SHARE - (patience - FIRST_EVENT_MILLISECONDS);
 
-  function finish(caller: Caller, end: OutageEnd): void {
+  function finish(caller: PlayedCaller, end: PlayedEnd): void {
     caller.isOver = true;
-    tally[end] += 1;
-    const isLost = end !== 'inTime' && end !== 'late';
-    if (isLost && !caller.wasCut && caller.firstAt >= reachableFrom) tally.missed += 1;
+    tally.ends[end] += 1;
+    if (isLost(end) && !caller.wasCut && caller.firstAt >= reachableFrom) tally.missed += 1;
   }
 
-  function comeBack(caller: Caller, at: number): void {
-    caller.attemptAt = at;
-    caller.nextAt = at;
-    caller.hasComeBack = true;
-    caller.queuedAt = undefined;
-    caller.left = undefined;
-    caller.hasEvent = false;
-  }
-
-  function refuse(caller: Caller, cause: RefusalCause, now: number): void {
+  function refuse(caller: PlayedCaller, cause: RefusalCause, now: number): void {
     if (caller.hasComeBack) {
-      finish(caller, 'refusedAgain');
+      finish(caller, PlayedEnd.RefusedAgain);
       return;
     }
     const retryAfter = planRetryAfter({
@@ -140,7 +118,7 @@
   }
 
   /** The entry decides on a caller that is at no server. */
-  function decide(caller: Caller, now: number): void {
+  function decide(caller: PlayedCaller, now: number): void {
     const remainingMilliseconds = caller.firstAt + DEADLINE - now;
     const situation = {
       route: STREAM_ROUTE,
@@ -180,7 +158,7 @@
     for (const caller of callers) {
       if (caller.isOver || caller.queuedAt === undefined) continue;
       caller.wasCut = caller.hasEvent;
-      if (caller.hasEvent && caller.hasComeBack) finish(caller, 'cutOff');
+      if (caller.hasEvent && caller.hasComeBack) finish(caller, PlayedEnd.CutOff);
       else if (caller.hasEvent) comeBack(caller, knownAt);
       else caller.nextAt = knownAt;
       caller.queuedAt = undefined;
@@ -200,11 +178,11 @@
       caller.left -= done;
       if (!caller.hasEvent && caller.left <= caller.work) {
         caller.hasEvent = true;
-        const isOnTime = now - caller.firstAt <= STREAM_ROUTE.objectiveMilliseconds;
-        caller.nextAt = isOnTime && !isSlow ? -1 : Infinity;
+        const waited = now - caller.firstAt;
+        caller.isOnTime = waited <= STREAM_ROUTE.objectiveMilliseconds && !isSlow;
       }
       if (caller.left <= 0) {
-        finish(caller, caller.nextAt === -1 ? 'inTime' : 'late');
+        finish(caller, caller.isOnTime ? PlayedEnd.InTime : PlayedEnd.Late);
         running -= 1;
       }
     }
@@ -222,9 +200,9 @@
     for (const caller of callers) {
       if (caller.isOver || now < caller.attemptAt) continue;
       if (now - caller.firstAt >= DEADLINE)
-        finish(caller, caller.hasEvent ? 'cutOff' : 'keptInVain');
+        finish(caller, caller.hasEvent ? PlayedEnd.CutOff : PlayedEnd.KeptInVain);
       else if (!caller.hasEvent && now - caller.attemptAt >= patience) {
-        if (caller.hasComeBack) finish(caller, 'keptInVain');
+        if (caller.hasComeBack) finish(caller, PlayedEnd.KeptInVain);
         else comeBack(caller, now);
       }
     }
@@ -233,19 +211,7 @@
   for (let now = 0; now < END_MILLISECONDS; now += STEP_MILLISECONDS) {
     while (nextArrival <= now && now < LOAD_MILLISECONDS) {
       tally.asked += 1;
-      callers.push({
-        firstAt: now,
-        work: STREAM_MILLISECONDS * (0.4 + 1.2 * random()),
-        attemptAt: now,
-        hasComeBack: false,
-        nextAt: now,
-        queuedAt: undefined,
-        left: undefined,
-        priority: STREAM_ROUTE.priority,
-        hasEvent: false,
-        wasCut: false,
-        isOver: false,
-      });
+      callers.push(arrive(now, STREAM_MILLISECONDS * (0.4 + 1.2 * random())));
       nextArrival += (-Math.log(1 - random()) * 1000) / rate;
     }
     if (now === BREAK_AT) breakGroup();
