--- a/packages/load-report/src/bounded-groups.ts
+++ b/packages/load-report/src/bounded-groups.ts
@@ -12,15 +12,18 @@
 
 export function createBoundedGroups<Value>(create: () => Value): BoundedGroups<Value> {
   const groups = new Map<string, Value>();
+
+  function at(name: string): Value {
+    const known = groups.get(name);
+    if (known !== undefined) return known;
+    if (groups.size >= MAXIMUM_NAMES && name !== REST) return at(REST);
+    const value = create();
+    groups.set(name, value);
+    return value;
+  }
+
   return {
-    at(name) {
-      const known = groups.get(name);
-      if (known !== undefined) return known;
-      if (groups.size >= MAXIMUM_NAMES && name !== REST) return this.at(REST);
-      const value = create();
-      groups.set(name, value);
-      return value;
-    },
+    at,
     list: () => [...groups].map(([name, value]) => ({ name, value })),
   };
 }
--- a/packages/load-report/src/list-outages.ts
+++ b/packages/load-report/src/list-outages.ts
@@ -6,7 +6,7 @@
 import type { LogLine } from '@lapisbridge/log-story';
 
 import type { OutageReport } from './report.js';
-import type { TimeBin } from './second-bins.js';
+import type { TimeBin } from './time-bins.js';
 import { EndClass } from './request-counts.js';
 
 /** Lines kept; beyond it outages are no longer listed one by one. */
--- a/packages/load-report/src/load-report.test.ts
+++ b/packages/load-report/src/load-report.test.ts
@@ -4,7 +4,7 @@
 
 import { createReportTally, renderMarkdown, renderPage } from './index.js';
 import type { Report } from './index.js';
-import { createTimeBins } from './second-bins.js';
+import { createTimeBins } from './time-bins.js';
 import { EndClass } from './request-counts.js';
 import { createBoundedGroups } from './bounded-groups.js';
 
--- a/packages/load-report/src/tally-report.ts
+++ b/packages/load-report/src/tally-report.ts
@@ -12,8 +12,8 @@
 import type { CostlyMoment, CountedBy, Percentiles, Report, SecondReport } from './report.js';
 import { emptyCounts, EndClass, readEnd } from './request-counts.js';
 import type { EndCounts, RequestEnd } from './request-counts.js';
-import { costOf, createTimeBins } from './second-bins.js';
-import type { TimeBin } from './second-bins.js';
+import { costOf, createTimeBins } from './time-bins.js';
+import type { TimeBin } from './time-bins.js';
 
 export interface ReportOptions {
   /** Milliseconds since 1970; lines before and after are left out. */
--- a/packages/load-report/src/second-bins.ts
+++ b/packages/load-report/src/time-bins.ts
@@ -1,6 +1,6 @@
 /**
- * Counts by time in bins of one second, in bounded memory: when the logs span too many seconds,
- * neighbouring bins become one.
+ * Counts by time, in bins of one second at first, in bounded memory: when the logs span too many
+ * bins, neighbouring ones become one.
  */
 import { emptyCounts, EndClass } from './request-counts.js';
 import type { EndCounts, RequestEnd } from './request-counts.js';
