Keep cold servers within their bound while entries do not know each other yet

Where entries outnumber what a server bears, as many as it bears may send to it, by rendezvous among those that an entry knows; 46 entries that have just started each know another part of the others and find themselves among the first too often. Deployments with fewer entries than a server bears requests, such as the small ones, decide as before.

--- /dev/null
+++ b/packages/direct-entry/src/plan-entries.test.ts
@@ -0,0 +1,40 @@
+import { createColdShare } from '@lapisbridge/forwarding';
+import { createRandom, pickSome } from '@lapisbridge/kernel';
+import { expect, it } from 'vitest';
+
+import { planEntries } from './plan-entries.js';
+
+it('assumes others until they had time to be heard', () => {
+  const input = { known: 2, servers: 19 };
+  expect(planEntries({ ...input, sinceStartMilliseconds: 100 })).toBe(8);
+  expect(planEntries({ ...input, sinceStartMilliseconds: 6000 })).toBe(2);
+  expect(planEntries({ known: 12, servers: 19, sinceStartMilliseconds: 100 })).toBe(12);
+});
+
+it.each([0, 1, 3, 8, 14, 20, 30, 45])(
+  'keeps a cold server within its bound while each entry knows about %i others',
+  (others) => {
+    // All 46 entries lose power and start at once, and all servers are cold. Callers that waited are
+    // sent on in the first seconds, in which no entry knows how many others do the same.
+    const rate = 14;
+    const random = createRandom(11);
+    const names = Array.from({ length: 46 }, (_, index) => `entry-${index}`);
+    for (let server = 0; server < 100; server += 1) {
+      let sent = 0;
+      for (const own of names) {
+        const known = pickSome(names, others, random);
+        const view = known.includes(own) ? known : [...known, own];
+        const input = { known: view.length, servers: 77, sinceStartMilliseconds: 800 };
+        const share = createColdShare(
+          () => ({ own, names: view, count: planEntries(input) }),
+          () => 0,
+        );
+        while (share.roomIn(`server-${server}`, rate) === 0) {
+          share.noteSent(`server-${server}`);
+          sent += 1;
+        }
+      }
+      expect(sent, `server ${server}`).toBeLessThanOrEqual(rate * 1.5 + 5);
+    }
+  },
+);
--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -25,14 +25,12 @@
 import { createEntryPeers, livingInZone } from './entry-peers.js';
 import { createKnowledge } from './knowledge.js';
 import type { Knowledge } from './knowledge.js';
+import { planEntries } from './plan-entries.js';
 
 /** Longest wait for an answer of the store, beyond the wait that was asked for. */
 const STORE_MILLISECONDS = 700;
 /** The balancer takes an instance out after two missed checks, one a second. */
 const LINGER_MILLISECONDS = 2600;
-/** Entries assumed until the others had time to make themselves heard. */
-const ASSUMED_ENTRIES = 8;
-const ASSUMED_MILLISECONDS = 5000;
 
 function serveReadiness(address: Address, isReady: () => boolean): Promise<void> {
   const server = createServer((request, response) => {
@@ -91,11 +89,12 @@
     },
   });
 
-  /** Entries that share a bound; too many rather than too few while they are not all known. */
   function entries(): number {
-    const known = peers.countOf(PeerRole.Entry);
-    const isYoung = monotonicClock() - startedAt < ASSUMED_MILLISECONDS;
-    return isYoung ? Math.max(known, ASSUMED_ENTRIES) : known;
+    return planEntries({
+      known: peers.countOf(PeerRole.Entry),
+      servers: catalog.servers().servers.size,
+      sinceStartMilliseconds: monotonicClock() - startedAt,
+    });
   }
 
   const coldShare = createColdShare(
--- a/packages/forwarding/src/cold-share.ts
+++ b/packages/forwarding/src/cold-share.ts
@@ -31,10 +31,16 @@
 }
 
 const WINDOW_MILLISECONDS = 1000;
+/**
+ * Part of a server's places that is given out where entries outnumber them. Entries that have just
+ * started know some of the others, each another part, and find themselves among the first too often.
+ */
+const GIVEN_SHARE = 0.6;
 
 export function createColdShare(entries: () => ColdEntries, now: () => number): ColdShare {
   const sent = new Map<string, number[]>();
   let ranked: readonly string[] = [];
+  let rankedCount = 0;
   const ranks = new Map<string, number>();
 
   function recent(instanceId: string): number[] {
@@ -44,15 +50,19 @@
     return times;
   }
 
-  /** Place of this entry among those that may send to a server. */
-  function rankAt(instanceId: string, { own, names }: ColdEntries): number {
-    if (names !== ranked) {
+  /** Place of this entry among those that may send to a server; whoever is not known has one too. */
+  function rankAt(instanceId: string, { own, names, count }: ColdEntries): number {
+    if (names !== ranked || count !== rankedCount) {
       ranked = names;
+      rankedCount = count;
       ranks.clear();
     }
     let rank = ranks.get(instanceId);
     if (rank === undefined) {
-      rank = rendezvousOrder(instanceId, names).indexOf(own);
+      const missing = Math.max(0, count - names.length);
+      // Named by each entry for itself: with the same names all would be among the first together.
+      const unknown = Array.from({ length: missing }, (_, index) => `${own} ${index}`);
+      rank = rendezvousOrder(instanceId, [...names, ...unknown]).indexOf(own);
       ranks.set(instanceId, rank);
     }
     return rank;
@@ -63,9 +73,8 @@
     const known = entries();
     const share = Math.floor(coldRequestsPerSecond / Math.max(1, known.count));
     if (share >= 1) return share;
-    // Those that are not known yet take their part of the places.
-    const places = (coldRequestsPerSecond * known.names.length) / Math.max(1, known.count);
-    return rankAt(instanceId, known) < Math.max(1, Math.floor(places)) ? 1 : 0;
+    const places = Math.max(1, Math.floor(coldRequestsPerSecond * GIVEN_SHARE));
+    return rankAt(instanceId, known) < places ? 1 : 0;
   }
 
   return {
