Announce an entry at once in a small fleet

Cause: after a loss of power entries waited 0.5 s before they announced themselves to sidecars, which only a large fleet needs; sidecars called for entries after 1.2 s. Until then nobody reports, and a leader does not know where the ranks are. Change: a small fleet announces at once and answers a sidecar's call at once; a large one leaves it to the zone's delegates for 1.2 s. The test fails with the former wait (checked by hand).

--- a/packages/fleet/src/entry-fleet.ts
+++ b/packages/fleet/src/entry-fleet.ts
@@ -85,6 +85,8 @@
 /** The same just after the start, when names are found fastest by asking the seeds again. */
 const START_PROBE_MILLISECONDS = 150;
 const START_MILLISECONDS = 1500;
+/** A sidecar whose zone's delegates have not found it for this long is answered by any entry. */
+const ADOPT_AFTER_MILLISECONDS = 1200;
 /**
  * After this an entry that still finds itself a delegate announces itself: before, every entry of
  * a fleet that starts at once knows too few others, and sidecars would report to all of them.
@@ -336,11 +338,11 @@
     const { scope, hash } = secondHandRoster();
     const informant = duties().isDelegate ? pickInformant() : undefined;
     if (informant !== undefined && informant !== self.host) {
-      send(informant, { kind: MessageKind.Hello, scope, knownHash: hash });
+      send(informant, { kind: MessageKind.Hello, scope, knownHash: hash, waitedMilliseconds: 0 });
     }
     for (const { instanceId, host } of members.known()) {
       if (!members.isSuspected(instanceId)) continue;
-      send(host, { kind: MessageKind.Hello, scope, knownHash: undefined });
+      send(host, { kind: MessageKind.Hello, scope, knownHash: undefined, waitedMilliseconds: 0 });
     }
     board.forgetOld();
     for (const { instanceId } of members.forgetSilent()) {
@@ -401,7 +403,12 @@
       const askedAt = rosterAskedAt.get(from.instanceId) ?? -Infinity;
       if (now() - askedAt >= ROSTER_REQUEST_MILLISECONDS) {
         rosterAskedAt.set(from.instanceId, now());
-        send(from.host, { kind: MessageKind.Hello, scope: roster.scope, knownHash: undefined });
+        send(from.host, {
+          kind: MessageKind.Hello,
+          scope: roster.scope,
+          knownHash: undefined,
+          waitedMilliseconds: 0,
+        });
       }
     }
     // An entry that is no delegate tells only of sidecars that found none in their own zone.
@@ -415,10 +422,15 @@
 
   function takeHello(
     from: InstanceName,
-    { scope, knownHash }: Extract<FleetMessage, { kind: MessageKind.Hello }>,
+    { scope, knownHash, waitedMilliseconds }: Extract<FleetMessage, { kind: MessageKind.Hello }>,
   ): void {
-    if (from.role === InstanceRole.Sidecar) announceTo(from);
-    else if (knownHash !== secondHandRoster().hash) sendRoster(from.host, scope);
+    if (from.role === InstanceRole.Sidecar) {
+      const isLeftToDelegates =
+        duties().isDelegating && waitedMilliseconds < ADOPT_AFTER_MILLISECONDS;
+      if (!isLeftToDelegates) announceTo(from);
+    } else if (knownHash !== secondHandRoster().hash) {
+      sendRoster(from.host, scope);
+    }
   }
 
   return {
@@ -463,7 +475,7 @@
       const age = now() - startedAt;
       const probePause = age < START_MILLISECONDS ? START_PROBE_MILLISECONDS : PROBE_MILLISECONDS;
       if (now() - probedAt >= probePause) probe();
-      if (age >= ANNOUNCE_AFTER_MILLISECONDS) {
+      if (!planned.isDelegating || age >= ANNOUNCE_AFTER_MILLISECONDS) {
         const isDue = now() - announcedAt >= ANNOUNCEMENT_MILLISECONDS;
         if (isDue || (isPrimary && !wasPrimary)) announce();
         wasPrimary = isPrimary;
--- a/packages/fleet/src/fleet.test.ts
+++ b/packages/fleet/src/fleet.test.ts
@@ -178,6 +178,17 @@
   });
 });
 
+it('starts a small fleet within half a second, from power loss to a leader that knows all', () => {
+  // Guards against ranks that wait for a second until an entry listens, while streams run on the first map.
+  const played = playFleet({ ...SMALL, startWithinMilliseconds: 50 });
+  const [leader] = played.sidecars;
+  if (leader === undefined) throw new Error('no sidecar');
+  leader.fence = 2;
+  played.run(SECOND / 2);
+  for (const { loads } of played.entries) expect(loads.size).toBe(12);
+  expect(leader.fleet.targets().size).toBe(12);
+});
+
 describe('a group’s leader', () => {
   it('learns where all ranks are, is heard by them, and gets the sum of their counts', () => {
     // Guards against counts that fill the leader's link: 129 ranks × 4,128 counts.
--- a/packages/fleet/src/message.test.ts
+++ b/packages/fleet/src/message.test.ts
@@ -24,7 +24,12 @@
 };
 
 const MESSAGES: readonly FleetMessage[] = [
-  { kind: MessageKind.Hello, scope: RosterScope.Zone, knownHash: 4 },
+  {
+    kind: MessageKind.Hello,
+    scope: RosterScope.Zone,
+    knownHash: 4,
+    waitedMilliseconds: 5,
+  },
   { kind: MessageKind.Roster, scope: RosterScope.Fleet, hash: 3, entries: [SIDECAR] },
   {
     kind: MessageKind.Digest,
--- a/packages/fleet/src/message.ts
+++ b/packages/fleet/src/message.ts
@@ -88,6 +88,8 @@
       readonly scope: RosterScope;
       /** Hash of the names that the sender knows; the same names need no answer. */
       readonly knownHash: number | undefined;
+      /** How long a sidecar has waited for an entry to announce itself. */
+      readonly waitedMilliseconds: number;
     }
   | {
       readonly kind: MessageKind.Roster;
@@ -322,6 +324,7 @@
         kind: MessageKind.Hello,
         scope: decodeScope(body.scope),
         knownHash: numberOf(body, 'knownHash'),
+        waitedMilliseconds: numberOf(body, 'waitedMilliseconds') ?? 0,
       };
     case MessageKind.Roster:
       return decodeRoster(body);
--- a/packages/fleet/src/sidecar-fleet.ts
+++ b/packages/fleet/src/sidecar-fleet.ts
@@ -66,8 +66,8 @@
 const SLACK_MILLISECONDS = TICK_MILLISECONDS / 2;
 /** An entry that has not repeated its announcement for this long is not reported to. */
 const LISTENER_MILLISECONDS = 2500;
-/** Between two calls for an entry while none has announced itself, and before the first. */
-const HELLO_MILLISECONDS = 1200;
+/** Between two calls for an entry while none has announced itself. */
+const HELLO_MILLISECONDS = 300;
 /** A stand-by delegate gets one of so many reports. */
 const STANDBY_DIVISOR = 3;
 
@@ -76,7 +76,9 @@
   const listeners = new Map<string, Listener>();
   const reportedAt = new Map<string, number>();
   const ranks = new Map<number, SummarizedRank>();
-  let helloAt = now();
+  let helloAt = -Infinity;
+  /** Since when no entry has listened. */
+  let unheardSince = now();
   let heartbeatAt = -Infinity;
   let leaderHost: string | undefined;
   let highestFence = 0;
@@ -117,10 +119,19 @@
   }
 
   function findListeners(): void {
-    if (listeners.size > 0 || now() - helloAt < HELLO_MILLISECONDS) return;
+    if (listeners.size > 0) {
+      unheardSince = now();
+      return;
+    }
+    if (now() - helloAt < HELLO_MILLISECONDS) return;
     helloAt = now();
     for (const host of options.seedHosts()) {
-      send(host, { kind: MessageKind.Hello, scope: RosterScope.Fleet, knownHash: undefined });
+      send(host, {
+        kind: MessageKind.Hello,
+        scope: RosterScope.Fleet,
+        knownHash: undefined,
+        waitedMilliseconds: now() - unheardSince,
+      });
     }
   }
 
