Pass orders to prepare on by an entry of each zone

A run with the sidecars' logs shows why: the leader began to prepare at 1.14 s; the map went to 129 ranks over its own link of 4.2 Mbit/s, its heartbeats did not get out, and another rank led from 2.2 s on, and so each time. Change: the leader sends one order a zone to the entry that summarizes it, which passes it on; each rank directly where that fails. Conclusion: to be measured at full size.

--- a/packages/direct-entry/src/copy-exchange.ts
+++ b/packages/direct-entry/src/copy-exchange.ts
@@ -2,13 +2,11 @@
  * Copies of the store's tables between entries: served to those that ask, fetched from those that
  * have newer ones.
  */
-import { createServer } from 'node:http';
-import type { Server } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { decodeCopy, encodeCopy } from '@lapisbridge/catalog';
 import type { RowList, StoreRow } from '@lapisbridge/catalog';
 import { callJson, numberOf } from '@lapisbridge/json-call';
-import type { Logger } from '@lapisbridge/logger';
 
 export enum FollowedTable {
   /** What operators ask for. */
@@ -28,6 +26,7 @@
   readonly ageMilliseconds: number;
 }
 
+const COPY_PATH = '/copy/';
 const FETCH_MILLISECONDS = 400;
 const TABLES: readonly string[] = Object.values(FollowedTable);
 
@@ -42,7 +41,7 @@
     host,
     port,
     method: 'GET',
-    path: `/copy/${table}?since=${since}`,
+    path: `${COPY_PATH}${table}?since=${since}`,
     body: undefined,
     timeoutMilliseconds: FETCH_MILLISECONDS,
   });
@@ -52,9 +51,6 @@
 }
 
 export interface CopyServerOptions {
-  readonly host: string;
-  readonly port: number;
-  readonly logger: Logger;
   copy(table: FollowedTable): TableCopy | undefined;
   /** Milliseconds since the store confirmed the copy; infinite where it did not. */
   ageMilliseconds(table: FollowedTable): number;
@@ -65,7 +61,10 @@
   readonly text: string;
 }
 
-export function serveCopies(options: CopyServerOptions): Server {
+/** Answers a request for a copy; false where the path is none of a copy. */
+export type CopyResponder = (incoming: IncomingMessage, response: ServerResponse) => boolean;
+
+export function createCopyResponder(options: CopyServerOptions): CopyResponder {
   const encoded = new Map<FollowedTable, EncodedCopy>();
 
   /** All entries of a zone fetch the same revision within milliseconds: it is encoded once. */
@@ -77,16 +76,17 @@
     return text;
   }
 
-  const server = createServer((incoming, response) => {
-    incoming.resume();
+  return (incoming, response) => {
     const url = new URL(incoming.url ?? '/', 'http://entry');
-    const name = url.pathname.replace('/copy/', '');
+    if (!url.pathname.startsWith(COPY_PATH)) return false;
+    incoming.resume();
+    const name = url.pathname.replace(COPY_PATH, '');
     const table = TABLES.includes(name) ? (name as FollowedTable) : undefined;
     const copy = table === undefined ? undefined : options.copy(table);
     if (table === undefined || copy === undefined) {
       response.writeHead(404);
       response.end();
-      return;
+      return true;
     }
     const isNewer = copy.revision > Number(url.searchParams.get('since') ?? 0);
     const rows = isNewer ? encode(table, copy) : '[]';
@@ -94,9 +94,6 @@
     const ageMilliseconds = JSON.stringify(options.ageMilliseconds(table));
     response.writeHead(200, { 'content-type': 'application/json' });
     response.end(`{"revision":${revision},"ageMilliseconds":${ageMilliseconds},"rows":${rows}}`);
-  });
-  server.on('error', (error) =>
-    options.logger.error('copies not served', { reason: error.message }),
-  );
-  return server.listen(options.port, options.host);
+    return true;
+  };
 }
--- a/packages/direct-entry/src/knowledge.ts
+++ b/packages/direct-entry/src/knowledge.ts
@@ -27,7 +27,8 @@
 import type { Logger } from '@lapisbridge/logger';
 
 import type { TableAdapter, TableRows } from './adapters.js';
-import { fetchCopy, FollowedTable, serveCopies } from './copy-exchange.js';
+import { createCopyResponder, fetchCopy, FollowedTable } from './copy-exchange.js';
+import type { CopyResponder } from './copy-exchange.js';
 import { planReading, SERVERS_WAIT_MILLISECONDS } from './plan-reading.js';
 import type { OrderBounds, ReadingPace } from './plan-reading.js';
 
@@ -53,7 +54,7 @@
   readonly tables: TableAdapter;
   readonly logger: Logger;
   readonly random: Random;
-  readonly host: string;
+  /** Where entries answer each other. */
   readonly port: number;
   readonly availabilityZone: string;
   bounds(): OrderBounds;
@@ -68,6 +69,8 @@
 }
 
 export interface Knowledge {
+  /** Answers other entries that ask for a copy. */
+  readonly respondWithCopy: CopyResponder;
   start(): void;
   /** Freshness of the copies, as told to other entries. */
   freshness(): JsonObject;
@@ -290,14 +293,11 @@
   }
 
   return {
+    respondWithCopy: createCopyResponder({
+      copy: (table) => followers[table].copy(),
+      ageMilliseconds: freshnessAgeMilliseconds,
+    }),
     start() {
-      serveCopies({
-        host: options.host,
-        port: options.port,
-        logger,
-        copy: (table) => followers[table].copy(),
-        ageMilliseconds: freshnessAgeMilliseconds,
-      });
       for (const follower of Object.values(followers)) follower.start();
       setInterval(askWhereSilent, ASK_MILLISECONDS);
     },
--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -20,6 +20,7 @@
 import { beginLife, endOnSignal, endUnstarted } from '@lapisbridge/process-life';
 
 import type { EntryAdapters } from './adapters.js';
+import { startInstanceListener } from './instance-listener.js';
 import { createKnowledge } from './knowledge.js';
 import type { Knowledge } from './knowledge.js';
 import { planEntries } from './plan-entries.js';
@@ -84,7 +85,6 @@
     tables: adapters.tables,
     logger,
     random,
-    host: settings.host,
     port: settings.peerPort,
     availabilityZone: settings.availabilityZone,
     bounds: () => ({
@@ -155,6 +155,12 @@
     const { readinessAddress } = settings;
     if (readinessAddress !== undefined) await serveReadiness(readinessAddress, isReady);
     await startFleetLink();
+    startInstanceListener({
+      host: settings.host,
+      port: settings.peerPort,
+      logger,
+      respondWithCopy: knowledge.respondWithCopy,
+    });
     knowledge.start();
     await listener?.start();
   } catch (thrown) {
--- a/packages/fleet/src/sidecar-fleet.ts
+++ b/packages/fleet/src/sidecar-fleet.ts
@@ -16,7 +16,7 @@
 
 export interface SidecarFleetOptions {
   readonly self: InstanceName;
-  /** Where sidecars take questions. */
+  /** Where sidecars and entries take calls of each other. */
   readonly sidecarPort: number;
   seedHosts(): readonly string[];
   /** State of the rank beside this sidecar; undefined while its engine does not answer. */
@@ -76,6 +76,8 @@
   const listeners = new Map<string, Listener>();
   const reportedAt = new Map<string, number>();
   const ranks = new Map<number, SummarizedRank>();
+  /** Host of the entry whose summary named the rank last. */
+  const entryOfRank = new Map<number, string>();
   let helloAt = -Infinity;
   /** Since when no entry has listened. */
   let unheardSince = now();
@@ -163,13 +165,15 @@
     return found;
   }
 
-  function takeSummary({
-    group,
-    ranks: listed,
-    growth,
-  }: Extract<FleetMessage, { kind: MessageKind.ZoneSummary }>): void {
+  function takeSummary(
+    from: InstanceName,
+    { group, ranks: listed, growth }: Extract<FleetMessage, { kind: MessageKind.ZoneSummary }>,
+  ): void {
     if (group !== options.state()?.group) return;
-    for (const rank of listed) ranks.set(rank.rank, rank);
+    for (const rank of listed) {
+      ranks.set(rank.rank, rank);
+      entryOfRank.set(rank.rank, from.host);
+    }
     if (growth !== undefined && options.fence() !== undefined) options.onGrowth(growth);
   }
 
@@ -186,7 +190,7 @@
           return;
         }
         case MessageKind.ZoneSummary:
-          takeSummary(message);
+          takeSummary(from, message);
           return;
         case MessageKind.LeaderHeartbeat:
           if (message.group !== options.state()?.group) return;
@@ -243,10 +247,14 @@
       send(host, { kind: MessageKind.ReportAnswer, question, report: fresh }),
     targets() {
       const targets = new Map<number, RankTarget>();
+      const { isGrowthRelayed } = options.pace();
       for (const { rank, host, backendServerPort } of ranks.values()) {
+        const entryHost = isGrowthRelayed ? entryOfRank.get(rank) : undefined;
         targets.set(rank, {
           sidecar: { host, port: options.sidecarPort },
           backendServer: { host, port: backendServerPort },
+          entry:
+            entryHost === undefined ? undefined : { host: entryHost, port: options.sidecarPort },
         });
       }
       return targets;
--- a/packages/group-leader/src/index.ts
+++ b/packages/group-leader/src/index.ts
@@ -17,6 +17,8 @@
 export type { TellingPace } from './plan-pace.js';
 export { createReportQuestions } from './report-questions.js';
 export type { ReportQuestions } from './report-questions.js';
+export { passOnPrepare } from './prepare-relay.js';
+export { RelayPath } from './relay-path.js';
 export { askLeader, createRankLink } from './rank-link.js';
 export type {
   RankAddress,
--- /dev/null
+++ b/packages/group-leader/src/prepare-batches.ts
@@ -0,0 +1,49 @@
+/**
+ * Gathers the orders to prepare that are given in one go into one batch for each entry that
+ * passes them on.
+ */
+import type { OrderOutcome } from '@lapisbridge/placement';
+
+export interface PrepareBatches<Prepare> {
+  /** Outcome of the order at the sidecar's host. Rejects when the batch could not be passed on. */
+  add(entry: string, host: string, prepare: Prepare): Promise<OrderOutcome>;
+}
+
+interface Batch<Prepare> {
+  readonly prepare: Prepare;
+  readonly hosts: string[];
+  readonly outcomes: Promise<ReadonlyMap<string, OrderOutcome>>;
+}
+
+/** `pass` is called once a batch is complete. */
+export function createPrepareBatches<Prepare>(
+  pass: (
+    entry: string,
+    hosts: readonly string[],
+    prepare: Prepare,
+  ) => Promise<ReadonlyMap<string, OrderOutcome>>,
+  missing: OrderOutcome,
+): PrepareBatches<Prepare> {
+  const open = new Map<string, Batch<Prepare>>();
+
+  function begin(entry: string, prepare: Prepare): Batch<Prepare> {
+    const hosts: string[] = [];
+    // Orders of one look are given synchronously, so all are in the batch by the next microtask.
+    const outcomes = Promise.resolve().then(() => {
+      open.delete(entry);
+      return pass(entry, hosts, prepare);
+    });
+    const batch = { prepare, hosts, outcomes };
+    open.set(entry, batch);
+    return batch;
+  }
+
+  return {
+    async add(entry, host, prepare) {
+      const known = open.get(entry);
+      const batch = known?.prepare === prepare ? known : begin(entry, prepare);
+      batch.hosts.push(host);
+      return (await batch.outcomes).get(host) ?? missing;
+    },
+  };
+}
--- /dev/null
+++ b/packages/group-leader/src/prepare-relay.ts
@@ -0,0 +1,81 @@
+/**
+ * Orders to prepare a map, sent once to an entry of each availability zone, which passes them on
+ * to the sidecars of its zone. A map for more than a hundred ranks is some kilobytes for each of
+ * them; sent by the leader alone they keep its narrow link busy for seconds, its heartbeats do not
+ * get out, and another rank takes over before any map is in force.
+ */
+import type { Agent } from 'node:http';
+
+import { callJson, isObject, listOf, numberOf } from '@lapisbridge/json-call';
+import type { JsonObject } from '@lapisbridge/json-call';
+import { OrderOutcome } from '@lapisbridge/placement';
+
+import { RelayPath } from './relay-path.js';
+
+/** From the leader to the entry and on to the last sidecar of the zone. */
+const RELAYED_MILLISECONDS = 1000;
+/** From the entry to one sidecar. */
+const PASSED_ON_MILLISECONDS = 700;
+const OUTCOMES: readonly string[] = Object.values(OrderOutcome);
+
+function decodeOutcome(value: unknown): OrderOutcome {
+  return OUTCOMES.includes(String(value)) ? (value as OrderOutcome) : OrderOutcome.Unknown;
+}
+
+/** An entry's part: passes the order on and says what came of it, by host. */
+export async function passOnPrepare(body: JsonObject): Promise<JsonObject> {
+  const { prepare } = body;
+  const port = numberOf(body, 'sidecarPort');
+  if (!isObject(prepare) || port === undefined) return {};
+  const outcomes: Record<string, OrderOutcome> = {};
+  const passedOn: Promise<void>[] = [];
+  for (const host of listOf(body, 'hosts')) {
+    if (typeof host !== 'string') continue;
+    const call = callJson({
+      host,
+      port,
+      method: 'POST',
+      path: RelayPath.Prepare,
+      body: prepare,
+      timeoutMilliseconds: PASSED_ON_MILLISECONDS,
+    });
+    passedOn.push(
+      call.then(
+        (answer) => {
+          outcomes[host] = decodeOutcome(answer.body.outcome);
+        },
+        () => {
+          outcomes[host] = OrderOutcome.Unknown;
+        },
+      ),
+    );
+  }
+  await Promise.all(passedOn);
+  return { outcomes };
+}
+
+export interface PrepareBatch {
+  readonly hosts: readonly string[];
+  readonly sidecarPort: number;
+  readonly prepare: object;
+}
+
+/** The leader's part. Rejects when the entry does not answer in time. */
+export async function askToPassOn(
+  entry: { readonly host: string; readonly port: number },
+  batch: PrepareBatch,
+  agent: Agent,
+): Promise<ReadonlyMap<string, OrderOutcome>> {
+  const answer = await callJson({
+    ...entry,
+    method: 'POST',
+    path: RelayPath.PassOnPrepare,
+    body: batch,
+    timeoutMilliseconds: RELAYED_MILLISECONDS,
+    agent,
+  });
+  const told = isObject(answer.body.outcomes) ? answer.body.outcomes : {};
+  const outcomes = new Map<string, OrderOutcome>();
+  for (const host of batch.hosts) outcomes.set(host, decodeOutcome(told[host]));
+  return outcomes;
+}
--- a/packages/group-leader/src/rank-link.ts
+++ b/packages/group-leader/src/rank-link.ts
@@ -14,6 +14,9 @@
 
 import { packChanges, packMap, unpackChanges, unpackMap } from './pack-map.js';
 import type { PackedChanges, PackedMap } from './pack-map.js';
+import { createPrepareBatches } from './prepare-batches.js';
+import { askToPassOn } from './prepare-relay.js';
+import { RelayPath } from './relay-path.js';
 
 export interface RankAddress {
   readonly host: string;
@@ -40,14 +43,6 @@
   order(address: RankAddress, order: RankOrder): Promise<OrderOutcome>;
 }
 
-export enum RelayPath {
-  Prepare = '/rank/prepare',
-  Report = '/rank/report',
-  Map = '/rank/map',
-  /** Fencing number of the leader here, if it leads. */
-  Leader = '/rank/leader',
-}
-
 /** A map in force. */
 export interface VersionedMap {
   readonly version: number;
@@ -64,6 +59,8 @@
 export interface RankTarget {
   readonly sidecar: RankAddress;
   readonly backendServer: RankAddress;
+  /** Entry of the rank's zone that passes orders to prepare on; undefined in a small group. */
+  readonly entry?: RankAddress | undefined;
 }
 
 export interface RankLink {
@@ -135,6 +132,8 @@
   readonly target: GroupMap;
   readonly map: PackedMap;
   readonly changes: PackedChanges;
+  /** The order with changes, the same object for all ranks. */
+  readonly prepare: PackedPrepare;
 }
 
 export interface RankLinkOptions {
@@ -187,14 +186,45 @@
     return direct().catch(() => undefined);
   }
 
-  function pack({ map }: PrepareOrder, base: VersionedMap): LastPacked {
-    if (lastPacked?.target !== map || lastPacked.changes.baseVersion !== base.version) {
+  function pack(fence: number, order: PrepareOrder, base: VersionedMap): LastPacked {
+    const { map, epoch, version } = order;
+    const known = lastPacked?.prepare;
+    const isKnown =
+      lastPacked?.target === map &&
+      lastPacked.changes.baseVersion === base.version &&
+      known?.fence === fence &&
+      known.epoch === epoch &&
+      known.version === version;
+    if (!isKnown || lastPacked === undefined) {
       const changes = packChanges(base.map, base.version, map);
-      lastPacked = { target: map, map: packMap(map), changes };
+      const prepare = { fence, epoch, version, changes };
+      lastPacked = { target: map, map: packMap(map), changes, prepare };
     }
     return lastPacked;
   }
 
+  const batches = createPrepareBatches<PackedPrepare>((entry, hosts, prepare) => {
+    const [host = '', port = ''] = entry.split(':');
+    const sidecarPort = Number(port);
+    return askToPassOn({ host, port: sidecarPort }, { hosts, sidecarPort, prepare }, kept);
+  }, OrderOutcome.Unknown);
+
+  /** Through the entry of the rank's zone; undefined where the rank must be reached itself. */
+  async function passOn(
+    target: RankTarget,
+    prepare: PackedPrepare,
+  ): Promise<OrderOutcome | undefined> {
+    const { entry, sidecar } = target;
+    if (entry === undefined || (silentUntil.get(entry.host) ?? 0) > now()) return undefined;
+    try {
+      const outcome = await batches.add(`${entry.host}:${entry.port}`, sidecar.host, prepare);
+      return outcome === OrderOutcome.Refused ? undefined : outcome;
+    } catch {
+      silentUntil.set(entry.host, now() + SILENT_SIDECAR_MILLISECONDS);
+      return undefined;
+    }
+  }
+
   async function relayPrepare(
     target: RankTarget,
     fence: number,
@@ -202,7 +232,9 @@
     base: VersionedMap,
   ): Promise<OrderOutcome> {
     const { epoch, version } = order;
-    const { map, changes } = pack(order, base);
+    const { map, changes, prepare } = pack(fence, order, base);
+    const passedOn = await passOn(target, prepare);
+    if (passedOn !== undefined) return passedOn;
     const send = (body: PackedPrepare): Promise<{ outcome: OrderOutcome }> =>
       relay(target, 'POST', RelayPath.Prepare, body);
     const { outcome } = await send({ fence, epoch, version, changes });
--- a/packages/group-leader/src/relay-listener.ts
+++ b/packages/group-leader/src/relay-listener.ts
@@ -11,8 +11,9 @@
 import { OrderOutcome } from '@lapisbridge/placement';
 import type { GroupMap } from '@lapisbridge/placement';
 
-import { decodePrepare, RelayPath } from './rank-link.js';
+import { decodePrepare } from './rank-link.js';
 import type { RankAddress, RankEngine } from './rank-link.js';
+import { RelayPath } from './relay-path.js';
 
 export interface RelayListenerOptions {
   readonly host: string;
