--- a/packages/cli/src/report.test.ts
+++ b/packages/cli/src/report.test.ts
@@ -34,7 +34,7 @@
   kind: 'answer',
   subject: 'a',
   choice: 'server-1',
-  facts: { status: 200, isOnTime: true, hasComeBack: false, route: 'drafts', milliseconds: 9 },
+  facts: { status: 200, isOnTime: true, isRetry: false, route: 'drafts', milliseconds: 9 },
 });
 
 describe('lapisbridge report', () => {
--- a/packages/forwarding/src/caller-listener.ts
+++ b/packages/forwarding/src/caller-listener.ts
@@ -147,10 +147,7 @@
         answerOwn(answer, request, STATUS_OF[admission.fault], admission.fault);
         return;
       case AdmissionKind.Accepted: {
-        const hasComeBack = returnWatch.hasComeBack(
-          admission.route.name,
-          request.patienceMilliseconds,
-        );
+        const isRetry = returnWatch.isRetry(admission.route.name, request.patienceMilliseconds);
         const accepted = {
           ...admission,
           request,
@@ -159,7 +156,7 @@
           arrivedAt,
           expiresAt: arrivedAt + admission.timeoutMilliseconds,
           answer,
-          hasComeBack,
+          isRetry,
           priority: admission.account?.priority ?? admission.route.priority,
         };
         context.retryShare.count(admission.service);
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -47,7 +47,7 @@
   readonly expiresAt: number;
   readonly answer: CallerAnswer;
   /** The caller was refused before, and does not come back another time. */
-  readonly hasComeBack: boolean;
+  readonly isRetry: boolean;
   /** Of the client account, or else of the route; 0 is served first. */
   readonly priority: number;
 }
--- a/packages/forwarding/src/note-outcome.test.ts
+++ b/packages/forwarding/src/note-outcome.test.ts
@@ -60,7 +60,7 @@
       facts: {
         route: 'route',
         service: 'service',
-        hasComeBack: false,
+        isRetry: false,
         isOnTime: true,
         status: 200,
       },
@@ -88,6 +88,6 @@
   // process had died.
   const ends = await endsOf({ servers: { one: stayAway } }, true);
   expect(ends).toMatchObject([
-    { kind: EndKind.Gone, facts: { route: 'route', hasBegun: false, hasComeBack: false } },
+    { kind: EndKind.Gone, facts: { route: 'route', hasBegun: false, isRetry: false } },
   ]);
 });
--- a/packages/forwarding/src/note-outcome.ts
+++ b/packages/forwarding/src/note-outcome.ts
@@ -26,7 +26,7 @@
   accepted: AcceptedRequest,
   end: RequestEnd,
 ): void {
-  const { requestId, route, service, account, hasComeBack, arrivedAt } = accepted;
+  const { requestId, route, service, account, isRetry, arrivedAt } = accepted;
   context.logger.decision({
     kind: end.kind,
     subject: requestId,
@@ -37,7 +37,7 @@
       route: route.name,
       service,
       account: account?.name,
-      hasComeBack,
+      isRetry,
       milliseconds: Math.round(context.now() - arrivedAt),
     },
   });
--- a/packages/forwarding/src/open-forward.ts
+++ b/packages/forwarding/src/open-forward.ts
@@ -26,8 +26,8 @@
   const urgency = urgencyOf({
     route: accepted.route,
     hasBegun: accepted.answer.hasBegun,
-    hasComeBack: accepted.hasComeBack,
-    silenceMilliseconds: context.now() - accepted.arrivedAt,
+    isRetry: accepted.isRetry,
+    idleMilliseconds: context.now() - accepted.arrivedAt,
   });
   const headers = context.protocol.encodeForward({
     request,
--- a/packages/forwarding/src/plan-offer.test.ts
+++ b/packages/forwarding/src/plan-offer.test.ts
@@ -12,8 +12,8 @@
     expectedStreams: 9,
     reportAge: 100,
     hasBegun: false,
-    hasComeBack: false,
-    silenceMilliseconds: 0,
+    isRetry: false,
+    idleMilliseconds: 0,
   };
 
   it('that has begun is continued wherever there is a queue', () => {
@@ -22,8 +22,8 @@
 
   it('may wait longer when its caller has come back, as long as that caller stays', () => {
     expect(canOffer(input)).toBe(false);
-    expect(canOffer({ ...input, hasComeBack: true })).toBe(true);
-    expect(canOffer({ ...input, hasComeBack: true, silenceMilliseconds: 1500 })).toBe(false);
+    expect(canOffer({ ...input, isRetry: true })).toBe(true);
+    expect(canOffer({ ...input, isRetry: true, idleMilliseconds: 1500 })).toBe(false);
   });
 
   it('is offered where reports are missing or old', () => {
@@ -33,11 +33,11 @@
   });
 
   it('is looked at again with the next reports, and given up before its caller leaves', () => {
-    const wait = (hasComeBack: boolean, silenceMilliseconds: number): number =>
+    const wait = (isRetry: boolean, idleMilliseconds: number): number =>
       planCrowdWait({
         route: STREAM_ROUTE,
-        hasComeBack,
-        silenceMilliseconds,
+        isRetry,
+        idleMilliseconds,
         remainingMilliseconds: 5000,
       });
     expect(wait(false, 0)).toBeGreaterThan(0);
--- a/packages/forwarding/src/plan-offer.ts
+++ b/packages/forwarding/src/plan-offer.ts
@@ -39,9 +39,9 @@
     case Urgency.Fresh:
       return 1 + FRESH_WAITING_SHARE;
     case Urgency.Late: {
-      if (!input.hasComeBack) return 1 + FRESH_WAITING_SHARE;
+      if (!input.isRetry) return 1 + FRESH_WAITING_SHARE;
       const stay = callerPatience(input.route) - FIRST_EVENT_MILLISECONDS;
-      const left = Math.max(0, 1 - input.silenceMilliseconds / stay);
+      const left = Math.max(0, 1 - input.idleMilliseconds / stay);
       return 1 + RETURNED_WAITING_SHARE * left;
     }
     default: {
@@ -63,15 +63,15 @@
 /** A caller at its first try is kept for two reports; then its place is free for the next one. */
 const FIRST_LONGEST_MILLISECONDS = 300;
 
-export type CrowdWaitInput = Pick<OfferInput, 'route' | 'hasComeBack' | 'silenceMilliseconds'> & {
+export type CrowdWaitInput = Pick<OfferInput, 'route' | 'isRetry' | 'idleMilliseconds'> & {
   readonly remainingMilliseconds: number;
 };
 
 /** Milliseconds until the servers are looked at again; 0 when the stream is to be refused now. */
 export function planCrowdWait(input: CrowdWaitInput): number {
-  const { silenceMilliseconds: silence, remainingMilliseconds: remaining } = input;
-  const patience = Math.min(callerPatience(input.route) - silence, remaining);
+  const { idleMilliseconds: idle, remainingMilliseconds: remaining } = input;
+  const patience = Math.min(callerPatience(input.route) - idle, remaining);
   if (patience < REPORT_MILLISECONDS + FIRST_EVENT_MILLISECONDS) return 0;
-  if (!input.hasComeBack && silence + REPORT_MILLISECONDS > FIRST_LONGEST_MILLISECONDS) return 0;
+  if (!input.isRetry && idle + REPORT_MILLISECONDS > FIRST_LONGEST_MILLISECONDS) return 0;
   return REPORT_MILLISECONDS;
 }
--- a/packages/forwarding/src/plan-priority.test.ts
+++ b/packages/forwarding/src/plan-priority.test.ts
@@ -6,15 +6,15 @@
 const WAITING = {
   route: STREAM_ROUTE,
   hasBegun: false,
-  hasComeBack: false,
-  silenceMilliseconds: 0,
+  isRetry: false,
+  idleMilliseconds: 0,
 };
 
 it('tells callers that can be in time from those that are late whatever happens', () => {
   expect(urgencyOf(WAITING)).toBe(Urgency.Fresh);
-  expect(urgencyOf({ ...WAITING, silenceMilliseconds: 300 })).toBe(Urgency.Late);
-  expect(urgencyOf({ ...WAITING, hasComeBack: true })).toBe(Urgency.Late);
-  expect(urgencyOf({ ...WAITING, hasComeBack: true, hasBegun: true })).toBe(Urgency.Begun);
+  expect(urgencyOf({ ...WAITING, idleMilliseconds: 300 })).toBe(Urgency.Late);
+  expect(urgencyOf({ ...WAITING, isRetry: true })).toBe(Urgency.Late);
+  expect(urgencyOf({ ...WAITING, isRetry: true, hasBegun: true })).toBe(Urgency.Begun);
 });
 
 it('puts what has begun before what can be in time, and that before the late', () => {
--- a/packages/forwarding/src/plan-priority.ts
+++ b/packages/forwarding/src/plan-priority.ts
@@ -21,9 +21,9 @@
   /** Whether the caller has had events. */
   readonly hasBegun: boolean;
   /** Whether the caller was refused before. */
-  readonly hasComeBack: boolean;
+  readonly isRetry: boolean;
   /** Since the request arrived, or since its caller's last event. */
-  readonly silenceMilliseconds: number;
+  readonly idleMilliseconds: number;
 }
 
 /** An answer takes about this share of the time that callers hope for. */
@@ -34,7 +34,7 @@
 export function urgencyOf(waiting: Waiting): Urgency {
   if (waiting.hasBegun) return Urgency.Begun;
   const latest = waiting.route.objectiveMilliseconds * (1 - ANSWER_SHARE);
-  const isFresh = !waiting.hasComeBack && waiting.silenceMilliseconds <= latest;
+  const isFresh = !waiting.isRetry && waiting.idleMilliseconds <= latest;
   return isFresh ? Urgency.Fresh : Urgency.Late;
 }
 
--- a/packages/forwarding/src/plan-wait.test.ts
+++ b/packages/forwarding/src/plan-wait.test.ts
@@ -5,16 +5,16 @@
 import { STREAM_ROUTE } from './stream-route-fixture.js';
 
 function wait(
-  silenceMilliseconds: number,
+  idleMilliseconds: number,
   remainingMilliseconds = 8000,
   fields: Partial<WaitInput> = {},
 ): number {
   return planWait({
     route: STREAM_ROUTE,
-    silenceMilliseconds,
+    idleMilliseconds,
     remainingMilliseconds,
     hasBegun: false,
-    hasComeBack: true,
+    isRetry: true,
     chanceOfReturn: () => 0.9,
     ...fields,
   });
@@ -39,7 +39,7 @@
   // once can act, or comes back when it is worth it.
   const chance = (chanceOfReturn: number, fields: Partial<WaitInput> = {}): number =>
     wait(0, 8000, { chanceOfReturn: () => chanceOfReturn, ...fields });
-  const first = { hasComeBack: false };
+  const first = { isRetry: false };
   expect(chance(0.2)).toBe(0);
   expect(chance(0.4)).toBe(1600);
   expect(chance(0.4, first)).toBe(0);
@@ -66,14 +66,14 @@
 it('waits for room at a server that comes soon, and refuses where it comes late', () => {
   const room = (
     roomInMilliseconds: number,
-    silenceMilliseconds = 0,
+    idleMilliseconds = 0,
     remaining = 8000,
-    hasComeBack = false,
+    isRetry = false,
   ): number =>
     planRoomWait({
       route: STREAM_ROUTE,
-      hasComeBack,
-      silenceMilliseconds,
+      isRetry,
+      idleMilliseconds,
       remainingMilliseconds: remaining,
       roomInMilliseconds,
     });
--- a/packages/forwarding/src/plan-wait.ts
+++ b/packages/forwarding/src/plan-wait.ts
@@ -40,9 +40,9 @@
 export interface RoomWaitInput {
   readonly route: Route;
   /** Whether the caller was refused before, so that it will not come back. */
-  readonly hasComeBack: boolean;
+  readonly isRetry: boolean;
   /** Since the request arrived, or since its caller's last event. */
-  readonly silenceMilliseconds: number;
+  readonly idleMilliseconds: number;
   readonly remainingMilliseconds: number;
   /** Until the first server takes one more request. */
   readonly roomInMilliseconds: number;
@@ -55,24 +55,24 @@
  * is room within a second.
  */
 export function planRoomWait(input: RoomWaitInput): number {
-  const { route, hasComeBack, silenceMilliseconds, remainingMilliseconds } = input;
-  const patience = Math.min(callerPatience(route) - silenceMilliseconds, remainingMilliseconds);
+  const { route, isRetry, idleMilliseconds, remainingMilliseconds } = input;
+  const patience = Math.min(callerPatience(route) - idleMilliseconds, remainingMilliseconds);
   const stay = patience - FIRST_EVENT_MILLISECONDS;
-  const longest = hasComeBack
+  const longest = isRetry
     ? stay
-    : Math.min(stay, FIRST_LONGEST_ROOM_MILLISECONDS - silenceMilliseconds);
+    : Math.min(stay, FIRST_LONGEST_ROOM_MILLISECONDS - idleMilliseconds);
   return input.roomInMilliseconds <= longest ? input.roomInMilliseconds : 0;
 }
 
 export interface WaitInput {
   readonly route: Route;
   /** Since the request arrived, or since its caller's last event. */
-  readonly silenceMilliseconds: number;
+  readonly idleMilliseconds: number;
   readonly remainingMilliseconds: number;
   /** Whether the caller has had events. */
   readonly hasBegun: boolean;
   /** Whether the caller was refused before, so that it will not come back. */
-  readonly hasComeBack: boolean;
+  readonly isRetry: boolean;
   /** Chance that the group runs again within so many milliseconds. */
   chanceOfReturn(withinMilliseconds: number): number;
 }
@@ -80,9 +80,9 @@
 /** Milliseconds for which the stream may still be kept; 0 when it has to be given up now. */
 export function planWait(input: WaitInput): number {
   const needed = input.hasBegun ? NEXT_EVENT_MILLISECONDS : FIRST_EVENT_MILLISECONDS;
-  const patience = callerPatience(input.route) - input.silenceMilliseconds;
+  const patience = callerPatience(input.route) - input.idleMilliseconds;
   const longest = Math.max(0, Math.min(patience, input.remainingMilliseconds) - needed);
   if (input.hasBegun) return longest;
-  const fewest = input.hasComeBack ? RETURNED_CHANCE : FIRST_CHANCE;
+  const fewest = input.isRetry ? RETURNED_CHANCE : FIRST_CHANCE;
   return input.chanceOfReturn(longest) < fewest ? 0 : longest;
 }
--- a/packages/forwarding/src/play-outage.ts
+++ b/packages/forwarding/src/play-outage.ts
@@ -103,7 +103,7 @@
   }
 
   function refuse(caller: PlayedCaller, cause: RefusalCause, now: number): void {
-    if (caller.hasComeBack) {
+    if (caller.isRetry) {
       finish(caller, PlayedEnd.RefusedAgain);
       return;
     }
@@ -122,8 +122,8 @@
     const remainingMilliseconds = caller.firstAt + DEADLINE - now;
     const situation = {
       route: STREAM_ROUTE,
-      hasComeBack: remainingMilliseconds < DEADLINE * RETURN_SHARE && caller.hasComeBack,
-      silenceMilliseconds: now - caller.attemptAt,
+      isRetry: remainingMilliseconds < DEADLINE * RETURN_SHARE && caller.isRetry,
+      idleMilliseconds: now - caller.attemptAt,
       remainingMilliseconds,
       hasBegun: false,
     };
@@ -158,7 +158,7 @@
     for (const caller of callers) {
       if (caller.isOver || caller.queuedAt === undefined) continue;
       caller.wasCut = caller.hasEvent;
-      if (caller.hasEvent && caller.hasComeBack) finish(caller, PlayedEnd.CutOff);
+      if (caller.hasEvent && caller.isRetry) finish(caller, PlayedEnd.CutOff);
       else if (caller.hasEvent) comeBack(caller, knownAt);
       else caller.nextAt = knownAt;
       caller.queuedAt = undefined;
@@ -202,7 +202,7 @@
       if (now - caller.firstAt >= DEADLINE)
         finish(caller, caller.hasEvent ? PlayedEnd.CutOff : PlayedEnd.KeptInVain);
       else if (!caller.hasEvent && now - caller.attemptAt >= patience) {
-        if (caller.hasComeBack) finish(caller, PlayedEnd.KeptInVain);
+        if (caller.isRetry) finish(caller, PlayedEnd.KeptInVain);
         else comeBack(caller, now);
       }
     }
--- a/packages/forwarding/src/played-caller.ts
+++ b/packages/forwarding/src/played-caller.ts
@@ -21,7 +21,7 @@
   /** How long the answer takes once it has begun, in milliseconds. */
   readonly work: number;
   attemptAt: number;
-  hasComeBack: boolean;
+  isRetry: boolean;
   /** When the entry looks at it again. */
   nextAt: number;
   /** Undefined until it is queued at a server. */
@@ -43,7 +43,7 @@
     firstAt,
     work,
     attemptAt: firstAt,
-    hasComeBack: false,
+    isRetry: false,
     nextAt: firstAt,
     queuedAt: undefined,
     left: undefined,
@@ -59,7 +59,7 @@
   Object.assign(caller, {
     attemptAt: at,
     nextAt: at,
-    hasComeBack: true,
+    isRetry: true,
     queuedAt: undefined,
     left: undefined,
     hasEvent: false,
--- a/packages/forwarding/src/return-watch.ts
+++ b/packages/forwarding/src/return-watch.ts
@@ -4,7 +4,7 @@
  */
 export interface ReturnWatch {
   /** Notes the time that a caller of the route has left; true when it has come back. */
-  hasComeBack(route: string, patienceMilliseconds: number | undefined): boolean;
+  isRetry(route: string, patienceMilliseconds: number | undefined): boolean;
 }
 
 /** A first try arrives with all of its time; a refusal takes up to a third, and rarely a tenth. */
@@ -15,7 +15,7 @@
 export function createReturnWatch(): ReturnWatch {
   const longest = new Map<string, number>();
   return {
-    hasComeBack(route, patienceMilliseconds) {
+    isRetry(route, patienceMilliseconds) {
       if (patienceMilliseconds === undefined) return false;
       const known = longest.get(route) ?? 0;
       if (patienceMilliseconds > known) {
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -113,8 +113,8 @@
       expectedStreams: expected,
       reportAge,
       hasBegun: answer.hasBegun,
-      hasComeBack: accepted.hasComeBack,
-      silenceMilliseconds: record.silence(),
+      isRetry: accepted.isRetry,
+      idleMilliseconds: record.idleMilliseconds(),
     });
   }
 
@@ -206,7 +206,7 @@
       const start = startNext();
       if (start.kind === StartKind.Delayed) {
         const { delay } = start;
-        const isOver = !(await waitOut(context, accepted, delay, record.silence()));
+        const isOver = !(await waitOut(context, accepted, delay, record.idleMilliseconds()));
         if (isOver || state.isExpired) {
           const isBroken = delay.kind === DelayKind.GroupBroken;
           conclude(REFUSAL_OF[delay.kind], isBroken ? delay.brokenForMilliseconds : undefined);
@@ -221,8 +221,15 @@
         return;
       }
       const { server, attempt } = start;
-      const { silence } = record;
-      const end = await watchStuck({ context, accepted, server, attempt, silence, mayContinue });
+      const { idleMilliseconds } = record;
+      const end = await watchStuck({
+        context,
+        accepted,
+        server,
+        attempt,
+        idleMilliseconds,
+        mayContinue,
+      });
       state.current = undefined;
       if (end.kind !== StreamEndKind.Complete) noteMiss(server, end);
       if (answer.isOver) return;
--- a/packages/forwarding/src/stream-delay.ts
+++ b/packages/forwarding/src/stream-delay.ts
@@ -43,17 +43,17 @@
 
 /** Milliseconds for which the stream is kept; 0 when it has to be given up now. */
 function planDelay(
-  { route, hasComeBack }: AcceptedRequest,
+  { route, isRetry }: AcceptedRequest,
   delay: Delay,
   situation: Situation,
 ): number {
   switch (delay.kind) {
     case DelayKind.GroupBroken:
-      return planWait({ ...situation, ...delay, route, hasComeBack });
+      return planWait({ ...situation, ...delay, route, isRetry });
     case DelayKind.Crowded:
-      return planCrowdWait({ ...situation, route, hasComeBack });
+      return planCrowdWait({ ...situation, route, isRetry });
     case DelayKind.Limited:
-      return planRoomWait({ ...situation, ...delay, route, hasComeBack });
+      return planRoomWait({ ...situation, ...delay, route, isRetry });
     default: {
       const unreachable: never = delay;
       return unreachable;
@@ -82,7 +82,7 @@
 
 interface Situation {
   /** Since the request arrived, or since its caller's last event. */
-  readonly silenceMilliseconds: number;
+  readonly idleMilliseconds: number;
   readonly remainingMilliseconds: number;
   /** Whether the caller has had events. */
   readonly hasBegun: boolean;
@@ -93,10 +93,10 @@
   context: ForwardContext,
   accepted: AcceptedRequest,
   delay: Delay,
-  silenceMilliseconds: number,
+  idleMilliseconds: number,
 ): Promise<boolean> {
   const situation = {
-    silenceMilliseconds,
+    idleMilliseconds,
     remainingMilliseconds: remainingOf(context, accepted),
     hasBegun: accepted.answer.hasBegun,
   };
@@ -109,10 +109,10 @@
     reason: REASON_OF[kind],
     facts: {
       longest: Math.round(wait),
-      silence: Math.round(silenceMilliseconds),
+      silence: Math.round(idleMilliseconds),
       remaining: situation.remainingMilliseconds,
       hasBegun: situation.hasBegun,
-      hasComeBack: accepted.hasComeBack,
+      isRetry: accepted.isRetry,
       ...factsOf(delay, wait),
     },
   });
--- a/packages/forwarding/src/stream-record.ts
+++ b/packages/forwarding/src/stream-record.ts
@@ -14,7 +14,7 @@
   /** Passes events on to the caller and takes note of them. */
   readonly sink: StreamSink;
   /** Milliseconds since the request arrived, or since its caller's last event. */
-  silence(): number;
+  idleMilliseconds(): number;
   /** Whether first event and pauses were as callers hope for. */
   isOnTime(): boolean;
   /** For the log. */
@@ -53,7 +53,7 @@
       },
       onDrain: (listener) => answer.onDrain(listener),
     },
-    silence: () => context.now() - lastEventAt,
+    idleMilliseconds: () => context.now() - lastEventAt,
     isOnTime: () =>
       firstEventMilliseconds !== undefined &&
       firstEventMilliseconds <= route.objectiveMilliseconds &&
--- a/packages/forwarding/src/stuck-watch.ts
+++ b/packages/forwarding/src/stuck-watch.ts
@@ -17,13 +17,13 @@
   readonly server: BackendServer;
   readonly attempt: StreamAttempt;
   /** Milliseconds since the request arrived, or since its caller's last event. */
-  silence(): number;
+  idleMilliseconds(): number;
   /** Whether the stream could go on at another server. */
   mayContinue(): boolean;
 }
 
-function isStuck({ context, accepted, server, silence }: StuckWatchOptions): boolean {
-  if (silence() < SILENCE_MILLISECONDS) return false;
+function isStuck({ context, accepted, server, idleMilliseconds }: StuckWatchOptions): boolean {
+  if (idleMilliseconds() < SILENCE_MILLISECONDS) return false;
   // Where requests wait their turn, silence is no sign of a fault, and whoever is sent to the end
   // of another queue loses the place that it has.
   const isWaiting = !accepted.answer.hasBegun && context.ledger.isQueueing(server.instanceId);
--- a/packages/load-report/src/load-report.test.ts
+++ b/packages/load-report/src/load-report.test.ts
@@ -5,7 +5,7 @@
 import { createReportTally, renderMarkdown, renderPage } from './index.js';
 import type { Report } from './index.js';
 import { createTimeBins } from './time-bins.js';
-import { EndClass } from './request-counts.js';
+import { EndClass, readEnd } from './request-counts.js';
 import { createBoundedGroups } from './bounded-groups.js';
 
 const BEGIN = Date.parse('2026-05-04T08:00:00.000Z');
@@ -37,7 +37,7 @@
     kind,
     subject: id,
     choice,
-    facts: { route: 'drafts', account: 'house', hasComeBack: false, milliseconds: 0, ...facts },
+    facts: { route: 'drafts', account: 'house', isRetry: false, milliseconds: 0, ...facts },
   });
 }
 
@@ -63,10 +63,10 @@
     const report = reportOf(
       end({ id: 'a', kind: 'answer', facts: IN_TIME }),
       end({ id: 'b', kind: 'answer', facts: { ...IN_TIME, isOnTime: false } }),
-      end({ id: 'c', kind: 'answer', facts: { ...IN_TIME, hasComeBack: true } }),
+      end({ id: 'c', kind: 'answer', facts: { ...IN_TIME, isRetry: true } }),
       end({ id: 'd', kind: 'answer', facts: { status: 500 } }),
       end({ id: 'e', kind: 'refusal', choice: 'crowded' }),
-      end({ id: 'f', kind: 'refusal', choice: 'groupBroken', facts: { hasComeBack: true } }),
+      end({ id: 'f', kind: 'refusal', choice: 'groupBroken', facts: { isRetry: true } }),
       end({ id: 'g', kind: 'refusal', choice: '401' }),
       end({ id: 'h', kind: 'failure', choice: 'timeout' }),
       end({ id: 'i', kind: 'gone', choice: 'caller' }),
@@ -136,7 +136,7 @@
   });
 
   it('lists the costliest moments with ids to look up, the lost before the late', () => {
-    const lost = { hasComeBack: true };
+    const lost = { isRetry: true };
     const report = reportOf(
       end({ second: 1, id: 'late', kind: 'answer', facts: { ...IN_TIME, isOnTime: false } }),
       end({ second: 3, id: 'late-too', kind: 'answer', facts: { ...IN_TIME, isOnTime: false } }),
@@ -180,3 +180,9 @@
     expect(renderMarkdown(reportOf())).toContain('no line in the span asked for');
   });
 });
+
+it('counts a retry in a log of an earlier version', () => {
+  // Guards against old logs in which everybody seems to have been rejected for the first time.
+  const line = lineAt(0, { kind: 'refusal', subject: 'a', facts: { hasComeBack: true } });
+  expect(readEnd(line)).toMatchObject({ end: EndClass.RefusedAgain, isRetry: true });
+});
--- a/packages/load-report/src/request-counts.ts
+++ b/packages/load-report/src/request-counts.ts
@@ -31,7 +31,7 @@
   /** When the request arrived at its entry, in milliseconds since 1970. */
   readonly at: number;
   readonly end: EndClass;
-  readonly hasComeBack: boolean;
+  readonly isRetry: boolean;
   readonly availabilityZone: string;
   readonly route: string;
   readonly clientAccount: string;
@@ -70,17 +70,22 @@
   return typeof value === 'string' && value !== '' ? value : NOT_TOLD;
 }
 
+/** Logs of earlier versions call a retry `hasComeBack`. */
+function isRetryIn(facts: LogLine['facts']): boolean {
+  return facts?.isRetry === true || facts?.hasComeBack === true;
+}
+
 /** Undefined for lines that end no request. */
 function classOf({ kind, choice, facts }: LogLine): EndClass | undefined {
-  const hasComeBack = facts?.hasComeBack === true;
+  const isRetry = isRetryIn(facts);
   switch (kind) {
     case 'answer': {
       if ((numberIn(facts?.status) ?? 0) >= FIRST_ERROR_STATUS) return EndClass.ServerError;
-      return facts?.isOnTime === true && !hasComeBack ? EndClass.InTime : EndClass.Late;
+      return facts?.isOnTime === true && !isRetry ? EndClass.InTime : EndClass.Late;
     }
     case 'refusal':
       if (IMPROPER.has(choice ?? '')) return EndClass.Improper;
-      return hasComeBack ? EndClass.RefusedAgain : EndClass.Refused;
+      return isRetry ? EndClass.RefusedAgain : EndClass.Refused;
     case 'failure':
       return EndClass.Failed;
     case 'gone':
@@ -100,7 +105,7 @@
     requestId: line.subject,
     at: line.at - (numberIn(facts.milliseconds) ?? 0),
     end,
-    hasComeBack: facts.hasComeBack === true,
+    isRetry: isRetryIn(facts),
     availabilityZone: textIn(line.availabilityZone),
     route: textIn(facts.route),
     clientAccount: textIn(facts.account),
--- a/packages/load-report/src/tally-report.ts
+++ b/packages/load-report/src/tally-report.ts
@@ -136,7 +136,7 @@
     total[end.end] += 1;
     bins.addEnd(end);
     if (end.end === EndClass.Improper) return;
-    if (!end.hasComeBack) asked += 1;
+    if (!end.isRetry) asked += 1;
     zones.at(end.availabilityZone)[end.end] += 1;
     routes.at(end.route)[end.end] += 1;
     accounts.at(end.clientAccount)[end.end] += 1;
