--- a/packages/test-support/src/decision-sources.test.ts
+++ b/packages/test-support/src/decision-sources.test.ts
@@ -32,7 +32,8 @@
 /** Where the time of day is read, and why a jump of it changes no decision. */
 const CLOCK_READERS: Readonly<Record<string, string>> = {
   'packages/group-leader/src/group-leader.ts': 'a jump within a look makes the leader look again',
-  'packages/fleet/src/datagram-link.ts': 'first number of a life; silence makes way for a lower one',
+  'packages/fleet/src/datagram-link.ts':
+    'first number of a life; silence makes way for a lower one',
   'packages/logger/src/index.ts': 'time of a line',
 };
 
