Split an entry's part of the fleet: duties and rosters on their own

No behaviour changed but one: in a small fleet a rank that opens or breaks makes entries send no extra digests, since every entry hears the sidecars itself.

--- a/packages/fleet/src/entry-fleet.ts
+++ b/packages/fleet/src/entry-fleet.ts
@@ -7,6 +7,7 @@
 import type { JsonObject } from '@lapisbridge/json-call';
 import type { Logger } from '@lapisbridge/logger';
 
+import { createAuthoredRosters, VOUCH_MILLISECONDS } from './authored-rosters.js';
 import { createGrowthSum } from './growth-sum.js';
 import { createLeaderList } from './leader-list.js';
 import { createLoadBoard } from './load-board.js';
@@ -15,13 +16,10 @@
 import type { FleetMessage, InstanceName } from './message.js';
 import { packLoads, unpackLoads } from './pack-loads.js';
 import type { RankLoad } from './pack-loads.js';
-import {
-  MINIMUM_ENTRIES_FOR_DELEGATION,
-  planDelegates,
-  planReadingRole,
-} from './plan-delegates.js';
 import type { ReadingRole } from './plan-delegates.js';
-import { createHeardRosters, hashNames } from './roster.js';
+import { planDuties } from './plan-duties.js';
+import type { Duties } from './plan-duties.js';
+import { createHeardRosters } from './roster.js';
 import type { Roster } from './roster.js';
 
 export interface SidecarAddress {
@@ -96,23 +94,12 @@
 const ROSTER_REQUEST_MILLISECONDS = 200;
 /** Entries that asked for digests within this time get them. */
 const CORRESPONDENT_MILLISECONDS = 2000;
-/** Evidence of a living entry is passed on for this long. */
-const VOUCH_MILLISECONDS = 3000;
-
-/** What this entry does for others, given whom it knows. */
-interface Duties {
-  readonly isDelegating: boolean;
-  /** By zone; zones without an entry that answers are left out. */
-  readonly delegates: ReadonlyMap<string, readonly string[]>;
-  readonly isDelegate: boolean;
-  readonly isPrimary: boolean;
-  readonly readingRole: ReadingRole;
-}
 
 export function createEntryFleet(options: EntryFleetOptions): EntryFleet {
   const { self, logger, now, send } = options;
   const members = createMemberList(self.instanceId, now);
   const rosters = createHeardRosters(members);
+  const authored = createAuthoredRosters(self, members);
   const board = createLoadBoard(now);
   const growth = createGrowthSum(options.random);
   const leaders = createLeaderList();
@@ -141,86 +128,27 @@
     return ids;
   }
 
-  /** Entries by zone, this one included. */
-  function entriesByZone(): Map<string, string[]> {
-    const byZone = new Map<string, string[]>([[self.availabilityZone, [self.instanceId]]]);
-    for (const { instanceId, availabilityZone } of members.known()) {
-      const inZone = byZone.get(availabilityZone);
-      if (inZone === undefined) byZone.set(availabilityZone, [instanceId]);
-      else inZone.push(instanceId);
-    }
-    return byZone;
-  }
-
-  function planDuties(): Duties {
-    const fleetSize = Math.max(options.fleetSize(), entryIds().length);
-    const isDelegating = fleetSize >= MINIMUM_ENTRIES_FOR_DELEGATION;
-    const delegates = new Map<string, readonly string[]>();
-    for (const [availabilityZone, instanceIds] of entriesByZone()) {
-      const chosen = planDelegates({
-        availabilityZone,
-        instanceIds,
-        fleetSize,
-        isSuspected: (instanceId) => members.isSuspected(instanceId),
-      });
-      if (chosen.length > 0) delegates.set(availabilityZone, chosen);
-    }
-    const own = delegates.get(self.availabilityZone) ?? [];
-    const readingRole = planReadingRole({
-      instanceId: self.instanceId,
-      availabilityZone: self.availabilityZone,
-      delegates: own,
-      zones: [...delegates.keys()],
-      isDelegating,
+  function planNow(): Duties {
+    return planDuties({
+      self,
+      known: members.known(),
+      fleetSize: options.fleetSize(),
+      isSuspected: (instanceId) => members.isSuspected(instanceId),
     });
-    return {
-      isDelegating,
-      delegates,
-      isDelegate: own.includes(self.instanceId),
-      isPrimary: own[0] === self.instanceId,
-      readingRole,
-    };
   }
 
   function duties(): Duties {
-    planned ??= planDuties();
+    planned ??= planNow();
     return planned;
   }
 
-  function zoneRoster(): Roster {
-    const entries = [self];
-    for (const name of members.heardWithin(VOUCH_MILLISECONDS)) {
-      if (name.availabilityZone === self.availabilityZone) entries.push(name);
-    }
-    return { scope: RosterScope.Zone, hash: hashNames(entries), entries };
-  }
-
-  /** What a delegate can vouch for: its own zone, and what other zones' delegates vouch for. */
-  function fleetRoster(): Roster {
-    const named = new Map<string, InstanceName>([[self.instanceId, self]]);
-    for (const name of members.heardWithin(VOUCH_MILLISECONDS)) named.set(name.instanceId, name);
-    for (const name of members.vouchedWithin(VOUCH_MILLISECONDS)) named.set(name.instanceId, name);
-    const entries = [...named.values()];
-    return { scope: RosterScope.Fleet, hash: hashNames(entries), entries };
-  }
-
-  /** Names that help a newcomer to find the delegates; they are not vouched for. */
-  function secondHandRoster(): Roster {
-    const entries = [self, ...members.seenWithin(VOUCH_MILLISECONDS)];
-    return { scope: RosterScope.Fleet, hash: hashNames(entries), entries };
+  function rosterFor(scope: RosterScope): Roster {
+    if (scope === RosterScope.Zone) return authored.ofZone();
+    return duties().isDelegate ? authored.ofFleet() : authored.secondHand();
   }
 
   function sendRoster(host: string, scope: RosterScope): void {
-    if (scope === RosterScope.Zone) {
-      send(host, { kind: MessageKind.Roster, ...zoneRoster() });
-      return;
-    }
-    const roster = fleetRoster();
-    if (duties().isDelegate) {
-      send(host, { kind: MessageKind.Roster, ...roster });
-      return;
-    }
-    send(host, { kind: MessageKind.Roster, ...secondHandRoster() });
+    send(host, { kind: MessageKind.Roster, ...rosterFor(scope) });
   }
 
   /** Loads for another entry: a primary tells its zone everything, and other zones its own ranks. */
@@ -236,7 +164,7 @@
   function sendDigest(to: InstanceName, expectsAnswer: boolean): void {
     const { isDelegating, isDelegate } = duties();
     const isOwnZone = to.availabilityZone === self.availabilityZone;
-    const { scope, hash } = isOwnZone || !isDelegating ? fleetRoster() : zoneRoster();
+    const { scope, hash } = isOwnZone || !isDelegating ? authored.ofFleet() : authored.ofZone();
     digestSentAt.set(to.instanceId, now());
     send(to.host, {
       kind: MessageKind.Digest,
@@ -335,7 +263,7 @@
    */
   function probe(): void {
     probedAt = now();
-    const { scope, hash } = secondHandRoster();
+    const { scope, hash } = authored.secondHand();
     const informant = duties().isDelegate ? pickInformant() : undefined;
     if (informant !== undefined && informant !== self.host) {
       send(informant, { kind: MessageKind.Hello, scope, knownHash: hash, waitedMilliseconds: 0 });
@@ -390,7 +318,8 @@
     if (grown !== undefined && state.isOpen) growth.add(state.group, grown);
     const { group, rank, epoch, isOpen, running, waiting } = state;
     options.onLoads([{ group, rank, epoch, isOpen, running, waiting, ageMilliseconds: 0 }]);
-    if (hasTurned) tellNews();
+    // In a small fleet every entry hears the sidecars itself.
+    if (hasTurned && duties().isDelegating) tellNews();
   }
 
   function takeDigest(
@@ -428,7 +357,7 @@
       const isLeftToDelegates =
         duties().isDelegating && waitedMilliseconds < ADOPT_AFTER_MILLISECONDS;
       if (!isLeftToDelegates) announceTo(from);
-    } else if (knownHash !== secondHandRoster().hash) {
+    } else if (knownHash !== authored.secondHand().hash) {
       sendRoster(from.host, scope);
     }
   }
@@ -469,7 +398,7 @@
       }
     },
     tick() {
-      planned = planDuties();
+      planned = planNow();
       const { isPrimary, isDelegate } = planned;
       sendDigests();
       const age = now() - startedAt;
