Bound when the store is read by tests; a small group's ranks look as often as before

A rank of a small group looks every 60 ms again at whether its leader is silent, as before the relays: the longer pause was meant for large groups alone.

--- /dev/null
+++ b/packages/direct-entry/src/plan-reading.test.ts
@@ -0,0 +1,46 @@
+import { ReadingRole } from '@lapisbridge/fleet';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import { planReading, SERVERS_WAIT_MILLISECONDS } from './plan-reading.js';
+
+const BOUND = fc.integer({ min: 2000, max: 10_000 });
+
+describe('reading the store in a large fleet', () => {
+  it('is taken up by every entry before an order’s bound has passed', () => {
+    // Guards against a revoked key or a server that left being used when all readers die at once.
+    fc.assert(
+      fc.property(BOUND, BOUND, (configuration, draining) => {
+        const bounds = { configuration, draining };
+        for (const role of Object.values(ReadingRole)) {
+          const pace = planReading({ bounds, isDelegating: true, role });
+          expect(pace.operatorsLimit).toBeLessThan(configuration - 250);
+          expect(pace.serversLimit).toBeLessThan(draining - 150);
+        }
+      }),
+      { seed: 4, numRuns: 200 },
+    );
+  });
+
+  it('is left to the readers while their reports arrive in time', () => {
+    // Guards against a fleet that calls the store for every change although two entries read it.
+    fc.assert(
+      fc.property(BOUND, BOUND, (configuration, draining) => {
+        const bounds = { configuration, draining };
+        const pace = planReading({ bounds, isDelegating: true, role: ReadingRole.Primary });
+        expect(pace.operatorsWait + 500).toBeLessThan(pace.operatorsLimit);
+        const usualAge = pace.serversPause + SERVERS_WAIT_MILLISECONDS;
+        expect(usualAge + 500).toBeLessThan(pace.serversLimit);
+      }),
+      { seed: 4, numRuns: 200 },
+    );
+  });
+
+  it('is taken up by a zone’s primary first, unless a short bound leaves no time', () => {
+    const bounds = { configuration: 4000, draining: 4000 };
+    const limit = (role: ReadingRole): number =>
+      planReading({ bounds, isDelegating: true, role }).serversLimit;
+    expect(limit(ReadingRole.Primary)).toBeLessThan(limit(ReadingRole.Standby));
+    expect(limit(ReadingRole.Standby)).toBeLessThan(limit(ReadingRole.Follower));
+  });
+});
--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -26,6 +26,7 @@
 import { createOrderLosses } from './order-losses.js';
 import { createOrderPacer } from './order-pacer.js';
 import { createPassClock } from './pass-clock.js';
+import { planPace } from './plan-pace.js';
 import { settleMost } from './settle-most.js';
 import type { RankLink, RankTarget, VersionedMap } from './rank-link.js';
 
@@ -61,7 +62,7 @@
 
 /** Between two looks while nothing changes, and while a rollout is on its way. */
 const IDLE_MILLISECONDS = 60;
-/** Between two looks at whether the leader is silent; a held rank must notice it sooner. */
+/** Between two looks of a large group's rank at whether the leader is silent. */
 const FOLLOWING_MILLISECONDS = 200;
 const BUSY_MILLISECONDS = 4;
 /** A loop this late was frozen; somebody else may lead by now. */
@@ -70,6 +71,13 @@
 const STALE_MILLISECONDS = 800;
 /** Versions of one leader; the next leader's begin above them. */
 const VERSIONS_PER_FENCE = 1000;
+
+/** A held rank must notice soon that its leader is silent: every stream of the group waits for it. */
+function followingPause({ heldStep, size }: RankReport): number {
+  const isUrgent = heldStep !== undefined || !planPace(size).isGrowthRelayed;
+  return isUrgent ? IDLE_MILLISECONDS : FOLLOWING_MILLISECONDS;
+}
+
 export function createGroupLeader(options: GroupLeaderOptions): GroupLeader {
   const { leadership, link, demandWatch, logger, now } = options;
   const maps = new Map<number, GroupMap>();
@@ -281,7 +289,7 @@
     const fence = leadership.fence();
     if (fence === undefined) {
       ledFence = undefined;
-      return own.heldStep === undefined ? FOLLOWING_MILLISECONDS : IDLE_MILLISECONDS;
+      return followingPause(own);
     }
     if (fence !== ledFence) beginLeading(fence);
     if (!own.isOpen) return IDLE_MILLISECONDS;
