Log and count the rate limits that backend servers state

The logs of the incident could not tell its hypotheses apart: they did not say when an entry learned a server's limit, nor which requests went to the server after that. Nothing is decided by it yet.

--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -12,6 +12,7 @@
   createPulse,
   createRetryShare,
   createServerLedger,
+  createServerRateLimits,
 } from '@lapisbridge/forwarding';
 import type { ForwardContext } from '@lapisbridge/forwarding';
 import type { Address } from '@lapisbridge/json-call';
@@ -53,6 +54,7 @@
   const catalog = createCatalog();
   const ledger = createServerLedger(monotonicClock);
   const groupHealth = createGroupHealth(monotonicClock, logger);
+  const rateLimits = createServerRateLimits(logger, monotonicClock);
   const metrics = createMetrics();
   let isStopping = false;
   const pulse = createPulse(monotonicClock);
@@ -109,9 +111,20 @@
   );
   catalog.onChange(() => {
     const { servers } = catalog.servers();
-    for (const memory of [ledger, pulse, coldShare]) memory.keepOnly(servers);
+    for (const memory of [ledger, pulse, coldShare, rateLimits]) memory.keepOnly(servers);
   });
 
+  metrics.gauge(
+    'lapisbridge_rate_limited_servers',
+    'Backend servers that state a rate limit.',
+    () => rateLimits.size(),
+  );
+  metrics.gauge(
+    'lapisbridge_rate_limited_requests_sent_total',
+    'Requests sent to backend servers while they state a rate limit.',
+    () => rateLimits.requestsSent(),
+  );
+
   const context: ForwardContext = {
     metrics,
     protocol: adapters.protocol,
@@ -127,6 +140,7 @@
       monotonicClock,
     ),
     coldShare,
+    rateLimits,
     arrivals: createArrivalMeter(monotonicClock),
     entries,
     pulse,
--- a/packages/forwarding/src/caller-protocol.ts
+++ b/packages/forwarding/src/caller-protocol.ts
@@ -54,6 +54,8 @@
   /** With a refusal: address (`host:port`) of the server at fault, itself or one it depends on. */
   readonly faultyAddress: string | undefined;
   readonly load: ReportedLoad | undefined;
+  /** Requests a second that the server takes from all entries; undefined where it states none. */
+  readonly rateLimit: number | undefined;
   /** End-to-end headers as raw pairs. */
   readonly headers: readonly string[];
 }
--- a/packages/forwarding/src/choose-server.ts
+++ b/packages/forwarding/src/choose-server.ts
@@ -91,6 +91,7 @@
       outstanding: chosen ? choice.view.outstanding : undefined,
       reportAge: chosen ? roundedOrNone(choice.view.reportAge) : undefined,
       suspicion: chosen ? Number(choice.view.suspicion.toFixed(2)) : undefined,
+      rateLimit: chosen ? context.rateLimits.limitOf(choice.view.instanceId) : undefined,
     },
   });
   return { choice, server: chosen ? byId.get(choice.view.instanceId) : undefined };
--- a/packages/forwarding/src/fixture-protocol.ts
+++ b/packages/forwarding/src/fixture-protocol.ts
@@ -37,6 +37,10 @@
     isMisdirected: incoming.statusCode === 421,
     faultyAddress: incoming.headers['faulty-address'] as string | undefined,
     load: undefined,
+    rateLimit:
+      incoming.headers['rate-limit'] === undefined
+        ? undefined
+        : Number(incoming.headers['rate-limit']),
     headers: [
       'Signature',
       String(incoming.headers.signature),
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -14,6 +14,7 @@
 import type { Pulse } from './pulse.js';
 import type { RetryShare } from './retry-share.js';
 import type { ServerLedger } from './server-ledger.js';
+import type { ServerRateLimits } from './server-rate-limits.js';
 
 export interface ForwardContext {
   readonly protocol: CallerProtocol;
@@ -21,6 +22,7 @@
   readonly ledger: ServerLedger;
   readonly retryShare: RetryShare;
   readonly coldShare: ColdShare;
+  readonly rateLimits: ServerRateLimits;
   readonly pulse: Pulse;
   readonly groupHealth: GroupHealth;
   readonly logger: Logger;
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -22,6 +22,7 @@
 import { createPulse } from './pulse.js';
 import { createRetryShare } from './retry-share.js';
 import { createServerLedger } from './server-ledger.js';
+import { createServerRateLimits } from './server-rate-limits.js';
 
 /** What one backend server does with a request. */
 export type Script = (incoming: IncomingMessage, response: ServerResponse) => void;
@@ -181,6 +182,7 @@
       now,
     ),
     coldShare: createColdShare(() => options.coldEntries ?? ALONE, now),
+    rateLimits: createServerRateLimits(logger, now),
     arrivals: createArrivalMeter(now),
     entries: () => 1,
     pulse: { ...createPulse(now), isStuck: () => isStuck.value },
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -22,3 +22,5 @@
 export type { RetryBounds, RetryShare } from './retry-share.js';
 export { createServerLedger } from './server-ledger.js';
 export type { ServerLedger } from './server-ledger.js';
+export { createServerRateLimits } from './server-rate-limits.js';
+export type { ServerRateLimits } from './server-rate-limits.js';
--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -83,6 +83,7 @@
   let exchange: Exchange | undefined;
   ledger.sent(server.instanceId, 0);
   context.coldShare.noteSent(server.instanceId);
+  context.rateLimits.noteSent(server.instanceId);
   const outcome = new Promise<Outcome>((resolve) => {
     exchange = openForward(
       { context, accepted, server, lastEventId: request.lastEventId },
@@ -90,6 +91,7 @@
         onHead(incoming) {
           head = protocol.decodeAnswer(incoming);
           if (head.load !== undefined) ledger.reported(server.instanceId, head.load);
+          context.rateLimits.onAnswer(server.instanceId, head, startedAt);
         },
         onData(chunk) {
           size += chunk.length;
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -175,6 +175,7 @@
 
   ledger.sent(server.instanceId, promptTokens);
   context.coldShare.noteSent(server.instanceId);
+  context.rateLimits.noteSent(server.instanceId);
   const end = new Promise<StreamEnd>((resolve) => {
     exchange = openForward(
       { context, accepted, server, lastEventId: sink.lastEventId() },
@@ -182,6 +183,7 @@
         onHead(incoming) {
           head = protocol.decodeAnswer(incoming);
           if (head.load !== undefined) ledger.reported(server.instanceId, head.load);
+          context.rateLimits.onAnswer(server.instanceId, head, startedAt);
           if (provesNotRun(head)) return;
           const doubted = doubtHead(head, requestId);
           if (doubted !== undefined) giveUp(doubted);
