Reproduce the incident: a server with a rate limit gets its usual load

Three real entries, four ranks and three plain servers as processes; one server states a limit of 1 or 0.4 a second after a second of load. The check is the users' rule: from 3 s after the first statement on, in any 4 s at most one and a half times what the limit allows and 5 more, from entries that were told half a second before; an entry that was killed, stopped or paused is excused until it is told again.

Seen on this commit: rank-0 got up to 31 requests in 4 s (11 allowed), plain-4 up to 123 (7.4 allowed).

--- a/packages/history/src/checkers.test.ts
+++ b/packages/history/src/checkers.test.ts
@@ -52,6 +52,11 @@
     'cold start',
     [{ kind: EventKind.ColdLoad, instanceId: 'a', highest: 5, bearable: 4 }],
   ],
+  [
+    'too much for a rate-limited server',
+    'rate limit',
+    [{ kind: EventKind.RateLimitedLoad, instanceId: 'a', requests: 12, allowed: 11 }],
+  ],
   [
     'two maps in one step',
     'one map per step',
@@ -76,6 +81,7 @@
   { kind: EventKind.ConfigurationAccepted, version: 1 },
   { kind: EventKind.ConfigurationSeen, instanceId: 'a', version: 1 },
   { kind: EventKind.Settled, instanceIds: ['a'] },
+  { kind: EventKind.RateLimitedLoad, instanceId: 'a', requests: 11, allowed: 11 },
   { ...step, rank: 0, mapVersion: 1 },
   { ...step, rank: 1, mapVersion: 1 },
 ];
--- a/packages/history/src/checkers.ts
+++ b/packages/history/src/checkers.ts
@@ -148,6 +148,17 @@
   return violations;
 };
 
+/** A backend server that states a rate limit gets no more than the limit allows in any window. */
+export const checkRateLimit: Checker = (events) => {
+  const violations: Violation[] = [];
+  for (const { instanceId, requests, allowed } of select(events, EventKind.RateLimitedLoad)) {
+    if (requests <= allowed) continue;
+    const detail = `${instanceId} got ${requests} requests in one window, allowed are ${allowed}`;
+    violations.push({ promise: 'rate limit', detail });
+  }
+  return violations;
+};
+
 /** In every step, all ranks of a group use one and the same expert map. */
 export const checkOneMapPerStep: Checker = (events) => {
   const violations: Violation[] = [];
@@ -172,6 +183,7 @@
   checkGracefulStop,
   checkConfiguration,
   checkColdStart,
+  checkRateLimit,
   checkOneMapPerStep,
 ];
 
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -30,6 +30,8 @@
   MapStep = 'mapStep',
   /** Highest load on an engine while it was cold, and what it bears. */
   ColdLoad = 'coldLoad',
+  /** Requests that a backend server got in a window while it stated a rate limit, and its bound. */
+  RateLimitedLoad = 'rateLimitedLoad',
 }
 
 export type HistoryEvent =
@@ -77,6 +79,12 @@
       readonly instanceId: string;
       readonly highest: number;
       readonly bearable: number;
+    }
+  | {
+      readonly kind: EventKind.RateLimitedLoad;
+      readonly instanceId: string;
+      readonly requests: number;
+      readonly allowed: number;
     };
 
 export type EventOf<K extends EventKind> = Extract<HistoryEvent, { readonly kind: K }>;
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -91,6 +91,7 @@
     const agent = agents[entry];
     if (program === undefined || agent === undefined) throw new Error(`there is no entry ${entry}`);
     const before = program.stops();
+    site.noteEntry(requestId, program.name);
     history.record({ kind: EventKind.Invoke, request: requestId, callKey: requestId });
     const outcome = await callAsCaller({
       ...site.callersAt(entry),
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -11,6 +11,7 @@
 
 const BAD_SHARE = 0.4;
 const LATE_SHARE = 0.4;
+const RATE_LIMITS = [1, 0.4, 2.5];
 
 const STORE_FAULTS: Readonly<Partial<Record<FaultKind, StoreFault>>> = {
   [FaultKind.StoreDown]: StoreFault.Down,
@@ -33,9 +34,15 @@
   return item;
 }
 
-function pause(program: Program): () => void {
-  program.signal('SIGSTOP');
-  return () => program.signal('SIGCONT');
+/** Sends a signal that ends or holds up a process, which so may not know what it was told. */
+function interrupt(site: Site, program: Program, signal: NodeJS.Signals): void {
+  site.rateLimitWatch.excuse(program.name);
+  program.signal(signal);
+}
+
+function pause(site: Site, program: Program): () => void {
+  interrupt(site, program, 'SIGSTOP');
+  return () => interrupt(site, program, 'SIGCONT');
 }
 
 function nothing(): void {
@@ -48,21 +55,21 @@
   const servers: readonly SiteServer[] = [...site.ranks, ...site.plainServers];
   switch (kind) {
     case FaultKind.KillEntry:
-      pick(site.entries, target).signal('SIGKILL');
+      interrupt(site, pick(site.entries, target), 'SIGKILL');
       return nothing;
     case FaultKind.TerminateEntry:
-      pick(site.entries, target).signal('SIGTERM');
+      interrupt(site, pick(site.entries, target), 'SIGTERM');
       return nothing;
     case FaultKind.HangUpEntry:
       pick(site.entries, target).signal('SIGHUP');
       return nothing;
     case FaultKind.PauseEntry:
-      return pause(pick(site.entries, target));
+      return pause(site, pick(site.entries, target));
     case FaultKind.KillSidecar:
       pick(site.sidecars, target).signal('SIGKILL');
       return nothing;
     case FaultKind.PauseSidecar:
-      return pause(pick(site.sidecars, target));
+      return pause(site, pick(site.sidecars, target));
     case FaultKind.StoreDown:
     case FaultKind.StoreSilent:
     case FaultKind.StoreSlow:
@@ -100,6 +107,13 @@
     case FaultKind.ChangeConfiguration:
       site.configure(['key', `other-${target}`]);
       return () => site.configure(['key']);
+    case FaultKind.LimitRate: {
+      const { runner } = pick(servers, target);
+      runner.rateLimit = pick(RATE_LIMITS, target);
+      return () => {
+        runner.rateLimit = undefined;
+      };
+    }
     case FaultKind.DrainServer: {
       const server = pick(site.plainServers, target);
       server.isDraining = true;
--- a/packages/soak/src/plan-faults.ts
+++ b/packages/soak/src/plan-faults.ts
@@ -25,6 +25,8 @@
   LinkOneWay = 'linkOneWay',
   ChangeConfiguration = 'changeConfiguration',
   DrainServer = 'drainServer',
+  /** A backend server states a rate limit. */
+  LimitRate = 'limitRate',
 }
 
 export interface Fault {
@@ -38,16 +40,27 @@
 
 const SHORTEST_MILLISECONDS = 300;
 const LONGEST_MILLISECONDS = 3500;
+/** Rate limits stand for longer than other faults: their bound holds after some seconds only. */
+const RATE_LIMIT_LENGTH = 4;
 /** Mean time between two faults: several overlap most of the time. */
 const GAP_MILLISECONDS = 700;
 
-export function planFaults(seed: number, milliseconds: number): Fault[] {
+/** Drawn apart from the others, so that seeds keep the faults that they had without it. */
+const APART = FaultKind.LimitRate;
+const APART_GAP_MILLISECONDS = 5000;
+const APART_SEED = 0x5eed;
+
+function drawFaults(
+  seed: number,
+  milliseconds: number,
+  gap: number,
+  kinds: readonly FaultKind[],
+): Fault[] {
   const random = createRandom(seed);
-  const kinds = Object.values(FaultKind);
   const faults: Fault[] = [];
   let at = 0;
   for (;;) {
-    at += GAP_MILLISECONDS * 2 * random();
+    at += gap * 2 * random();
     if (at >= milliseconds) return faults;
     const kind = kinds[Math.floor(random() * kinds.length)];
     const lasts = SHORTEST_MILLISECONDS + random() * (LONGEST_MILLISECONDS - SHORTEST_MILLISECONDS);
@@ -59,3 +72,14 @@
     });
   }
 }
+
+export function planFaults(seed: number, milliseconds: number): Fault[] {
+  const kinds = Object.values(FaultKind).filter((kind) => kind !== APART);
+  const faults = drawFaults(seed, milliseconds, GAP_MILLISECONDS, kinds);
+  for (const fault of drawFaults(seed + APART_SEED, milliseconds, APART_GAP_MILLISECONDS, [
+    APART,
+  ])) {
+    faults.push({ ...fault, lasts: fault.lasts * RATE_LIMIT_LENGTH });
+  }
+  return faults.sort((left, right) => left.at - right.at);
+}
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -25,6 +25,8 @@
 import type { Link } from './link.js';
 import { createProgram } from './program.js';
 import type { Program } from './program.js';
+import { createRateLimitWatch } from './rate-limit-watch.js';
+import type { RateLimitWatch } from './rate-limit-watch.js';
 
 export interface SiteServer {
   readonly instanceId: string;
@@ -42,6 +44,9 @@
   readonly plainServers: readonly SiteServer[];
   readonly entries: readonly Program[];
   readonly sidecars: readonly Program[];
+  readonly rateLimitWatch: RateLimitWatch;
+  /** Notes which entry a request is sent to. */
+  noteEntry(requestId: string, entry: string): void;
   callersAt(entry: number): { readonly host: string; readonly port: number };
   readinessAt(entry: number): { readonly host: string; readonly port: number };
   /** Writes the configuration with these keys under a new version. */
@@ -101,6 +106,8 @@
     },
   });
   const servers: Server[] = [];
+  const rateLimitWatch = createRateLimitWatch(history, () => performance.now());
+  const entryOf = new Map<string, string>();
   await listen(store.server, addressOf(Net.Store, 0), STORE_PORT);
   servers.push(store.server);
 
@@ -114,6 +121,13 @@
         const isOnce = requestId.startsWith('booking');
         if (isOnce) history.record({ kind: EventKind.Effect, callKey: requestId });
       },
+      onArrival(requestId) {
+        const entry = entryOf.get(requestId) ?? '';
+        rateLimitWatch.onArrival(instanceId, entry, runner.rateLimit);
+      },
+      onRateLimitStated(requestId) {
+        rateLimitWatch.onStated(instanceId, entryOf.get(requestId) ?? '');
+      },
     });
     const host = addressOf(Net.Servers, index);
     const link = createLink({ host, port: SERVER_PORT });
@@ -224,6 +238,8 @@
     plainServers,
     entries,
     sidecars,
+    rateLimitWatch,
+    noteEntry: (requestId, entry) => entryOf.set(requestId, entry),
     callersAt: (entry) => ({ host: addressOf(Net.Entries, entry), port: CALLERS_PORT }),
     readinessAt: (entry) => ({ host: addressOf(Net.Entries, entry), port: READINESS_PORT }),
     configure,
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -29,3 +29,16 @@
     });
   }
 });
+
+describe('a backend server that states a rate limit', () => {
+  it.each([
+    ['plain server', 4],
+    ['rank of a group', 0],
+  ])('as a %s gets no more requests from all entries together', async (_what, target) => {
+    // Guards against entries that ignore the limit, or keep it each for itself.
+    const faults = [{ kind: FaultKind.LimitRate, at: 1000, lasts: 9000, target }];
+    const result = await runSoak({ seed: 1, milliseconds: 9000, faults, network: 10 });
+    expect(result.violations).toEqual([]);
+    expect(result.served).toBeGreaterThan(0);
+  });
+});
