--- a/packages/forwarding/src/cold-share.ts
+++ b/packages/forwarding/src/cold-share.ts
@@ -8,7 +8,8 @@
  * be too many. Then each server is sent to only by as many entries, by rendezvous: everybody
  * finds the same ones without asking, and another set for each server.
  */
-import { rendezvousOrder } from '@lapisbridge/routing';
+import { createSenderRanks } from './sender-rank.js';
+import type { SendingEntries } from './sender-rank.js';
 
 export interface ColdShare {
   /**
@@ -21,15 +22,6 @@
   keepOnly(instanceIds: ReadonlyMap<string, unknown>): void;
 }
 
-/** The entries that share a server's cold rate. */
-export interface ColdEntries {
-  readonly own: string;
-  /** All that are known, this one included; a new list whenever it changes. */
-  readonly names: readonly string[];
-  /** Entries to be reckoned with, where not all of them are known yet. */
-  readonly count: number;
-}
-
 const WINDOW_MILLISECONDS = 1000;
 /**
  * Part of a server's places that is given out where entries outnumber them. Entries that have just
@@ -37,11 +29,9 @@
  */
 const GIVEN_SHARE = 0.6;
 
-export function createColdShare(entries: () => ColdEntries, now: () => number): ColdShare {
+export function createColdShare(entries: () => SendingEntries, now: () => number): ColdShare {
   const sent = new Map<string, number[]>();
-  let ranked: readonly string[] = [];
-  let rankedCount = 0;
-  const ranks = new Map<string, number>();
+  const ranks = createSenderRanks();
 
   function recent(instanceId: string): number[] {
     const times = sent.get(instanceId) ?? [];
@@ -50,31 +40,13 @@
     return times;
   }
 
-  /** Place of this entry among those that may send to a server; whoever is not known has one too. */
-  function rankAt(instanceId: string, { own, names, count }: ColdEntries): number {
-    if (names !== ranked || count !== rankedCount) {
-      ranked = names;
-      rankedCount = count;
-      ranks.clear();
-    }
-    let rank = ranks.get(instanceId);
-    if (rank === undefined) {
-      const missing = Math.max(0, count - names.length);
-      // Named by each entry for itself: with the same names all would be among the first together.
-      const unknown = Array.from({ length: missing }, (_, index) => `${own} ${index}`);
-      rank = rendezvousOrder(instanceId, [...names, ...unknown]).indexOf(own);
-      ranks.set(instanceId, rank);
-    }
-    return rank;
-  }
-
   /** Requests that this entry may send to the server in one second. */
   function shareOf(instanceId: string, coldRequestsPerSecond: number): number {
     const known = entries();
     const share = Math.floor(coldRequestsPerSecond / Math.max(1, known.count));
     if (share >= 1) return share;
     const places = Math.max(1, Math.floor(coldRequestsPerSecond * GIVEN_SHARE));
-    return rankAt(instanceId, known) < places ? 1 : 0;
+    return ranks.rankAt(instanceId, known) < places ? 1 : 0;
   }
 
   return {
@@ -98,9 +70,7 @@
         const isIdle = recent(instanceId).length === 0;
         if (isIdle && !instanceIds.has(instanceId)) sent.delete(instanceId);
       }
-      for (const instanceId of ranks.keys()) {
-        if (!instanceIds.has(instanceId)) ranks.delete(instanceId);
-      }
+      ranks.keepOnly(instanceIds);
     },
   };
 }
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -13,7 +13,6 @@
 
 import { createCallerListener } from './caller-listener.js';
 import { createColdShare } from './cold-share.js';
-import type { ColdEntries } from './cold-share.js';
 import type { ForwardContext } from './forward-context.js';
 import { fixtureProtocol } from './fixture-protocol.js';
 import { createGroupHealth } from './group-health.js';
@@ -21,6 +20,7 @@
 import { createArrivalMeter } from './arrival-meter.js';
 import { createPulse } from './pulse.js';
 import { createRetryShare } from './retry-share.js';
+import type { SendingEntries } from './sender-rank.js';
 import { createServerLedger } from './server-ledger.js';
 import { createServerRateLimits } from './server-rate-limits.js';
 
@@ -52,7 +52,7 @@
   readonly retrySlack?: number;
   /** Requests a second that each server bears while cold, over all entries; no bound without it. */
   readonly coldRate?: number;
-  readonly coldEntries?: ColdEntries;
+  readonly coldEntries?: SendingEntries;
   /** Ranks of lock-step groups, by instance id. */
   readonly groups?: Readonly<Record<string, GroupRank>>;
 }
@@ -125,7 +125,7 @@
   });
 }
 
-const ALONE: ColdEntries = { own: 'entry', names: ['entry'], count: 1 };
+const ALONE: SendingEntries = { own: 'entry', names: ['entry'], count: 1 };
 
 export async function startFixture(options: FixtureOptions): Promise<Fixture> {
   const arrivals: Arrival[] = [];
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -13,13 +13,14 @@
   ReportedLoad,
 } from './caller-protocol.js';
 export { createColdShare } from './cold-share.js';
-export type { ColdEntries, ColdShare } from './cold-share.js';
+export type { ColdShare } from './cold-share.js';
 export type { ForwardContext } from './forward-context.js';
 export { createGroupHealth } from './group-health.js';
 export type { GroupHealth, RankHealth } from './group-health.js';
 export { createPulse } from './pulse.js';
 export { createRetryShare } from './retry-share.js';
 export type { RetryBounds, RetryShare } from './retry-share.js';
+export type { SendingEntries } from './sender-rank.js';
 export { createServerLedger } from './server-ledger.js';
 export type { ServerLedger } from './server-ledger.js';
 export { createServerRateLimits } from './server-rate-limits.js';
