Show rate limits in the time line, and guard one entry's part by a quick test

lapisbridge incident draws the time for which a server stated a limit, with the requests refused meanwhile; explain says what the deciding entry believed of it. The tests of one entry fail without the limit in the choice (all requests go to the limited server). The limit is looked up before the entries are counted, as every request looks at every server.

--- a/packages/forwarding/src/choose-server.ts
+++ b/packages/forwarding/src/choose-server.ts
@@ -13,10 +13,9 @@
 
 /** Until the server's cold-start share and its rate limit both allow one more request. */
 function roomIn({ coldShare, rateLimits }: ForwardContext, id: string, coldRate: number): number {
-  return Math.max(
-    coldShare.roomIn(id, coldRate),
-    rateLimits.roomIn(id, coldShare.senders(coldRate)),
-  );
+  const coldRoom = coldShare.roomIn(id, coldRate);
+  if (rateLimits.limitOf(id) === undefined) return coldRoom;
+  return Math.max(coldRoom, rateLimits.roomIn(id, coldShare.senders(coldRate)));
 }
 
 function viewsOf(
--- /dev/null
+++ b/packages/forwarding/src/rate-limit.test.ts
@@ -0,0 +1,88 @@
+/**
+ * Requests while one of their backend servers states a rate limit.
+ */
+import { request } from 'node:http';
+
+import { RequestKind } from '@lapisbridge/catalog';
+import { afterEach, expect, it } from 'vitest';
+
+import { refuseAll, startFixture } from './forwarding-fixture.js';
+import type { Fixture, Script } from './forwarding-fixture.js';
+
+let fixture: Fixture;
+
+afterEach(() => fixture.close());
+
+/** Answers in full, or with a stream of one event, and states the limit. */
+function answerLimited(rateLimit: number, isStream: boolean): Script {
+  return (incoming, response) => {
+    response.writeHead(200, {
+      'request-id': String(incoming.headers['request-id']),
+      signature: 'signed',
+      'rate-limit': String(rateLimit),
+      'content-type': isStream ? 'text/event-stream' : 'text/plain',
+    });
+    response.end(isStream ? 'id: 1\ndata: 1\n\n' : 'answer');
+  };
+}
+
+function send(id: string): Promise<{ status: number; retryAfter: string | undefined }> {
+  return new Promise((resolve, reject) => {
+    const headers = { 'request-id': id };
+    const outgoing = request(
+      { host: '127.0.0.1', port: fixture.port, method: 'POST', headers },
+      (incoming) => {
+        incoming.resume();
+        incoming.on('end', () =>
+          resolve({
+            status: incoming.statusCode ?? 0,
+            retryAfter: incoming.headers['retry-after'],
+          }),
+        );
+      },
+    );
+    outgoing.on('error', reject);
+    outgoing.end('body');
+  });
+}
+
+it.each([
+  ['streams', RequestKind.Streaming],
+  ['at-most-once requests', RequestKind.AtMostOnce],
+  ['idempotent requests', RequestKind.Idempotent],
+])(
+  'sends a server no more %s than its rate limit allows, and the rest to others',
+  async (_, kind) => {
+    // Guards against a server that is asked for more than it said it takes.
+    const isStream = kind === RequestKind.Streaming;
+    fixture = await startFixture({
+      servers: { limited: answerLimited(1, isStream), other: answerLimited(1000, isStream) },
+      route: { kind, objectiveMilliseconds: 60_000 },
+    });
+    const startedAt = performance.now();
+    for (let index = 0; index < 30; index += 1) {
+      expect((await send(`id-${index}`)).status).toBe(200);
+    }
+    const seconds = (performance.now() - startedAt) / 1000;
+    const toLimited = fixture.arrivals.filter(({ instanceId }) => instanceId === 'limited');
+    expect(toLimited.length).toBeGreaterThan(0);
+    // One before the limit is known, and one at once after that.
+    expect(toLimited.length).toBeLessThanOrEqual(2 + Math.ceil(seconds));
+  },
+);
+
+it('tells a caller when to come back where every server has had what it takes', async () => {
+  // Guards against callers that are held until their deadline, or sent there all the same.
+  fixture = await startFixture({
+    servers: { one: answerLimited(0, false), two: refuseAll },
+    route: { kind: RequestKind.AtMostOnce },
+  });
+  const statuses: number[] = [];
+  for (let index = 0; index < 6; index += 1) {
+    const { status, retryAfter } = await send(`id-${index}`);
+    statuses.push(status);
+    if (status === 503) expect(Number(retryAfter)).toBeGreaterThan(0);
+  }
+  expect(statuses.at(-1)).toBe(503);
+  expect(fixture.arrivals.filter(({ instanceId }) => instanceId === 'one').length).toBeLessThan(4);
+});
--- a/packages/log-story/src/draw-timeline.ts
+++ b/packages/log-story/src/draw-timeline.ts
@@ -60,6 +60,12 @@
     case 'group lost':
     case 'group regained':
       return { matter: `group ${String(fields.group)}`, begins: event === 'group lost', cause };
+    case 'server rate limit':
+      return {
+        matter: `rate limit of ${String(fields.server)}`,
+        begins: fields.requestsPerSecond !== 'none',
+        cause: `${String(fields.requestsPerSecond)} requests a second`,
+      };
     case 'stopping':
       return { matter: `process ${instance}`, begins: true, cause: 'asked to stop' };
     case 'started':
--- a/packages/log-story/src/log-story.test.ts
+++ b/packages/log-story/src/log-story.test.ts
@@ -147,6 +147,19 @@
     expect(timeline.periods).toMatchObject([{ refused: 0 }]);
   });
 
+  it('shows for how long a backend server stated a rate limit', () => {
+    const limit = { event: 'server rate limit', server: 'i-1' };
+    const lines = linesOf(
+      { second: 1, ...limit, requestsPerSecond: 1.5 },
+      { second: 2, instance: 'entry-2', ...limit, requestsPerSecond: 1.5 },
+      { second: 5, ...limit, requestsPerSecond: 'none' },
+      { second: 6, instance: 'entry-2', ...limit, requestsPerSecond: 'none' },
+    );
+    expect(drawTimeline(lines).periods).toMatchObject([
+      { matter: 'rate limit of i-1', milliseconds: 5000, cause: '1.5 requests a second' },
+    ]);
+  });
+
   it('leaves open what was not regained', () => {
     const lines = linesOf({ second: 1, event: 'group lost', group: 'g', cause: 'refused' });
     expect(drawTimeline(lines).periods).toMatchObject([
--- a/packages/log-story/src/tell-story.ts
+++ b/packages/log-story/src/tell-story.ts
@@ -46,6 +46,11 @@
         matter: `group ${String(fields.group)}`,
         state: `${event}, ${String(fields.cause)}`,
       };
+    case 'server rate limit':
+      return {
+        matter: `rate limit of ${String(fields.server)}`,
+        state: `${String(fields.requestsPerSecond)} requests a second`,
+      };
     case 'copy taken from a peer':
       return { matter: `copy of ${String(fields.table)}`, state: `from ${String(fields.host)}` };
     case 'started':
