Let only successful answers lift a rate limit

Looked for while reading the fix: a server in need that also fails some requests could answer a failure without stating its limit, and every entry would send its usual load until the next success states it again. A limit that stands a little too long costs part of one server.

--- a/packages/forwarding/src/server-rate-limits.test.ts
+++ b/packages/forwarding/src/server-rate-limits.test.ts
@@ -54,12 +54,14 @@
     expect(limits.limitOf('server')).toBeUndefined();
   });
 
-  it('are stated by refusals, which do not lift them', () => {
+  it('are stated by refusals and failures, which do not lift them', () => {
     const limits = limited();
     answer(limits, head({ status: 503, notRun: true }), 1050);
     expect(limits.limitOf('server')).toBe(1.5);
     answer(limits, head({ status: 503, notRun: true, rateLimit: 2 }), 1050);
     expect(limits.limitOf('server')).toBe(2);
+    answer(limits, head({ status: 500 }), 1100);
+    expect(limits.limitOf('server')).toBe(2);
   });
 
   it('are not lifted by the answer to a request that was sent before', () => {
--- a/packages/forwarding/src/server-rate-limits.ts
+++ b/packages/forwarding/src/server-rate-limits.ts
@@ -5,7 +5,7 @@
  */
 import type { Logger } from '@lapisbridge/logger';
 
-import { doubtHead, provesNotRun } from './answer-head.js';
+import { doubtHead, isSuccess, provesNotRun } from './answer-head.js';
 import type { AnswerHead } from './caller-protocol.js';
 import { planRateLimitRoom } from './plan-rate-limit-room.js';
 import { createSenderRanks } from './sender-rank.js';
@@ -112,14 +112,15 @@
 
   return {
     onAnswer({ instanceId, head, requestId, sentAt }) {
-      const isRefusal = provesNotRun(head);
-      if (head.isMisdirected || (!isRefusal && doubtHead(head, requestId) !== undefined)) return;
+      if (head.isMisdirected) return;
+      // Refusals need not name the request.
+      if (!provesNotRun(head) && doubtHead(head, requestId) !== undefined) return;
       const { rateLimit } = head;
       if (rateLimit === undefined) {
         const before = known.get(instanceId);
         if (before?.requestsPerSecond === undefined) return;
-        // A refusal, or the answer to an earlier request, does not lift a limit.
-        if (isRefusal || sentAt < before.statedAt) return;
+        // A failure, or the answer to an earlier request, does not lift a limit.
+        if (!isSuccess(head.status) || sentAt < before.statedAt) return;
       }
       take(instanceId, rateLimit, now(), Source.Answer);
     },
