--- a/packages/forwarding/src/rate-limit.test.ts
+++ b/packages/forwarding/src/rate-limit.test.ts
@@ -86,3 +86,14 @@
   expect(statuses.at(-1)).toBe(503);
   expect(fixture.arrivals.filter(({ instanceId }) => instanceId === 'one').length).toBeLessThan(4);
 });
+
+it('keeps a request for a server that has room again soon', async () => {
+  // Guards against callers that are told to come back a second later than they could be served.
+  fixture = await startFixture({
+    servers: { one: answerLimited(1.9, false) },
+    route: { kind: RequestKind.AtMostOnce, objectiveMilliseconds: 60_000 },
+  });
+  const statuses: number[] = [];
+  for (let index = 0; index < 4; index += 1) statuses.push((await send(`id-${index}`)).status);
+  expect(statuses).toEqual([200, 200, 200, 200]);
+});
--- a/packages/forwarding/src/serve-plain.ts
+++ b/packages/forwarding/src/serve-plain.ts
@@ -5,6 +5,7 @@
  */
 import { RequestKind } from '@lapisbridge/catalog';
 import { ServerChoiceKind } from '@lapisbridge/routing';
+import type { ServerChoice } from '@lapisbridge/routing';
 
 import { chooseServer } from './choose-server.js';
 import { remainingOf, startProgress } from './forward-context.js';
@@ -16,6 +17,7 @@
 import { startPlainAttempt } from './plain-attempt.js';
 import type { RunningAttempt } from './plain-attempt.js';
 import { RefusalCause } from './plan-retry-after.js';
+import { planRoomWait } from './plan-wait.js';
 
 /** An idempotent request goes to a second server after this many times the hoped-for time. */
 const LATE_FACTOR = 1.5;
@@ -28,6 +30,22 @@
   return head.status >= 500;
 }
 
+enum StartKind {
+  Started = 'started',
+  /** Every server has had what it takes for now. */
+  Delayed = 'delayed',
+  None = 'none',
+}
+
+type Start =
+  | { readonly kind: StartKind.Started }
+  | { readonly kind: StartKind.Delayed; readonly waitMilliseconds: number }
+  | { readonly kind: StartKind.None; readonly cause: RefusalCause };
+
+function none(cause: RefusalCause): Start {
+  return { kind: StartKind.None, cause };
+}
+
 interface Settled {
   readonly attempt: RunningAttempt;
   readonly outcome: Outcome;
@@ -62,22 +80,49 @@
     remainingOf(context, accepted),
   );
 
-  /** Starts one more attempt; the cause when none can be started. */
-  function startNext(): RefusalCause | undefined {
-    if (progress.sends >= MAXIMUM_SENDS) return RefusalCause.Full;
-    if (remainingOf(context, accepted) < SHORTEST_ATTEMPT_MILLISECONDS) return RefusalCause.Expired;
+  /** Milliseconds until a server has room, where that is soon enough for the caller; else 0. */
+  function waitFor(choice: ServerChoice): number {
+    if (choice.kind !== ServerChoiceKind.AllLimited) return 0;
+    const { roomInMilliseconds } = choice;
+    const wait = planRoomWait({
+      route,
+      isRetry: accepted.isRetry,
+      idleMilliseconds: context.now() - accepted.arrivedAt,
+      remainingMilliseconds: remainingOf(context, accepted),
+      roomInMilliseconds,
+    });
+    context.logger.decision({
+      kind: 'wait',
+      subject: accepted.requestId,
+      choice: wait === 0 ? 'give up' : 'keep',
+      reason: 'every server has had its share',
+      facts: { longest: Math.round(wait), roomInMilliseconds, isRetry: accepted.isRetry },
+    });
+    return wait;
+  }
+
+  /** Starts one more attempt, or says why none can be started. */
+  function startNext(): Start {
+    if (progress.sends >= MAXIMUM_SENDS) return none(RefusalCause.Full);
+    if (remainingOf(context, accepted) < SHORTEST_ATTEMPT_MILLISECONDS) {
+      return none(RefusalCause.Expired);
+    }
     const { choice, server } = chooseServer(context, accepted, progress);
     if (server === undefined) {
+      const waitMilliseconds = waitFor(choice);
+      if (waitMilliseconds > 0) return { kind: StartKind.Delayed, waitMilliseconds };
       return choice.kind === ServerChoiceKind.AllLimited || progress.sends > 0
-        ? RefusalCause.Full
-        : RefusalCause.NoServer;
+        ? none(RefusalCause.Full)
+        : none(RefusalCause.NoServer);
+    }
+    if (progress.sends > 0 && !context.retryShare.spend(service)) {
+      return none(RefusalCause.BudgetSpent);
     }
-    if (progress.sends > 0 && !context.retryShare.spend(service)) return RefusalCause.BudgetSpent;
     progress.sends += 1;
     progress.runs += 1;
     progress.tried.add(server.instanceId);
     running.add(startPlainAttempt(context, accepted, server));
-    return undefined;
+    return { kind: StartKind.Started };
   }
 
   async function nextSettled(lateAfter: number): Promise<Settled | 'late' | 'stopped'> {
@@ -130,11 +175,15 @@
     for (;;) {
       if (answer.isOver) return;
       if (running.size === 0) {
-        const cause = startNext();
-        if (cause !== undefined) {
-          conclude(cause, lastAttempt);
+        const start = startNext();
+        if (start.kind === StartKind.None) {
+          conclude(start.cause, lastAttempt);
           return;
         }
+        if (start.kind === StartKind.Delayed) {
+          await nextSettled(start.waitMilliseconds);
+          continue;
+        }
       }
       const canHedge = mayRepeat && !hedged && progress.runs < route.maximumAttempts;
       const lateAfter = canHedge ? route.objectiveMilliseconds * LATE_FACTOR : Infinity;
