--- a/packages/forwarding/src/caller-protocol.ts
+++ b/packages/forwarding/src/caller-protocol.ts
@@ -42,6 +42,20 @@
   readonly waiting: number;
 }
 
+export enum RateLimitKind {
+  /** The server states no limit. */
+  None = 'none',
+  Stated = 'stated',
+  /** It states something that is no number: what is known of its limit stands. */
+  Unreadable = 'unreadable',
+}
+
+/** What a backend server states of the requests that it takes from all entries together. */
+export type StatedRateLimit =
+  | { readonly kind: RateLimitKind.None }
+  | { readonly kind: RateLimitKind.Stated; readonly requestsPerSecond: number }
+  | { readonly kind: RateLimitKind.Unreadable };
+
 export interface AnswerHead {
   readonly status: number;
   readonly requestId: string | undefined;
@@ -54,8 +68,7 @@
   /** With a refusal: address (`host:port`) of the server at fault, itself or one it depends on. */
   readonly faultyAddress: string | undefined;
   readonly load: ReportedLoad | undefined;
-  /** Requests a second that the server takes from all entries; undefined where it states none. */
-  readonly rateLimit: number | undefined;
+  readonly rateLimit: StatedRateLimit;
   /** End-to-end headers as raw pairs. */
   readonly headers: readonly string[];
 }
--- a/packages/forwarding/src/fixture-protocol.ts
+++ b/packages/forwarding/src/fixture-protocol.ts
@@ -1,6 +1,7 @@
 /**
  * How callers and backend servers speak in tests of forwarding.
  */
+import { RateLimitKind } from './caller-protocol.js';
 import type { CallerProtocol } from './caller-protocol.js';
 
 /** Plain names of this fixture's own. */
@@ -39,8 +40,11 @@
     load: undefined,
     rateLimit:
       incoming.headers['rate-limit'] === undefined
-        ? undefined
-        : Number(incoming.headers['rate-limit']),
+        ? { kind: RateLimitKind.None }
+        : {
+            kind: RateLimitKind.Stated,
+            requestsPerSecond: Number(incoming.headers['rate-limit']),
+          },
     headers: [
       'Signature',
       String(incoming.headers.signature),
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -5,12 +5,14 @@
 export type { ArrivalMeter } from './arrival-meter.js';
 export { createCallerListener } from './caller-listener.js';
 export type { CallerListener, CallerListenerOptions } from './caller-listener.js';
+export { RateLimitKind } from './caller-protocol.js';
 export type {
   AnswerHead,
   CallerProtocol,
   CallerRequest,
   ForwardInput,
   ReportedLoad,
+  StatedRateLimit,
 } from './caller-protocol.js';
 export { createColdShare } from './cold-share.js';
 export type { ColdShare } from './cold-share.js';
--- a/packages/forwarding/src/play-rate-limit.ts
+++ b/packages/forwarding/src/play-rate-limit.ts
@@ -6,6 +6,7 @@
 import { createSilentLogger } from '@lapisbridge/logger';
 import { rendezvousOrder } from '@lapisbridge/routing';
 
+import { RateLimitKind } from './caller-protocol.js';
 import type { AnswerHead } from './caller-protocol.js';
 import { createServerRateLimits } from './server-rate-limits.js';
 import type { RateLimitStatement, ServerRateLimits } from './server-rate-limits.js';
@@ -62,7 +63,7 @@
   run(): void;
 }
 
-function headWith(rateLimit: number | undefined): AnswerHead {
+function headWith(requestsPerSecond: number | undefined): AnswerHead {
   return {
     status: 200,
     requestId: 'id',
@@ -71,7 +72,10 @@
     isMisdirected: false,
     faultyAddress: undefined,
     load: undefined,
-    rateLimit,
+    rateLimit:
+      requestsPerSecond === undefined
+        ? { kind: RateLimitKind.None }
+        : { kind: RateLimitKind.Stated, requestsPerSecond },
     headers: [],
   };
 }
--- a/packages/forwarding/src/server-rate-limits.test.ts
+++ b/packages/forwarding/src/server-rate-limits.test.ts
@@ -1,10 +1,15 @@
 import { createSilentLogger } from '@lapisbridge/logger';
 import { describe, expect, it } from 'vitest';
 
-import type { AnswerHead } from './caller-protocol.js';
+import { RateLimitKind } from './caller-protocol.js';
+import type { AnswerHead, StatedRateLimit } from './caller-protocol.js';
 import { createServerRateLimits } from './server-rate-limits.js';
 import type { ServerRateLimits } from './server-rate-limits.js';
 
+function stated(requestsPerSecond: number): StatedRateLimit {
+  return { kind: RateLimitKind.Stated, requestsPerSecond };
+}
+
 function head(fields: Partial<AnswerHead> = {}): AnswerHead {
   return {
     status: 200,
@@ -14,7 +19,7 @@
     isMisdirected: false,
     faultyAddress: undefined,
     load: undefined,
-    rateLimit: undefined,
+    rateLimit: { kind: RateLimitKind.None },
     headers: [],
     ...fields,
   };
@@ -35,7 +40,7 @@
       },
       now: () => now,
     });
-    answer(limits, head({ rateLimit: 1.5 }), 900);
+    answer(limits, head({ rateLimit: stated(1.5) }), 900);
     now = 1100;
     return limits;
   }
@@ -48,7 +53,7 @@
     const limits = limited();
     expect(limits.limitOf('server')).toBe(1.5);
     expect(limits.limitOf('other')).toBeUndefined();
-    answer(limits, head({ rateLimit: 0 }), 1050);
+    answer(limits, head({ rateLimit: stated(0) }), 1050);
     expect(limits.limitOf('server')).toBe(0);
     answer(limits, head(), 1100);
     expect(limits.limitOf('server')).toBeUndefined();
@@ -58,7 +63,7 @@
     const limits = limited();
     answer(limits, head({ status: 503, notRun: true }), 1050);
     expect(limits.limitOf('server')).toBe(1.5);
-    answer(limits, head({ status: 503, notRun: true, rateLimit: 2 }), 1050);
+    answer(limits, head({ status: 503, notRun: true, rateLimit: stated(2) }), 1050);
     expect(limits.limitOf('server')).toBe(2);
     answer(limits, head({ status: 500 }), 1100);
     expect(limits.limitOf('server')).toBe(2);
@@ -72,7 +77,13 @@
 
   it('are not those of another server that has the address now', () => {
     const limits = limited();
-    answer(limits, head({ status: 421, isMisdirected: true, rateLimit: 9 }), 1050);
+    answer(limits, head({ status: 421, isMisdirected: true, rateLimit: stated(9) }), 1050);
+    expect(limits.limitOf('server')).toBe(1.5);
+  });
+
+  it('are not lifted by a statement that cannot be read', () => {
+    const limits = limited();
+    answer(limits, head({ rateLimit: { kind: RateLimitKind.Unreadable } }), 1050);
     expect(limits.limitOf('server')).toBe(1.5);
   });
 
@@ -84,8 +95,8 @@
 
   it('are told to other entries, lifted ones for ten seconds', () => {
     const limits = limited();
-    const stated = { instanceId: 'server', requestsPerSecond: 1.5, ageMilliseconds: 100 };
-    expect(limits.statements()).toEqual([stated]);
+    const told = { instanceId: 'server', requestsPerSecond: 1.5, ageMilliseconds: 100 };
+    expect(limits.statements()).toEqual([told]);
     answer(limits, head(), 1050);
     now += 200;
     const lifted = { instanceId: 'server', requestsPerSecond: undefined, ageMilliseconds: 200 };
@@ -111,9 +122,9 @@
   it('make news when they change, and not when they are stated again', () => {
     const limits = limited();
     expect(changes).toBe(1);
-    answer(limits, head({ rateLimit: 1.5 }), 1050);
+    answer(limits, head({ rateLimit: stated(1.5) }), 1050);
     expect(changes).toBe(1);
-    answer(limits, head({ rateLimit: 2 }), 1050);
+    answer(limits, head({ rateLimit: stated(2) }), 1050);
     answer(limits, head(), 1100);
     answer(limits, head(), 1100);
     expect(changes).toBe(3);
--- a/packages/forwarding/src/server-rate-limits.ts
+++ b/packages/forwarding/src/server-rate-limits.ts
@@ -6,6 +6,7 @@
 import type { Logger } from '@lapisbridge/logger';
 
 import { doubtHead, isSuccess, provesNotRun } from './answer-head.js';
+import { RateLimitKind } from './caller-protocol.js';
 import type { AnswerHead } from './caller-protocol.js';
 import { planRateLimitRoom } from './plan-rate-limit-room.js';
 import { createSenderRanks } from './sender-rank.js';
@@ -116,13 +117,26 @@
       // Refusals need not name the request.
       if (!provesNotRun(head) && doubtHead(head, requestId) !== undefined) return;
       const { rateLimit } = head;
-      if (rateLimit === undefined) {
-        const before = known.get(instanceId);
-        if (before?.requestsPerSecond === undefined) return;
-        // A failure, or the answer to an earlier request, does not lift a limit.
-        if (!isSuccess(head.status) || sentAt < before.statedAt) return;
+      switch (rateLimit.kind) {
+        case RateLimitKind.Stated:
+          take(instanceId, rateLimit.requestsPerSecond, now(), Source.Answer);
+          return;
+        case RateLimitKind.None: {
+          const before = known.get(instanceId);
+          if (before?.requestsPerSecond === undefined) return;
+          // A failure, or the answer to an earlier request, does not lift a limit.
+          if (!isSuccess(head.status) || sentAt < before.statedAt) return;
+          take(instanceId, undefined, now(), Source.Answer);
+          return;
+        }
+        case RateLimitKind.Unreadable:
+          logger.warn('server rate limit unreadable', { server: instanceId });
+          return;
+        default: {
+          const unreachable: never = rateLimit;
+          throw new Error(String(unreachable));
+        }
       }
-      take(instanceId, rateLimit, now(), Source.Answer);
     },
     onTold(statements) {
       for (const { instanceId, requestsPerSecond, ageMilliseconds } of statements) {
--- a/packages/routing/src/plan-server.ts
+++ b/packages/routing/src/plan-server.ts
@@ -22,7 +22,7 @@
   readonly reportAge: number | undefined;
   /** Recent failures, decayed; 0 for a sound server. */
   readonly suspicion: number;
-  /** Milliseconds until the cold-start share allows one more request; 0 for now. */
+  /** Milliseconds until the own shares of the server's bounds allow one more request; 0 for now. */
   readonly roomInMilliseconds: number;
   /**
    * For how long its lock-step group has stood still, in milliseconds; undefined while it runs.
@@ -50,7 +50,7 @@
   Chosen = 'chosen',
   /** No server is known, or all were tried. */
   NoneLeft = 'noneLeft',
-  /** Servers are there, and the cold-start share of each is used up for now. */
+  /** Servers are there, and the own share of each one's bounds is used up for now. */
   AllLimited = 'allLimited',
   /** Every server that could be sent to is too full for this request. */
   AllCrowded = 'allCrowded',
