End the programs of a soak that is told to stop

Cause: an earlier soak had been told to stop in the middle of the run with the same network; its seven programs went on and held the addresses (listed by their settings files). Now a signal to the soak kills its programs.

--- a/packages/soak/src/bin.ts
+++ b/packages/soak/src/bin.ts
@@ -6,6 +6,7 @@
 import { resolve } from 'node:path';
 import { parseArgs } from 'node:util';
 
+import { killPrograms } from './program.js';
 import { runSoak } from './run-soak.js';
 
 const { values } = parseArgs({
@@ -28,6 +29,14 @@
   return value;
 }
 
+// Programs that outlive their run hold the addresses of a later one.
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => {
+    killPrograms();
+    process.exit(1);
+  });
+}
+
 /** Loopback networks that runs take by turns. */
 const NETWORKS = 200;
 
--- a/packages/soak/src/program.test.ts
+++ b/packages/soak/src/program.test.ts
@@ -1,11 +1,11 @@
-import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { existsSync, mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
 import { sleep } from '@lapisbridge/kernel';
-import { expect, it } from 'vitest';
+import { expect, it, vi } from 'vitest';
 
-import { createProgram } from './program.js';
+import { createProgram, killPrograms } from './program.js';
 
 it('starts nothing again once its run has ended', async () => {
   // A process ends, and its run ends before it is started again. One that came back afterwards
@@ -31,3 +31,29 @@
   await sleep(900);
   expect(readFileSync(starts, 'utf8')).toBe('started ');
 });
+
+it('leaves no program behind when a run is told to stop', async () => {
+  // Guards against processes that hold the addresses of a later run.
+  const folder = mkdtempSync(join(tmpdir(), 'lapisbridge-program-'));
+  const file = join(folder, 'program.cjs');
+  const started = join(folder, 'started');
+  writeFileSync(
+    file,
+    `require('fs').writeFileSync('${started}', ''); setInterval(() => {}, 1e6);\n`,
+  );
+  let ended = false;
+  const program = createProgram({
+    name: 'program',
+    file,
+    folder,
+    settings: {},
+    onOwnEnd() {
+      ended = true;
+    },
+  });
+  program.start();
+  await vi.waitFor(() => expect(existsSync(started)).toBe(true), { timeout: 60_000 });
+  killPrograms();
+  await vi.waitFor(() => expect(ended).toBe(true), { timeout: 60_000 });
+  await program.end();
+});
--- a/packages/soak/src/program.ts
+++ b/packages/soak/src/program.ts
@@ -29,6 +29,14 @@
 
 const RESTART_MILLISECONDS = 300;
 
+/** Programs that were started and not ended for good. */
+const running = new Set<ChildProcess>();
+
+/** Kills every program at once; for a run that is itself told to stop. */
+export function killPrograms(): void {
+  for (const child of running) child.kill('SIGKILL');
+}
+
 export function createProgram(options: ProgramOptions): Program {
   const { name, folder } = options;
   const settingsFile = join(folder, `${name}.json`);
@@ -47,10 +55,12 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     child = started;
+    running.add(started);
     isExpected = false;
     started.stdout.pipe(log, { end: false });
     started.stderr.pipe(log, { end: false });
     started.on('exit', (code) => {
+      running.delete(started);
       if (!isExpected && !isOver) options.onOwnEnd(name, code);
       ended = asked;
       if (!isOver) restart = setTimeout(start, RESTART_MILLISECONDS);
