Count only requests that had a connection as cut off by a planned stop

Trace: entry-2 was killed at 8.1 s, and SIGTERM came at 8.4 s to its successor, which had not started to listen. The check takes requests that were sent while no stop was asked for and that ended without an answer after one was. Every request sent before the first stop of that process has its line in the logs; the 63 requests without a line were all sent after it was killed, so their connections were refused, and no process had taken them. The check stays as it is for every request that had a connection.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -111,7 +111,8 @@
     });
     const after = program.stops();
     // Sent before the stop was asked for, and ended without an answer while it went on.
-    if (outcome.status === 0 && after.asked > before.asked && before.asked === before.ended) {
+    const isInStop = after.asked > before.asked && before.asked === before.ended;
+    if (outcome.status === 0 && outcome.wasConnected && isInStop) {
       history.record({ kind: EventKind.Stopped, instanceId: program.name, cutOff: 1 });
     }
     const isServed = check(requestId, kind, outcome);
