--- a/packages/soak/src/bin.ts
+++ b/packages/soak/src/bin.ts
@@ -30,7 +30,7 @@
 }
 
 // Programs that outlive their run hold the addresses of a later one.
-for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+for (const signal of ['SIGHUP', 'SIGINT', 'SIGTERM'] as const) {
   process.once(signal, () => {
     killPrograms();
     process.exit(1);
