--- a/packages/forwarding/src/plan-rate-limit-room.ts
+++ b/packages/forwarding/src/plan-rate-limit-room.ts
@@ -21,7 +21,7 @@
 }
 
 /** A server that states less is still sent a request now and then: only answers lift a limit. */
-export const LOWEST_REQUESTS_PER_SECOND = 0.25;
+const LOWEST_REQUESTS_PER_SECOND = 0.25;
 /** Regular senders may each send at once, so their number is bounded like the rate. */
 const FEWEST_REGULAR_SENDERS = 2;
 /** Word of a regular sender's answer reaches all entries within this time. */
