Log and count how long a backend server has given no sign of life

Entries now write `silence`, the time since the server's last report or byte, beside each choice and each attempt that failed, tell when a server falls silent while most of its service is not, and count sends given up unanswered. No decision uses it.

--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -12,6 +12,7 @@
   createPulse,
   createRetryShare,
   createServerLedger,
+  createServerLiveness,
   createServerRateLimits,
 } from '@lapisbridge/forwarding';
 import type { ForwardContext, SendingEntries } from '@lapisbridge/forwarding';
@@ -53,6 +54,7 @@
   const startedAt = monotonicClock();
   const catalog = createCatalog();
   const ledger = createServerLedger(monotonicClock);
+  const liveness = createServerLiveness(monotonicClock, logger);
   const groupHealth = createGroupHealth(monotonicClock, logger);
   const metrics = createMetrics();
   let isStopping = false;
@@ -80,6 +82,7 @@
     settings: () => life.settings(),
     catalog,
     ledger,
+    liveness,
     groupHealth,
     rateLimits,
     logger,
@@ -114,7 +117,9 @@
   const coldShare = createColdShare(sendingEntries, monotonicClock);
   catalog.onChange(() => {
     const { servers } = catalog.servers();
-    for (const memory of [ledger, pulse, coldShare, rateLimits]) memory.keepOnly(servers);
+    for (const memory of [ledger, liveness, pulse, coldShare, rateLimits]) {
+      memory.keepOnly(servers);
+    }
   });
 
   metrics.gauge(
@@ -122,6 +127,11 @@
     'Backend servers that state a rate limit.',
     () => rateLimits.size(),
   );
+  metrics.gauge(
+    'lapisbridge_silent_servers',
+    'Backend servers that are silent while most of their service are not.',
+    () => liveness.size(),
+  );
   metrics.gauge(
     'lapisbridge_rate_limited_requests_sent_total',
     'Requests sent to backend servers while they state a rate limit.',
@@ -133,6 +143,7 @@
     protocol: adapters.protocol,
     catalog,
     ledger,
+    liveness,
     retryShare: createRetryShare(
       () => ({
         ratio: life.settings().retryRatio,
--- a/packages/direct-entry/src/start-fleet.ts
+++ b/packages/direct-entry/src/start-fleet.ts
@@ -4,7 +4,12 @@
 import type { Catalog } from '@lapisbridge/catalog';
 import { createDatagramLink, createEntryFleet, InstanceRole } from '@lapisbridge/fleet';
 import type { EntryFleet, RankLoad, SidecarAddress } from '@lapisbridge/fleet';
-import type { GroupHealth, ServerLedger, ServerRateLimits } from '@lapisbridge/forwarding';
+import type {
+  GroupHealth,
+  ServerLedger,
+  ServerLiveness,
+  ServerRateLimits,
+} from '@lapisbridge/forwarding';
 import type { GroupProfile } from '@lapisbridge/group-leader';
 import { monotonicClock } from '@lapisbridge/kernel';
 import type { Random } from '@lapisbridge/kernel';
@@ -18,6 +23,7 @@
   settings(): ProcessSettings;
   readonly catalog: Catalog;
   readonly ledger: ServerLedger;
+  readonly liveness: ServerLiveness;
   readonly groupHealth: GroupHealth;
   readonly rateLimits: ServerRateLimits;
   readonly logger: Logger;
@@ -61,7 +67,7 @@
 }
 
 export function startFleet(options: StartFleetOptions): StartedFleet {
-  const { catalog, ledger, groupHealth, rateLimits, logger, random, metrics } = options;
+  const { catalog, ledger, liveness, groupHealth, rateLimits, logger, random, metrics } = options;
   const { instanceId, host, availabilityZone, peerPort } = options.settings();
   const self = { instanceId, host, role: InstanceRole.Entry, availabilityZone };
   /** Instance ids of the backend servers that are a rank. */
@@ -82,6 +88,7 @@
       groupHealth.reported(load);
       for (const serverId of serversByRank.get(rankKey(load)) ?? []) {
         ledger.reported(serverId, load, load.ageMilliseconds);
+        liveness.heard(serverId, load.ageMilliseconds);
       }
     }
   }
--- a/packages/forwarding/src/choose-server.ts
+++ b/packages/forwarding/src/choose-server.ts
@@ -29,6 +29,7 @@
   for (const server of byId.values()) {
     if (server.service !== accepted.service || server.draining) continue;
     if (drainedZones.has(server.availabilityZone)) continue;
+    context.liveness.isSilent(server);
     const coldRate = profile?.coldRequestsPerSecond ?? 0;
     views.push(
       context.ledger.view(
@@ -85,6 +86,7 @@
     random: context.random,
   });
   const chosen = choice.kind === ServerChoiceKind.Chosen;
+  const silence = chosen ? context.liveness.silenceMilliseconds(choice.view.instanceId) : undefined;
   context.logger.decision({
     kind: 'routing',
     subject: accepted.requestId,
@@ -97,6 +99,7 @@
       cost: chosen ? Math.round(choice.cost) : undefined,
       outstanding: chosen ? choice.view.outstanding : undefined,
       reportAge: chosen ? roundedOrNone(choice.view.reportAge) : undefined,
+      silence: roundedOrNone(silence),
       suspicion: chosen ? Number(choice.view.suspicion.toFixed(2)) : undefined,
       rateLimit: chosen ? context.rateLimits.limitOf(choice.view.instanceId) : undefined,
     },
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -14,12 +14,14 @@
 import type { Pulse } from './pulse.js';
 import type { RetryShare } from './retry-share.js';
 import type { ServerLedger } from './server-ledger.js';
+import type { ServerLiveness } from './server-liveness.js';
 import type { ServerRateLimits } from './server-rate-limits.js';
 
 export interface ForwardContext {
   readonly protocol: CallerProtocol;
   readonly catalog: Catalog;
   readonly ledger: ServerLedger;
+  readonly liveness: ServerLiveness;
   readonly retryShare: RetryShare;
   readonly coldShare: ColdShare;
   readonly rateLimits: ServerRateLimits;
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -22,6 +22,7 @@
 import { createRetryShare } from './retry-share.js';
 import type { SendingEntries } from './sender-rank.js';
 import { createServerLedger } from './server-ledger.js';
+import { createServerLiveness } from './server-liveness.js';
 import { createServerRateLimits } from './server-rate-limits.js';
 
 /** What one backend server does with a request. */
@@ -172,10 +173,13 @@
   const logger = createSilentLogger();
   const isStuck = { value: false };
   const groupHealth = createGroupHealth(now, logger);
+  const liveness = createServerLiveness(now, logger);
+  liveness.keepOnly(servers);
   const context: ForwardContext = {
     protocol: fixtureProtocol,
     catalog,
     ledger: createServerLedger(now),
+    liveness,
     retryShare: createRetryShare(
       () => ({ ratio: 0, slack: options.retrySlack ?? 100, windowMilliseconds: 10_000 }),
       () => 1,
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -25,5 +25,7 @@
 export type { SendingEntries } from './sender-rank.js';
 export { createServerLedger } from './server-ledger.js';
 export type { ServerLedger } from './server-ledger.js';
+export { createServerLiveness } from './server-liveness.js';
+export type { ServerLiveness } from './server-liveness.js';
 export { createServerRateLimits } from './server-rate-limits.js';
 export type { RateLimitStatement, ServerRateLimits } from './server-rate-limits.js';
--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -74,7 +74,7 @@
   accepted: AcceptedRequest,
   server: BackendServer,
 ): RunningAttempt {
-  const { ledger, protocol } = context;
+  const { ledger, liveness, protocol } = context;
   const { request, requestId } = accepted;
   const startedAt = context.now();
   let head: AnswerHead | undefined;
@@ -89,6 +89,7 @@
       { context, accepted, server, lastEventId: request.lastEventId },
       {
         onHead(incoming) {
+          liveness.heard(server.instanceId);
           head = protocol.decodeAnswer(incoming);
           if (head.load !== undefined) ledger.reported(server.instanceId, head.load);
           const { instanceId } = server;
@@ -101,9 +102,11 @@
         },
         onEnd(end) {
           const judged = judge(end, head, Buffer.concat(chunks), requestId);
+          const isCancelled = end.kind === ExchangeEndKind.Cancelled;
+          if (isCancelled && head === undefined) context.metrics.countUnansweredSend();
           const wasAnswered = judged.kind === OutcomeKind.Answered;
           if (wasAnswered) ledger.answered(server.instanceId, context.now() - startedAt, 0);
-          const sound = end.kind === ExchangeEndKind.Cancelled || isSound(judged);
+          const sound = isCancelled || isSound(judged);
           ledger.ended(server.instanceId, sound, 0, wasAnswered);
           resolve(judged);
         },
--- a/packages/forwarding/src/serve-plain.ts
+++ b/packages/forwarding/src/serve-plain.ts
@@ -18,6 +18,7 @@
 import type { RunningAttempt } from './plain-attempt.js';
 import { RefusalCause } from './plan-retry-after.js';
 import { planRoomWait } from './plan-wait.js';
+import { roundedOrNone } from './rounded-or-none.js';
 
 /** An idempotent request goes to a second server after this many times the hoped-for time. */
 const LATE_FACTOR = 1.5;
@@ -245,6 +246,9 @@
     subject: accepted.requestId,
     choice: attempt.server.instanceId,
     reason: outcome.reason,
-    facts: { outcome: outcome.kind },
+    facts: {
+      outcome: outcome.kind,
+      silence: roundedOrNone(context.liveness.silenceMilliseconds(attempt.server.instanceId)),
+    },
   });
 }
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -16,6 +16,7 @@
 import { fail, refuse } from './own-answer.js';
 import { canOffer } from './plan-offer.js';
 import { planRefusalCause, RefusalCause } from './plan-retry-after.js';
+import { roundedOrNone } from './rounded-or-none.js';
 import { DelayKind, REFUSAL_OF, waitOut } from './stream-delay.js';
 import type { Delay } from './stream-delay.js';
 import { startStreamAttempt, StreamEndKind } from './stream-attempt.js';
@@ -151,6 +152,7 @@
       reason: 'reason' in end ? end.reason : 'whole answer',
       facts: {
         ...record.facts(),
+        silence: roundedOrNone(context.liveness.silenceMilliseconds(server.instanceId)),
         sends: progress.sends,
         outcome: end.kind,
         milliseconds: Math.round(context.now() - accepted.arrivedAt),
--- /dev/null
+++ b/packages/forwarding/src/server-liveness.test.ts
@@ -0,0 +1,89 @@
+import type { BackendServer } from '@lapisbridge/catalog';
+import { createSilentLogger } from '@lapisbridge/logger';
+import { describe, expect, it } from 'vitest';
+
+import { createServerLiveness, planSilenceLimit } from './server-liveness.js';
+
+const REPORT_MILLISECONDS = 170;
+
+function rankServer(rank: number): BackendServer {
+  return {
+    instanceId: `rank-${rank}`,
+    service: 'service',
+    host: 'host',
+    port: 1,
+    availabilityZone: 'zone',
+    slots: 8,
+    draining: false,
+    groupRank: { group: 'group', epoch: 1, rank, open: true },
+    startedAt: undefined,
+  };
+}
+
+/** Servers whose sidecars report in turn, except those that have stopped. */
+function playServers(count: number) {
+  let now = 0;
+  const servers = Array.from({ length: count }, (_, rank) => rankServer(rank));
+  const liveness = createServerLiveness(() => now, createSilentLogger());
+  liveness.keepOnly(new Map(servers.map((server) => [server.instanceId, server])));
+  return {
+    liveness,
+    run(milliseconds: number, stopped: readonly number[]) {
+      for (const until = now + milliseconds; now < until; now += 10) {
+        for (const [rank, { instanceId }] of servers.entries()) {
+          const isDue = (now + rank * 10) % REPORT_MILLISECONDS === 0;
+          if (isDue && !stopped.includes(rank)) liveness.heard(instanceId);
+        }
+      }
+    },
+    silent: () => servers.filter((server) => liveness.isSilent(server)).length,
+  };
+}
+
+describe('a backend server', () => {
+  it('is silent some reports after it has stopped, until it is heard again', () => {
+    const played = playServers(16);
+    played.run(2000, []);
+    expect(played.silent()).toBe(0);
+    played.run(200, [3]);
+    expect(played.silent()).toBe(0);
+    played.run(400, [3]);
+    expect(played.silent()).toBe(1);
+    expect(played.liveness.size()).toBe(1);
+    played.run(REPORT_MILLISECONDS, []);
+    expect(played.silent()).toBe(0);
+    expect(played.liveness.size()).toBe(0);
+  });
+
+  it('that was never heard counts from when it is known', () => {
+    const played = playServers(16);
+    played.run(300, [3]);
+    expect(played.silent()).toBe(0);
+    played.run(300, [3]);
+    expect(played.silent()).toBe(1);
+  });
+
+  it('is not silent where most of its service are: the fault is on the way to them', () => {
+    const played = playServers(16);
+    played.run(1000, []);
+    played.run(3000, [0, 1, 2, 3, 4, 5, 6, 7, 8]);
+    expect(played.silent()).toBe(0);
+  });
+
+  it('without a sidecar is never silent', () => {
+    let now = 0;
+    const liveness = createServerLiveness(() => now, createSilentLogger());
+    const plain = { ...rankServer(0), groupRank: undefined };
+    liveness.keepOnly(new Map([[plain.instanceId, plain]]));
+    now = 10_000;
+    expect(liveness.isSilent(plain)).toBe(false);
+  });
+});
+
+describe('the limit of silence', () => {
+  it('follows the pace of reports, above a floor', () => {
+    expect(planSilenceLimit([])).toBe(Infinity);
+    expect(planSilenceLimit([10, 20, 30, 9000])).toBe(400);
+    expect(planSilenceLimit([200, 250, 300])).toBe(1000);
+  });
+});
--- /dev/null
+++ b/packages/forwarding/src/server-liveness.ts
@@ -0,0 +1,113 @@
+/**
+ * When each backend server last gave a sign of life: a report of its sidecar, or bytes of an answer.
+ * A process or machine that has stopped still takes connections, so its silence alone tells. How
+ * long a silence means something follows from the other servers of the service, whose reports come
+ * the same way: where most are silent, the fault is not theirs.
+ */
+import type { BackendServer } from '@lapisbridge/catalog';
+import type { Logger } from '@lapisbridge/logger';
+
+export interface ServerLiveness {
+  /** A sign of life, given so many milliseconds ago. */
+  heard(instanceId: string, ageMilliseconds?: number): void;
+  /** Since the last sign of life, or since the server is known; undefined for an unknown one. */
+  silenceMilliseconds(instanceId: string): number | undefined;
+  /** Whether the server is silent while most of its service are not. */
+  isSilent(server: BackendServer): boolean;
+  /** Number of servers that were silent when last asked about. */
+  size(): number;
+  /** Takes note of new servers and forgets those that are gone. */
+  keepOnly(servers: ReadonlyMap<string, BackendServer>): void;
+}
+
+/** Two reports of a sidecar, so that a lost one changes nothing. */
+const SHORTEST_SILENCE_MILLISECONDS = 400;
+/** Half of the servers reported within half the pace of reports: two reports may be lost. */
+const MEDIAN_FACTOR = 4;
+/** The limit is worked out anew after this long. */
+const LIMIT_MILLISECONDS = 50;
+
+/** Longest silence of a server that may be well, given the silences of all servers like it. */
+export function planSilenceLimit(silences: readonly number[]): number {
+  const sorted = [...silences].sort((left, right) => left - right);
+  const median = sorted[Math.floor(sorted.length / 2)];
+  if (median === undefined) return Infinity;
+  return Math.max(SHORTEST_SILENCE_MILLISECONDS, median * MEDIAN_FACTOR);
+}
+
+interface Limit {
+  readonly at: number;
+  readonly milliseconds: number;
+}
+
+export function createServerLiveness(now: () => number, logger: Logger): ServerLiveness {
+  let known: ReadonlyMap<string, BackendServer> = new Map();
+  const heardAt = new Map<string, number>();
+  const limits = new Map<string, Limit>();
+  const silentSince = new Map<string, number>();
+
+  function silenceMilliseconds(instanceId: string): number | undefined {
+    const at = heardAt.get(instanceId);
+    return at === undefined ? undefined : now() - at;
+  }
+
+  function limitOf(service: string): number {
+    const limit = limits.get(service);
+    if (limit !== undefined && now() - limit.at < LIMIT_MILLISECONDS) return limit.milliseconds;
+    const silences: number[] = [];
+    for (const server of known.values()) {
+      if (server.service !== service || server.groupRank === undefined) continue;
+      silences.push(silenceMilliseconds(server.instanceId) ?? 0);
+    }
+    const milliseconds = planSilenceLimit(silences);
+    limits.set(service, { at: now(), milliseconds });
+    return milliseconds;
+  }
+
+  return {
+    heard(instanceId, ageMilliseconds = 0) {
+      const at = now() - ageMilliseconds;
+      const before = heardAt.get(instanceId);
+      if (before === undefined || before >= at) return;
+      heardAt.set(instanceId, at);
+      const since = silentSince.get(instanceId);
+      if (since === undefined) return;
+      silentSince.delete(instanceId);
+      logger.info('backend server heard again', {
+        server: instanceId,
+        silentForMilliseconds: Math.round(at - since),
+      });
+    },
+    silenceMilliseconds,
+    isSilent({ instanceId, service, groupRank }) {
+      // Only servers of lock-step groups have a sidecar; the others are silent between requests.
+      if (groupRank === undefined) return false;
+      const silence = silenceMilliseconds(instanceId) ?? 0;
+      const limit = limitOf(service);
+      const isSilent = silence > limit;
+      if (isSilent && !silentSince.has(instanceId)) {
+        silentSince.set(instanceId, now() - silence);
+        logger.info('backend server silent', {
+          server: instanceId,
+          milliseconds: Math.round(silence),
+          limitMilliseconds: Math.round(limit),
+        });
+      }
+      return isSilent;
+    },
+    size: () => silentSince.size,
+    keepOnly(servers) {
+      known = servers;
+      for (const instanceId of servers.keys()) {
+        if (!heardAt.has(instanceId)) heardAt.set(instanceId, now());
+      }
+      for (const instanceId of heardAt.keys()) {
+        if (servers.has(instanceId)) continue;
+        heardAt.delete(instanceId);
+        if (silentSince.delete(instanceId)) {
+          logger.info('silent backend server removed', { server: instanceId });
+        }
+      }
+    },
+  };
+}
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -70,7 +70,7 @@
   server: BackendServer,
   sink: StreamSink,
 ): StreamAttempt {
-  const { ledger, protocol, pulse } = context;
+  const { ledger, liveness, protocol, pulse } = context;
   const { request, requestId } = accepted;
   const { promptTokens } = request;
   const startedAt = context.now();
@@ -90,6 +90,7 @@
   function takeEvent(streamHead: AnswerHead, event: StreamEvent): void {
     if (doubt !== undefined) return;
     pulse.beat(accepted.service, server.instanceId);
+    liveness.heard(server.instanceId);
     switch (checkSequence(sink.lastEventId(), event.id)) {
       case Sequence.Known:
         return;
@@ -181,6 +182,7 @@
       { context, accepted, server, lastEventId: sink.lastEventId() },
       {
         onHead(incoming) {
+          liveness.heard(server.instanceId);
           head = protocol.decodeAnswer(incoming);
           if (head.load !== undefined) ledger.reported(server.instanceId, head.load);
           const { instanceId } = server;
@@ -192,6 +194,8 @@
         onData: takeData,
         onEnd(exchangeEnd) {
           const judged = judge(exchangeEnd);
+          const isCancelled = exchangeEnd.kind === ExchangeEndKind.Cancelled;
+          if (isCancelled && head === undefined) context.metrics.countUnansweredSend();
           ledger.ended(server.instanceId, isSound(judged, exchangeEnd), promptTokens, wasAnswered);
           resolve(judged);
         },
--- a/packages/log-story/src/draw-timeline.ts
+++ b/packages/log-story/src/draw-timeline.ts
@@ -60,6 +60,14 @@
     case 'group lost':
     case 'group regained':
       return { matter: `group ${String(fields.group)}`, begins: event === 'group lost', cause };
+    case 'backend server silent':
+    case 'backend server heard again':
+    case 'silent backend server removed':
+      return {
+        matter: `backend server ${String(fields.server)}`,
+        begins: event === 'backend server silent',
+        cause: 'no sign of life while others of its service give some',
+      };
     case 'server rate limit':
       return {
         matter: `rate limit of ${String(fields.server)}`,
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -23,6 +23,8 @@
 
 export interface Metrics {
   countRequest(kind: string, code: number): void;
+  /** A send was given up before its backend server answered anything. */
+  countUnansweredSend(): void;
   observe(kind: LatencyKind, milliseconds: number): void;
   /** Registers a value that is read when metrics are asked for. */
   gauge(name: string, help: string, read: () => number): void;
@@ -53,6 +55,11 @@
     labelNames: ['kind', 'code'],
     registers: [registry],
   });
+  const unansweredSends = new Counter({
+    name: 'lapisbridge_unanswered_sends_total',
+    help: 'Sends given up before the backend server answered anything.',
+    registers: [registry],
+  });
   const histograms = new Map<LatencyKind, Histogram>();
   for (const kind of Object.values(LatencyKind)) histograms.set(kind, createHistogram());
   const latency = new Gauge({
@@ -75,6 +82,7 @@
     countRequest(kind, code) {
       requests.inc({ kind, code: String(code) });
     },
+    countUnansweredSend: () => unansweredSends.inc(),
     observe(kind, milliseconds) {
       const microseconds = Math.max(1, Math.round(milliseconds * MICROSECONDS_PER_MILLISECOND));
       histograms.get(kind)?.recordValue(Math.min(microseconds, HIGHEST_MICROSECONDS));
