--- a/packages/history/src/checkers.test.ts
+++ b/packages/history/src/checkers.test.ts
@@ -11,6 +11,11 @@
 const reply = { kind: EventKind.Reply, request: 'r', callKey: 'k', status: 503 } as const;
 const effect = { kind: EventKind.Effect, callKey: 'k' } as const;
 const answer = { kind: EventKind.Answer, request: 'r', expected: 'one two ' } as const;
+const abandoned: HistoryEvent = {
+  kind: EventKind.AbandonedArrival,
+  instanceId: 'a',
+  request: 'r',
+};
 const step = { kind: EventKind.MapStep, group: 'g', step: 7 } as const;
 
 const bad: [string, string, HistoryEvent[]][] = [
@@ -57,6 +62,7 @@
     'rate limit',
     [{ kind: EventKind.RateLimitedLoad, instanceId: 'a', requests: 12, allowed: 11 }],
   ],
+  ['work for callers that have left', 'abandonment', Array.from({ length: 4 }, () => abandoned)],
   [
     'two maps in one step',
     'one map per step',
@@ -82,6 +88,9 @@
   { kind: EventKind.ConfigurationSeen, instanceId: 'a', version: 1 },
   { kind: EventKind.Settled, instanceIds: ['a'] },
   { kind: EventKind.RateLimitedLoad, instanceId: 'a', requests: 11, allowed: 11 },
+  abandoned,
+  abandoned,
+  abandoned,
   { ...step, rank: 0, mapVersion: 1 },
   { ...step, rank: 1, mapVersion: 1 },
 ];
--- a/packages/history/src/checkers.ts
+++ b/packages/history/src/checkers.ts
@@ -159,6 +159,18 @@
   return violations;
 };
 
+/** Requests that may reach a backend server although their callers have left long before. */
+const ABANDONED_ARRIVALS = 3;
+
+/** A backend server is not given work that nobody waits for any more. */
+export const checkAbandonment: Checker = (events) => {
+  const arrivals = select(events, EventKind.AbandonedArrival);
+  if (arrivals.length <= ABANDONED_ARRIVALS) return [];
+  const servers = [...new Set(arrivals.map(({ instanceId }) => instanceId))].join(', ');
+  const detail = `${arrivals.length} requests reached ${servers} after their callers had left`;
+  return [{ promise: 'abandonment', detail }];
+};
+
 /** In every step, all ranks of a group use one and the same expert map. */
 export const checkOneMapPerStep: Checker = (events) => {
   const violations: Violation[] = [];
@@ -184,6 +196,7 @@
   checkConfiguration,
   checkColdStart,
   checkRateLimit,
+  checkAbandonment,
   checkOneMapPerStep,
 ];
 
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -32,6 +32,8 @@
   ColdLoad = 'coldLoad',
   /** Requests that a backend server got in a window while it stated a rate limit, and its bound. */
   RateLimitedLoad = 'rateLimitedLoad',
+  /** A request reached a backend server long after its caller had left. */
+  AbandonedArrival = 'abandonedArrival',
 }
 
 export type HistoryEvent =
@@ -85,6 +87,11 @@
       readonly instanceId: string;
       readonly requests: number;
       readonly allowed: number;
+    }
+  | {
+      readonly kind: EventKind.AbandonedArrival;
+      readonly instanceId: string;
+      readonly request: string;
     };
 
 export type EventOf<K extends EventKind> = Extract<HistoryEvent, { readonly kind: K }>;
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -44,6 +44,8 @@
 /** Every request of these callers is proper in every configuration. */
 const DENIALS: ReadonlySet<number> = new Set([400, 401, 403, 404, 413, 431]);
 const PATIENCE_MILLISECONDS = 3500;
+/** A caller leaves a stream that pauses for so long, also before its first event. */
+const STREAM_GAP_MILLISECONDS = 2000;
 const PREFIXES: Readonly<Record<Kind, string>> = {
   [Kind.Stream]: STREAM_PREFIX,
   [Kind.Booking]: BOOKING_PREFIX,
@@ -100,8 +102,10 @@
       method: kind === Kind.LookUp ? 'GET' : 'POST',
       key,
       patienceMilliseconds: PATIENCE_MILLISECONDS,
+      gapMilliseconds: kind === Kind.Stream ? STREAM_GAP_MILLISECONDS : undefined,
       agent,
     });
+    if (outcome.hasLeft) site.abandonmentWatch.onLeft(requestId);
     history.record({
       kind: EventKind.Reply,
       request: requestId,
@@ -112,7 +116,7 @@
     const after = program.stops();
     // Sent before the stop was asked for, and ended without an answer while it went on.
     const isInStop = after.asked > before.asked && before.asked === before.ended;
-    if (outcome.status === 0 && outcome.wasConnected && isInStop) {
+    if (outcome.status === 0 && outcome.wasConnected && !outcome.hasLeft && isInStop) {
       history.record({ kind: EventKind.Stopped, instanceId: program.name, cutOff: 1 });
     }
     const isServed = check(requestId, kind, outcome);
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -37,6 +37,7 @@
 /** Sends a signal that ends or holds up a process, which so may not know what it was told. */
 function interrupt(site: Site, program: Program, signal: NodeJS.Signals): void {
   site.rateLimitWatch.excuse(program.name);
+  site.abandonmentWatch.excuse(program.name);
   program.signal(signal);
 }
 
@@ -114,6 +115,17 @@
         runner.rateLimit = undefined;
       };
     }
+    case FaultKind.StopMachine: {
+      const server = pick(site.ranks, target);
+      const resumeSidecar = pause(site, pick(site.sidecars, target));
+      server.isStopped = true;
+      server.link.setMode(LinkMode.Held);
+      return () => {
+        server.isStopped = false;
+        server.link.setMode(LinkMode.Passing);
+        resumeSidecar();
+      };
+    }
     case FaultKind.DrainServer: {
       const server = pick(site.plainServers, target);
       server.isDraining = true;
--- a/packages/soak/src/link.ts
+++ b/packages/soak/src/link.ts
@@ -1,6 +1,6 @@
 /**
- * A loopback proxy in front of one server, which delays, resets, silences or cuts one way the
- * connections that pass it.
+ * A loopback proxy in front of one server, which delays, resets, silences, holds or cuts one way
+ * the connections that pass it.
  */
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
@@ -14,6 +14,8 @@
   Silent = 'silent',
   /** Requests arrive, answers do not. */
   OneWay = 'oneWay',
+  /** Connections are taken, and what comes on them lies unread: the server's process has stopped. */
+  Held = 'held',
 }
 
 export interface Link {
@@ -26,23 +28,34 @@
 export function createLink(target: { readonly host: string; readonly port: number }): Link {
   let mode = LinkMode.Passing;
   const open = new Set<Socket>();
+  /** In order of arrival, over all connections. */
+  let held: (() => void)[] = [];
+
+  function pass(action: () => void): void {
+    if (mode === LinkMode.Held) held.push(action);
+    else action();
+  }
 
   function pipe(from: Socket, to: Socket, isAnswer: boolean): void {
-    from.on('data', (chunk: Buffer) => {
+    const takeData = (chunk: Buffer): void => {
       if (mode === LinkMode.Silent || (isAnswer && mode === LinkMode.OneWay)) return;
       const forward = (): void => {
         if (!to.destroyed) to.write(chunk);
       };
       if (mode === LinkMode.Delayed) setTimeout(forward, DELAY_MILLISECONDS);
       else forward();
-    });
-    from.on('end', () => {
+    };
+    const takeEnd = (): void => {
       if (mode === LinkMode.Delayed) setTimeout(() => to.end(), DELAY_MILLISECONDS);
       else to.end();
-    });
+    };
+    from.on('data', (chunk: Buffer) => pass(() => takeData(chunk)));
+    from.on('end', () => pass(takeEnd));
     from.on('close', (hadError) => {
       open.delete(from);
-      if (hadError && !to.destroyed) to.resetAndDestroy();
+      pass(() => {
+        if (hadError && !to.destroyed) to.resetAndDestroy();
+      });
     });
     // Told by 'close', which follows.
     from.on('error', () => undefined);
@@ -64,6 +77,11 @@
     server,
     setMode(next) {
       mode = next;
+      if (next !== LinkMode.Held) {
+        const released = held;
+        held = [];
+        for (const action of released) action();
+      }
       if (next !== LinkMode.Resetting) return;
       for (const socket of open) socket.resetAndDestroy();
     },
--- a/packages/soak/src/plan-faults.ts
+++ b/packages/soak/src/plan-faults.ts
@@ -27,6 +27,8 @@
   DrainServer = 'drainServer',
   /** A backend server states a rate limit. */
   LimitRate = 'limitRate',
+  /** The machine of a rank stands still: its backend server and the sidecar beside it. */
+  StopMachine = 'stopMachine',
 }
 
 export interface Fault {
@@ -45,10 +47,24 @@
 /** Mean time between two faults: several overlap most of the time. */
 const GAP_MILLISECONDS = 700;
 
-/** Drawn apart from the others, so that seeds keep the faults that they had without it. */
-const APART = FaultKind.LimitRate;
-const APART_GAP_MILLISECONDS = 5000;
-const APART_SEED = 0x5eed;
+interface ApartFaults {
+  readonly kind: FaultKind;
+  readonly gapMilliseconds: number;
+  readonly seed: number;
+  /** How much longer they last than other faults. */
+  readonly lengthFactor: number;
+}
+
+/** Drawn apart from the others, so that seeds keep the faults that they had without them. */
+const APART: readonly ApartFaults[] = [
+  {
+    kind: FaultKind.LimitRate,
+    gapMilliseconds: 5000,
+    seed: 0x5eed,
+    lengthFactor: RATE_LIMIT_LENGTH,
+  },
+  { kind: FaultKind.StopMachine, gapMilliseconds: 7000, seed: 0x5709, lengthFactor: 1.5 },
+];
 
 function drawFaults(
   seed: number,
@@ -74,12 +90,14 @@
 }
 
 export function planFaults(seed: number, milliseconds: number): Fault[] {
-  const kinds = Object.values(FaultKind).filter((kind) => kind !== APART);
+  const apartKinds = APART.map(({ kind }) => kind);
+  const kinds = Object.values(FaultKind).filter((kind) => !apartKinds.includes(kind));
   const faults = drawFaults(seed, milliseconds, GAP_MILLISECONDS, kinds);
-  for (const fault of drawFaults(seed + APART_SEED, milliseconds, APART_GAP_MILLISECONDS, [
-    APART,
-  ])) {
-    faults.push({ ...fault, lasts: fault.lasts * RATE_LIMIT_LENGTH });
+  for (const apart of APART) {
+    const { kind, gapMilliseconds, lengthFactor } = apart;
+    for (const fault of drawFaults(seed + apart.seed, milliseconds, gapMilliseconds, [kind])) {
+      faults.push({ ...fault, lasts: fault.lasts * lengthFactor });
+    }
   }
   return faults.sort((left, right) => left.at - right.at);
 }
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -22,6 +22,9 @@
   /** Defaults to a few dozen processes' worth of a small site. */
   readonly entries?: number;
   readonly ranks?: number;
+  readonly callers?: number;
+  /** Time of one pass of the ranks. */
+  readonly passMilliseconds?: number;
   readonly network: number;
   /** Folder of the bundled programs; those of this checkout without it. */
   readonly programs?: string;
@@ -108,6 +111,7 @@
     entries: options.entries ?? ENTRIES,
     ranks: options.ranks ?? RANKS,
     plainServers: PLAIN_SERVERS,
+    passMilliseconds: options.passMilliseconds,
     network: options.network,
     programs: options.programs ?? BUNDLED,
     onOwnEnd: (name, code) => violations.push(`own end: ${name} with ${code}`),
@@ -118,7 +122,10 @@
     for (const index of site.entries.keys()) {
       if (!(await eventually(() => isReady(site, index)))) violations.push('never ready');
     }
-    await Promise.all([callers.run(CALLERS, milliseconds), playFaults(site, faults)]);
+    await Promise.all([
+      callers.run(options.callers ?? CALLERS, milliseconds),
+      playFaults(site, faults),
+    ]);
     violations.push(...(await findUnserved(site, callers)));
     for (const { promise, detail } of checkAll(history.events)) {
       violations.push(`${promise}: ${detail}`);
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -21,6 +21,8 @@
 } from '@lapisbridge/users-platform';
 import type { RankGroup, RunnerStandIn, StoreStandIn } from '@lapisbridge/users-platform';
 
+import { createAbandonmentWatch } from './abandonment-watch.js';
+import type { AbandonmentWatch } from './abandonment-watch.js';
 import { createLink } from './link.js';
 import type { Link } from './link.js';
 import { createProgram } from './program.js';
@@ -33,6 +35,8 @@
   readonly runner: RunnerStandIn;
   readonly link: Link;
   isDraining: boolean;
+  /** Its machine stands still, and its heartbeats with it. */
+  isStopped: boolean;
 }
 
 export interface Site {
@@ -45,6 +49,7 @@
   readonly entries: readonly Program[];
   readonly sidecars: readonly Program[];
   readonly rateLimitWatch: RateLimitWatch;
+  readonly abandonmentWatch: AbandonmentWatch;
   /** Notes which entry a request is sent to. */
   noteEntry(requestId: string, entry: string): void;
   callersAt(entry: number): { readonly host: string; readonly port: number };
@@ -60,6 +65,7 @@
   readonly entries: number;
   readonly ranks: number;
   readonly plainServers: number;
+  readonly passMilliseconds?: number | undefined;
   /** Folder of the bundled programs. */
   readonly programs: string;
   /** 1 to 250; keeps the addresses of runs on one machine apart. */
@@ -100,6 +106,7 @@
     ...SIZE,
     ranks: options.ranks,
     random,
+    passMilliseconds: options.passMilliseconds,
     onPass(rank, step, mapVersion) {
       const name = `group in epoch ${group.epoch()}`;
       history.record({ kind: EventKind.MapStep, group: name, rank, step, mapVersion });
@@ -107,6 +114,7 @@
   });
   const servers: Server[] = [];
   const rateLimitWatch = createRateLimitWatch(history, () => performance.now());
+  const abandonmentWatch = createAbandonmentWatch(history, () => performance.now());
   const entryOf = new Map<string, string>();
   await listen(store.server, addressOf(Net.Store, 0), STORE_PORT);
   servers.push(store.server);
@@ -124,6 +132,7 @@
       onArrival(requestId) {
         const entry = entryOf.get(requestId) ?? '';
         rateLimitWatch.onArrival(instanceId, entry, runner.rateLimit);
+        abandonmentWatch.onArrival(instanceId, entry, requestId);
       },
       onRateLimitStated(requestId) {
         rateLimitWatch.onStated(instanceId, entryOf.get(requestId) ?? '');
@@ -134,7 +143,7 @@
     await listen(runner.server, host, SERVER_PORT);
     await listen(link.server, host, LINK_PORT);
     servers.push(runner.server, link.server);
-    return { instanceId, runner, link, isDraining: false };
+    return { instanceId, runner, link, isDraining: false, isStopped: false };
   }
 
   const ranks: SiteServer[] = [];
@@ -149,7 +158,7 @@
     sequence += 1;
     for (const [index, server] of [...ranks, ...plainServers].entries()) {
       const isRank = index < ranks.length;
-      if (isRank && group.ranks[index]?.isAlive === false) continue;
+      if (server.isStopped || (isRank && group.ranks[index]?.isAlive === false)) continue;
       const row = {
         service: isRank ? MODEL_SERVICE : PLAIN_SERVICE,
         address: `${addressOf(Net.Servers, index)}:${LINK_PORT}`,
@@ -239,6 +248,7 @@
     entries,
     sidecars,
     rateLimitWatch,
+    abandonmentWatch,
     noteEntry: (requestId, entry) => entryOf.set(requestId, entry),
     callersAt: (entry) => ({ host: addressOf(Net.Entries, entry), port: CALLERS_PORT }),
     readinessAt: (entry) => ({ host: addressOf(Net.Entries, entry), port: READINESS_PORT }),
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -42,3 +42,20 @@
     expect(result.served).toBeGreaterThan(0);
   });
 });
+
+describe('a rank whose machine stands still', () => {
+  it('gets few streams that run after their callers have left', async () => {
+    // Guards against entries that take a silent server for one with room.
+    const faults = [{ kind: FaultKind.StopMachine, at: 2500, lasts: 6000, target: 0 }];
+    const result = await runSoak({
+      seed: 1,
+      milliseconds: 10_000,
+      faults,
+      callers: 90,
+      passMilliseconds: 150,
+      network: 11,
+    });
+    expect(result.violations).toEqual([]);
+    expect(result.served).toBeGreaterThan(0);
+  });
+});
