Send nothing to a backend server that is silent while most of its service are not

Cause: a missing report counted as room. A stopped server still takes connections. Its reports cease, and a report older than 0.7 s let a stream be offered whatever the queue, one older than 1.5 s left only the entry's own few requests there to count. While all other servers were full, every entry sent every stream to the one that did not answer, and did so until the store dropped it.

Fix: a server that has given no sign of life (report of its sidecar, byte of an answer) for four times the median silence of its service, at least 0.4 s, is not chosen. Where most servers are silent the median is, too, and nothing changes: then the fault is on the way to them, or in the sidecars.

--- a/packages/forwarding/src/choose-server.ts
+++ b/packages/forwarding/src/choose-server.ts
@@ -29,7 +29,6 @@
   for (const server of byId.values()) {
     if (server.service !== accepted.service || server.draining) continue;
     if (drainedZones.has(server.availabilityZone)) continue;
-    context.liveness.isSilent(server);
     const coldRate = profile?.coldRequestsPerSecond ?? 0;
     views.push(
       context.ledger.view(
@@ -37,6 +36,7 @@
         {
           roomInMilliseconds: roomIn(context, server.instanceId, coldRate),
           brokenForMilliseconds: context.groupHealth.brokenFor(server),
+          isSilent: context.liveness.isSilent(server),
         },
         context.entries(),
       ),
--- a/packages/forwarding/src/server-ledger.ts
+++ b/packages/forwarding/src/server-ledger.ts
@@ -22,7 +22,7 @@
   /** `senders` are the entries that send to the same servers. */
   view(
     server: BackendServer,
-    limits: Pick<ServerView, 'roomInMilliseconds' | 'brokenForMilliseconds'>,
+    limits: Pick<ServerView, 'roomInMilliseconds' | 'brokenForMilliseconds' | 'isSilent'>,
     senders: number,
   ): ServerView;
   /** Forgets servers that are gone. */
--- a/packages/routing/src/plan-server.test.ts
+++ b/packages/routing/src/plan-server.test.ts
@@ -16,6 +16,7 @@
     suspicion: 0,
     roomInMilliseconds: 0,
     brokenForMilliseconds: undefined,
+    isSilent: false,
     ...fields,
   };
 }
@@ -50,6 +51,13 @@
     expect(choose([grey, view('sound')], ['sound'])).toBe('grey');
   });
 
+  it('passes over a silent server even where all others are full', () => {
+    // Guards against taking a server that has stopped for one with room.
+    const silent = view('silent', { isSilent: true });
+    expect(choose([silent, view('busy', { outstanding: 12 })])).toBe('busy');
+    expect(choose([silent, view('busy')], ['busy'])).toBe(ServerChoiceKind.AllCrowded);
+  });
+
   it('passes over servers whose group stands still, and says so when no other is left', () => {
     // A request sent to a group that stands still hangs or is refused, while a second group of
     // the same service could have answered it.
--- a/packages/routing/src/plan-server.ts
+++ b/packages/routing/src/plan-server.ts
@@ -20,6 +20,8 @@
   readonly typicalMilliseconds: number;
   /** Age of the report in milliseconds; undefined where there is none to go by. */
   readonly reportAge: number | undefined;
+  /** Whether it gives no sign of life while most of its service do. */
+  readonly isSilent: boolean;
   /** Recent failures, decayed; 0 for a sound server. */
   readonly suspicion: number;
   /** Milliseconds until the own shares of the server's bounds allow one more request; 0 for now. */
@@ -52,7 +54,7 @@
   NoneLeft = 'noneLeft',
   /** Servers are there, and the own share of each one's bounds is used up for now. */
   AllLimited = 'allLimited',
-  /** Every server that could be sent to is too full for this request. */
+  /** Every server that could be sent to is too full for this request, or gives no sign of life. */
   AllCrowded = 'allCrowded',
   /** The groups of all servers that are left stand still. */
   AllBroken = 'allBroken',
@@ -131,7 +133,8 @@
       roomIn = Math.min(roomIn ?? Infinity, view.roomInMilliseconds);
       continue;
     }
-    if (input.fits?.(view) === false) {
+    // It takes connections even when it has stopped, and what it took runs when it goes on.
+    if (view.isSilent || input.fits?.(view) === false) {
       isCrowded = true;
       continue;
     }
--- a/packages/routing/src/stale-reports.test.ts
+++ b/packages/routing/src/stale-reports.test.ts
@@ -55,6 +55,7 @@
       suspicion: 0,
       roomInMilliseconds: 0,
       brokenForMilliseconds: undefined,
+      isSilent: false,
     }));
     const guess = (REQUESTS_PER_SECOND * REPORT_MILLISECONDS) / 2000;
     const choice = planServer({
