--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -23,6 +23,7 @@
 import type { SendingEntries } from './sender-rank.js';
 import { createServerLedger } from './server-ledger.js';
 import { createServerLiveness } from './server-liveness.js';
+import type { ServerLiveness } from './server-liveness.js';
 import { createServerRateLimits } from './server-rate-limits.js';
 
 /** What one backend server does with a request. */
@@ -40,6 +41,7 @@
   readonly catalog: Catalog;
   readonly isStuck: { value: boolean };
   readonly groupHealth: GroupHealth;
+  readonly liveness: ServerLiveness;
   /** Keeps the decisions about each request. */
   readonly logger: Logger;
   close(): Promise<void>;
@@ -218,6 +220,7 @@
     catalog,
     isStuck,
     groupHealth,
+    liveness,
     logger,
     async close() {
       for (const socket of sockets) socket.destroy();
--- /dev/null
+++ b/packages/forwarding/src/silent-server.test.ts
@@ -0,0 +1,124 @@
+/**
+ * Streams at a backend server that gives no sign of life any more while others of its service do.
+ */
+import { request } from 'node:http';
+
+import { RequestKind } from '@lapisbridge/catalog';
+import { sleep } from '@lapisbridge/kernel';
+import { afterEach, beforeEach, expect, it } from 'vitest';
+
+import { startFixture, streamEvents } from './forwarding-fixture.js';
+import type { Fixture, Script } from './forwarding-fixture.js';
+
+let fixture: Fixture;
+let reports: NodeJS.Timeout;
+/** Servers whose sidecars report. */
+let reporting: Set<string>;
+
+const NAMES = ['one', 'two', 'three'];
+const EVENTS = 6;
+const ALL_EVENTS = [1, 2, 3, 4, 5, 6].map((id) => `id: ${id}\ndata: ${id}\n\n`).join('');
+
+/** Makes some events and then nothing more. */
+function fallSilentAfter(count: number): Script {
+  return (incoming, response) => {
+    if (count === 0) return;
+    response.writeHead(200, {
+      'request-id': String(incoming.headers['request-id']),
+      signature: 'signed',
+      'content-type': 'text/event-stream',
+    });
+    for (let id = 1; id <= count; id += 1) response.write(`id: ${id}\ndata: ${id}\n\n`);
+  };
+}
+
+/** Makes an event every 100 ms, without an end. */
+const talk: Script = (incoming, response) => {
+  response.writeHead(200, {
+    'request-id': String(incoming.headers['request-id']),
+    signature: 'signed',
+    'content-type': 'text/event-stream',
+  });
+  let id = 0;
+  const timer = setInterval(() => {
+    id += 1;
+    response.write(`id: ${id}\ndata: ${id}\n\n`);
+  }, 100);
+  response.on('close', () => clearInterval(timer));
+};
+
+async function start(one: Script, two: Script): Promise<void> {
+  fixture = await startFixture({
+    servers: { one, two, three: streamEvents(EVENTS) },
+    groups: Object.fromEntries(
+      NAMES.map((name, rank) => [name, { group: 'group', epoch: 1, rank, open: true }]),
+    ),
+    route: { kind: RequestKind.Streaming, resumable: true },
+  });
+}
+
+/** The text that the caller of one stream has when it ends. */
+function stream(requestId: string): Promise<string> {
+  return new Promise((resolve) => {
+    let text = '';
+    const outgoing = request({ port: fixture.port, method: 'POST' }, (incoming) => {
+      incoming.on('data', (chunk: Buffer) => {
+        text += chunk.toString();
+      });
+      incoming.on('error', () => undefined);
+      incoming.on('close', () => resolve(text));
+    });
+    outgoing.setHeader('request-id', requestId);
+    outgoing.on('error', () => resolve(text));
+    outgoing.end();
+  });
+}
+
+beforeEach(() => {
+  reporting = new Set(NAMES);
+  reports = setInterval(() => {
+    for (const name of reporting) fixture.liveness.heard(name);
+  }, 50);
+});
+
+afterEach(async () => {
+  clearInterval(reports);
+  await fixture.close();
+});
+
+it('goes on elsewhere at once where it waits for its first event', async () => {
+  await start(fallSilentAfter(0), streamEvents(EVENTS));
+  const began = performance.now();
+  const answer = stream('waiting');
+  await sleep(50);
+  reporting.delete('one');
+  expect(await answer).toBe(ALL_EVENTS);
+  expect(performance.now() - began).toBeLessThan(1000);
+  expect(fixture.arrivals.map(({ instanceId }) => instanceId)).toEqual(['one', 'two']);
+});
+
+it('goes on elsewhere behind its last event while its service makes events', async () => {
+  const orTalk =
+    (script: Script): Script =>
+    (incoming, response) => {
+      const isOther = incoming.headers['request-id'] === 'other';
+      (isOther ? talk : script)(incoming, response);
+    };
+  await start(orTalk(fallSilentAfter(3)), orTalk(streamEvents(EVENTS)));
+  const answer = stream('begun');
+  await sleep(50);
+  reporting.delete('one');
+  await sleep(500);
+  void stream('other');
+  expect(await answer).toBe(ALL_EVENTS);
+  expect(fixture.arrivals[2]).toMatchObject({ headers: { 'last-event': '3' } });
+});
+
+it('stays where it has begun while its whole service makes no events', async () => {
+  await start(fallSilentAfter(3), streamEvents(EVENTS));
+  void stream('begun');
+  await sleep(50);
+  reporting.delete('one');
+  await sleep(1600);
+  expect(fixture.arrivals).toHaveLength(1);
+});
