Move streams off a silent server only to where they are likely to begin in time

Cause: a moved stream counted as late, so it yielded to all others at the next server, and went to any server with room, also with 0.4 s of its caller's patience left where first events took 1.3 s. One that had begun stayed at the silent server while its service stood still, where nothing could come any more.

Fix: it goes before those that wait at the next server, and only to one whose first events usually take at most half of its caller's patience; else its caller is told at once. One that has begun is moved after a second whatever the service does.

--- a/packages/forwarding/src/open-forward.ts
+++ b/packages/forwarding/src/open-forward.ts
@@ -18,14 +18,17 @@
   readonly server: BackendServer;
   /** Event of a stream behind which the server is to go on. */
   readonly lastEventId: number | undefined;
+  /** Whether the request was taken from a server that gave no sign of life. */
+  readonly isMoved: boolean;
 }
 
 export function openForward(attempt: ForwardAttempt, listener: ExchangeListener): Exchange {
-  const { context, accepted, server, lastEventId } = attempt;
+  const { context, accepted, server, lastEventId, isMoved } = attempt;
   const { request, body } = accepted;
   const urgency = urgencyOf({
     route: accepted.route,
     hasBegun: accepted.answer.hasBegun,
+    isMoved,
     isRetry: accepted.isRetry,
     idleMilliseconds: context.now() - accepted.arrivedAt,
   });
--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -86,7 +86,7 @@
   context.rateLimits.noteSent(server.instanceId);
   const outcome = new Promise<Outcome>((resolve) => {
     exchange = openForward(
-      { context, accepted, server, lastEventId: request.lastEventId },
+      { context, accepted, server, lastEventId: request.lastEventId, isMoved: false },
       {
         onHead(incoming) {
           liveness.heard(server.instanceId);
--- a/packages/forwarding/src/plan-offer.test.ts
+++ b/packages/forwarding/src/plan-offer.test.ts
@@ -10,8 +10,10 @@
     route: STREAM_ROUTE,
     slots: SLOTS,
     expectedStreams: 9,
+    typicalMilliseconds: 300,
     reportAge: 100,
     hasBegun: false,
+    isMoved: false,
     isRetry: false,
     idleMilliseconds: 0,
   };
@@ -20,6 +22,20 @@
     expect(canOffer({ ...input, hasBegun: true, expectedStreams: 30 })).toBe(true);
   });
 
+  it('that was taken from a silent server is served first elsewhere, so it may wait there', () => {
+    // Guards against streams that wait their turn again at every server.
+    expect(canOffer({ ...input, isMoved: true, idleMilliseconds: 1000 })).toBe(true);
+    expect(canOffer({ ...input, isMoved: true, expectedStreams: 14 })).toBe(false);
+  });
+
+  it('that was taken from a silent server goes nowhere where its caller would leave', () => {
+    // Guards against streams that are moved only to be left a moment later.
+    const moved = { ...input, isMoved: true, expectedStreams: 0 };
+    expect(canOffer({ ...moved, idleMilliseconds: 1600 })).toBe(false);
+    expect(canOffer({ ...moved, typicalMilliseconds: 1100 })).toBe(false);
+    expect(canOffer({ ...moved, typicalMilliseconds: 0 })).toBe(true);
+  });
+
   it('may wait longer when its caller has come back, as long as that caller stays', () => {
     expect(canOffer(input)).toBe(false);
     expect(canOffer({ ...input, isRetry: true })).toBe(true);
--- a/packages/forwarding/src/plan-offer.ts
+++ b/packages/forwarding/src/plan-offer.ts
@@ -14,8 +14,13 @@
 /** Callers that have come back do not come again: they may wait as long as they stay. */
 const RETURNED_WAITING_SHARE = 0.75;
 
+/** Share of a caller's patience that the first event may take elsewhere, by what is usual there. */
+const MOVED_PATIENCE_SHARE = 0.5;
+
 export interface OfferInput extends Waiting {
   readonly slots: number;
+  /** Usual time of a first event there, in milliseconds; 0 when unknown. */
+  readonly typicalMilliseconds: number;
   /** Streams at the server, with what other entries may have sent since it reported. */
   readonly expectedStreams: number;
   /** Age of that report in milliseconds; undefined where there is none. */
@@ -36,6 +41,12 @@
     case Urgency.Begun:
       // Elsewhere it would begin anew, so any place in a queue is better than none.
       return Infinity;
+    case Urgency.Moved: {
+      const patience = callerPatience(input.route) - input.idleMilliseconds;
+      if (input.typicalMilliseconds > patience * MOVED_PATIENCE_SHARE) return 0;
+      // It is served before those that wait there.
+      return 1 + RETURNED_WAITING_SHARE;
+    }
     case Urgency.Fresh:
       return 1 + FRESH_WAITING_SHARE;
     case Urgency.Late: {
@@ -54,8 +65,10 @@
 /** Whether the server can begin the stream in time for its caller, as far as this entry knows. */
 export function canOffer(input: OfferInput): boolean {
   const { reportAge } = input;
+  const share = planShare(input);
+  if (share === 0) return false;
   if (reportAge === undefined || reportAge > LONGEST_REPORT_AGE_MILLISECONDS) return true;
-  return input.expectedStreams + 1 <= input.slots * planShare(input);
+  return input.expectedStreams + 1 <= input.slots * share;
 }
 
 /** Time after which reports tell of room that they did not show before. */
--- a/packages/forwarding/src/plan-priority.test.ts
+++ b/packages/forwarding/src/plan-priority.test.ts
@@ -6,6 +6,7 @@
 const WAITING = {
   route: STREAM_ROUTE,
   hasBegun: false,
+  isMoved: false,
   isRetry: false,
   idleMilliseconds: 0,
 };
@@ -15,6 +16,11 @@
   expect(urgencyOf({ ...WAITING, idleMilliseconds: 300 })).toBe(Urgency.Late);
   expect(urgencyOf({ ...WAITING, isRetry: true })).toBe(Urgency.Late);
   expect(urgencyOf({ ...WAITING, isRetry: true, hasBegun: true })).toBe(Urgency.Begun);
+  expect(urgencyOf({ ...WAITING, isMoved: true, idleMilliseconds: 1000 })).toBe(Urgency.Moved);
+});
+
+it('puts what waited at a server that stopped before what waits elsewhere', () => {
+  expect(planPriority(3, Urgency.Moved)).toBeLessThan(planPriority(3, Urgency.Fresh));
 });
 
 it('puts what has begun before what can be in time, and that before the late', () => {
--- a/packages/forwarding/src/plan-priority.ts
+++ b/packages/forwarding/src/plan-priority.ts
@@ -10,6 +10,8 @@
 export enum Urgency {
   /** Its caller has had events: each pause shows. */
   Begun = 'begun',
+  /** It has waited at a server that stopped: its turn is overdue. */
+  Moved = 'moved',
   /** The answer can still be in time. */
   Fresh = 'fresh',
   /** The answer is late whatever happens. */
@@ -20,6 +22,8 @@
   readonly route: Route;
   /** Whether the caller has had events. */
   readonly hasBegun: boolean;
+  /** Whether it was taken from a server that gave no sign of life. */
+  readonly isMoved: boolean;
   /** Whether the caller was refused before. */
   readonly isRetry: boolean;
   /** Since the request arrived, or since its caller's last event. */
@@ -33,6 +37,7 @@
 
 export function urgencyOf(waiting: Waiting): Urgency {
   if (waiting.hasBegun) return Urgency.Begun;
+  if (waiting.isMoved) return Urgency.Moved;
   const latest = waiting.route.objectiveMilliseconds * (1 - ANSWER_SHARE);
   const isFresh = !waiting.isRetry && waiting.idleMilliseconds <= latest;
   return isFresh ? Urgency.Fresh : Urgency.Late;
@@ -42,6 +47,7 @@
 export function planPriority(usual: number, urgency: Urgency): number {
   switch (urgency) {
     case Urgency.Begun:
+    case Urgency.Moved:
       return Math.max(0, usual - 1);
     case Urgency.Fresh:
       return usual;
--- a/packages/forwarding/src/play-outage.ts
+++ b/packages/forwarding/src/play-outage.ts
@@ -126,6 +126,7 @@
       idleMilliseconds: now - caller.attemptAt,
       remainingMilliseconds,
       hasBegun: false,
+      isMoved: false,
     };
     if (now >= knownAt && now < backAt) {
       const wait = planWait({
@@ -140,7 +141,7 @@
     const expectedStreams = running + queue.length;
     if (
       isFirstComeFirstServed ||
-      canOffer({ ...situation, slots, expectedStreams, reportAge: 100 })
+      canOffer({ ...situation, slots, expectedStreams, typicalMilliseconds: 0, reportAge: 100 })
     ) {
       caller.queuedAt = now;
       if (!isFirstComeFirstServed) {
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -46,6 +46,8 @@
   /** Sends refused since the server's group stood still: they say nothing of the service's load. */
   groupRefusals: number;
   isExpired: boolean;
+  /** Taken from a server that gave no sign of life, before its first event. */
+  isMoved: boolean;
   current: StreamAttempt | undefined;
 }
 
@@ -100,20 +102,27 @@
   const { answer, route, service } = accepted;
   const progress = startProgress();
   const record = createStreamRecord(context, accepted);
-  const state: StreamState = { groupRefusals: 0, isExpired: false, current: undefined };
+  const state: StreamState = {
+    groupRefusals: 0,
+    isExpired: false,
+    isMoved: false,
+    current: undefined,
+  };
 
   function causeOf(): RefusalCause {
     return progress.sends > 0 ? RefusalCause.Full : RefusalCause.NoServer;
   }
 
   /** Whether a server can begin the stream in time. */
-  function fits({ slots, expected, reportAge }: ServerView): boolean {
+  function fits({ slots, expected, reportAge, typicalMilliseconds }: ServerView): boolean {
     return canOffer({
       route,
       slots,
       expectedStreams: expected,
+      typicalMilliseconds,
       reportAge,
       hasBegun: answer.hasBegun,
+      isMoved: state.isMoved,
       isRetry: accepted.isRetry,
       idleMilliseconds: record.idleMilliseconds(),
     });
@@ -135,7 +144,7 @@
     progress.sends += 1;
     progress.runs += 1;
     progress.tried.add(server.instanceId);
-    const attempt = startStreamAttempt(context, accepted, server, record.sink);
+    const attempt = startStreamAttempt(context, accepted, server, record.sink, state.isMoved);
     state.current = attempt;
     return { kind: StartKind.Started, server, attempt };
   }
@@ -208,7 +217,8 @@
       const start = startNext();
       if (start.kind === StartKind.Delayed) {
         const { delay } = start;
-        const isOver = !(await waitOut(context, accepted, delay, record.idleMilliseconds()));
+        const waited = { idleMilliseconds: record.idleMilliseconds(), isMoved: state.isMoved };
+        const isOver = !(await waitOut(context, accepted, delay, waited));
         if (isOver || state.isExpired) {
           const isBroken = delay.kind === DelayKind.GroupBroken;
           conclude(REFUSAL_OF[delay.kind], isBroken ? delay.brokenForMilliseconds : undefined);
@@ -234,6 +244,7 @@
       });
       state.current = undefined;
       if (end.kind !== StreamEndKind.Complete) noteMiss(server, end);
+      state.isMoved ||= context.liveness.isSilent(server);
       if (answer.isOver) return;
       progress.outcomes.push(toOutcome(end));
       switch (end.kind) {
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -69,6 +69,7 @@
   accepted: AcceptedRequest,
   server: BackendServer,
   sink: StreamSink,
+  isMoved: boolean,
 ): StreamAttempt {
   const { ledger, liveness, protocol, pulse } = context;
   const { request, requestId } = accepted;
@@ -179,7 +180,7 @@
   context.rateLimits.noteSent(server.instanceId);
   const end = new Promise<StreamEnd>((resolve) => {
     exchange = openForward(
-      { context, accepted, server, lastEventId: sink.lastEventId() },
+      { context, accepted, server, lastEventId: sink.lastEventId(), isMoved },
       {
         onHead(incoming) {
           liveness.heard(server.instanceId);
--- a/packages/forwarding/src/stream-delay.ts
+++ b/packages/forwarding/src/stream-delay.ts
@@ -51,7 +51,8 @@
     case DelayKind.GroupBroken:
       return planWait({ ...situation, ...delay, route, isRetry });
     case DelayKind.Crowded:
-      return planCrowdWait({ ...situation, route, isRetry });
+      // It has lost too much of its caller's patience to wait for room once more.
+      return situation.isMoved ? 0 : planCrowdWait({ ...situation, route, isRetry });
     case DelayKind.Limited:
       return planRoomWait({ ...situation, ...delay, route, isRetry });
     default: {
@@ -86,6 +87,8 @@
   readonly remainingMilliseconds: number;
   /** Whether the caller has had events. */
   readonly hasBegun: boolean;
+  /** Whether it was taken from a server that gave no sign of life. */
+  readonly isMoved: boolean;
 }
 
 /** Waits until a server may take the stream; false when its caller is to be told instead. */
@@ -93,10 +96,11 @@
   context: ForwardContext,
   accepted: AcceptedRequest,
   delay: Delay,
-  idleMilliseconds: number,
+  { idleMilliseconds, isMoved }: Pick<Situation, 'idleMilliseconds' | 'isMoved'>,
 ): Promise<boolean> {
   const situation = {
     idleMilliseconds,
+    isMoved,
     remainingMilliseconds: remainingOf(context, accepted),
     hasBegun: accepted.answer.hasBegun,
   };
--- a/packages/forwarding/src/stuck-watch.ts
+++ b/packages/forwarding/src/stuck-watch.ts
@@ -27,7 +27,7 @@
   // A stream that has not begun loses only its place in a queue that does not move.
   if (isSilent && !accepted.answer.hasBegun) return true;
   if (idleMilliseconds() < SILENCE_MILLISECONDS) return false;
-  if (isSilent) return !context.pulse.hasStopped(accepted.service);
+  if (isSilent) return true;
   // Where requests wait their turn, silence is no sign of a fault, and whoever is sent to the end
   // of another queue loses the place that it has.
   const isWaiting = !accepted.answer.hasBegun && context.ledger.isQueueing(server.instanceId);
