Count a request that was given up unanswered as no sign of a sound server

Callers saw: bookings that failed one after the other at a booking server that hung.

Whatever an entry cancelled counted as a sound end of the attempt: a timeout, a lost hedge, a caller that left. Each one lowered the doubt about the server that had not answered, so the server that hung was as good as the others.

Fix: a plain server that was given up without an answer after one and a half times the hoped-for time counts as failing, one given up sooner changes nothing; so does a stream given up before its first event, unless its server is silent: then it counts as failing.

Evidence: the test 'comes from another server after one has not answered at all' fails before (504 twice).

--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -172,6 +172,17 @@
     await start({ servers: { one: silent }, route: { timeoutMilliseconds: 120 } });
     expect((await send()).status).toBe(504);
   });
+
+  it('comes from another server after one has not answered at all', async () => {
+    // Guards against taking a request that was given up unanswered for a sign of soundness.
+    const hanging: Script = () => undefined;
+    await start({
+      servers: { one: hanging, two: answerWith('text') },
+      route: { timeoutMilliseconds: 200, objectiveMilliseconds: 100 },
+    });
+    expect((await send()).status).toBe(504);
+    expect((await send()).status).toBe(200);
+  });
 });
 
 describe('a stream', () => {
--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -10,8 +10,10 @@
 import type { Exchange, ExchangeEnd } from './exchange.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
 import { openForward } from './open-forward.js';
+import { lateMilliseconds } from './late-answer.js';
 import { OutcomeKind } from './outcome.js';
 import type { Outcome } from './outcome.js';
+import { Verdict } from './server-ledger.js';
 
 export interface RunningAttempt {
   readonly server: BackendServer;
@@ -54,14 +56,14 @@
 }
 
 /** Server errors speak against the server, refusals do not: a full server is sound. */
-function isSound(outcome: Outcome): boolean {
+function verdictOf(outcome: Outcome): Verdict {
   switch (outcome.kind) {
     case OutcomeKind.Answered:
-      return outcome.head.status < 500;
+      return outcome.head.status < 500 ? Verdict.Sound : Verdict.Failing;
     case OutcomeKind.NotRun:
-      return outcome.wasRefused;
+      return outcome.wasRefused ? Verdict.Sound : Verdict.Failing;
     case OutcomeKind.Unknown:
-      return false;
+      return Verdict.Failing;
     default: {
       const unreachable: never = outcome;
       return unreachable;
@@ -81,6 +83,14 @@
   const chunks: Buffer[] = [];
   let size = 0;
   let exchange: Exchange | undefined;
+
+  /** A server that hangs is told from a sound one by the time that it was given. */
+  function verdictOfCancelled(): Verdict {
+    if (head !== undefined) return Verdict.Sound;
+    const isLate = context.now() - startedAt >= lateMilliseconds(accepted.route);
+    return isLate ? Verdict.Failing : Verdict.Open;
+  }
+
   ledger.sent(server.instanceId, 0);
   context.coldShare.noteSent(server.instanceId);
   context.rateLimits.noteSent(server.instanceId);
@@ -106,8 +116,8 @@
           if (isCancelled && head === undefined) context.metrics.countUnansweredSend();
           const wasAnswered = judged.kind === OutcomeKind.Answered;
           if (wasAnswered) ledger.answered(server.instanceId, context.now() - startedAt, 0);
-          const sound = isCancelled || isSound(judged);
-          ledger.ended(server.instanceId, sound, 0, wasAnswered);
+          const verdict = isCancelled ? verdictOfCancelled() : verdictOf(judged);
+          ledger.ended(server.instanceId, verdict, 0, wasAnswered);
           resolve(judged);
         },
       },
--- a/packages/forwarding/src/serve-plain.ts
+++ b/packages/forwarding/src/serve-plain.ts
@@ -10,6 +10,7 @@
 import { chooseServer } from './choose-server.js';
 import { remainingOf, startProgress } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { lateMilliseconds } from './late-answer.js';
 import { EndKind, noteOutcome } from './note-outcome.js';
 import { describeOutcome, OutcomeKind, proveNotRun } from './outcome.js';
 import type { Answered, Outcome } from './outcome.js';
@@ -20,8 +21,6 @@
 import { planRoomWait } from './plan-wait.js';
 import { roundedOrNone } from './rounded-or-none.js';
 
-/** An idempotent request goes to a second server after this many times the hoped-for time. */
-const LATE_FACTOR = 1.5;
 /** Sends of one request, counting those refused: beyond it the service is taken to be full. */
 const MAXIMUM_SENDS = 4;
 /** Below this much time a further attempt cannot be answered. */
@@ -187,7 +186,7 @@
         }
       }
       const canHedge = mayRepeat && !hedged && progress.runs < route.maximumAttempts;
-      const lateAfter = canHedge ? route.objectiveMilliseconds * LATE_FACTOR : Infinity;
+      const lateAfter = canHedge ? lateMilliseconds(route) : Infinity;
       const settled = await nextSettled(lateAfter);
       if (answer.isOver) return;
       if (settled === 'stopped') {
--- /dev/null
+++ b/packages/forwarding/src/server-ledger.test.ts
@@ -0,0 +1,30 @@
+import type { BackendServer } from '@lapisbridge/catalog';
+import { expect, it } from 'vitest';
+
+import { createServerLedger, Verdict } from './server-ledger.js';
+
+const SERVER: BackendServer = {
+  instanceId: 'server',
+  service: 'service',
+  host: 'host',
+  port: 1,
+  availabilityZone: 'zone',
+  slots: 8,
+  draining: false,
+  groupRank: undefined,
+  startedAt: undefined,
+};
+
+it('doubts a server after a failure, less after a sound answer, and no less after a request given up', () => {
+  const ledger = createServerLedger(() => 0);
+  const limits = { roomInMilliseconds: 0, brokenForMilliseconds: undefined, isSilent: false };
+  const suspicionAfter = (verdict: Verdict): number => {
+    ledger.sent(SERVER.instanceId, 0);
+    ledger.ended(SERVER.instanceId, verdict, 0, false);
+    return ledger.view(SERVER, limits, 1).suspicion;
+  };
+  const doubt = suspicionAfter(Verdict.Failing);
+  expect(doubt).toBeGreaterThan(0);
+  expect(suspicionAfter(Verdict.Open)).toBe(doubt);
+  expect(suspicionAfter(Verdict.Sound)).toBeLessThan(doubt);
+});
--- a/packages/forwarding/src/server-ledger.ts
+++ b/packages/forwarding/src/server-ledger.ts
@@ -8,11 +8,19 @@
 
 import type { ReportedLoad } from './caller-protocol.js';
 
+/** What the end of an attempt says of its server. */
+export enum Verdict {
+  Sound = 'sound',
+  Failing = 'failing',
+  /** It was given up before the server could have answered. */
+  Open = 'open',
+}
+
 export interface ServerLedger {
   sent(instanceId: string, promptTokens: number): void;
   /** A stream's first event, or a whole answer, came after this time. */
   answered(instanceId: string, milliseconds: number, promptTokens: number): void;
-  ended(instanceId: string, sound: boolean, promptTokens: number, wasAnswered: boolean): void;
+  ended(instanceId: string, verdict: Verdict, promptTokens: number, wasAnswered: boolean): void;
   /** `ageMilliseconds`: how long ago the load was read, where it was relayed. */
   reported(instanceId: string, load: ReportedLoad, ageMilliseconds?: number): void;
   /** Own requests now at the server. */
@@ -113,14 +121,26 @@
           ? milliseconds
           : entry.typical + (milliseconds - entry.typical) * TYPICAL_WEIGHT;
     },
-    ended(instanceId, sound, promptTokens, wasAnswered) {
+    ended(instanceId, verdict, promptTokens, wasAnswered) {
       const entry = entryOf(instanceId);
       entry.inFlight = Math.max(0, entry.inFlight - 1);
       if (!wasAnswered) entry.unreadTokens = Math.max(0, entry.unreadTokens - promptTokens);
       const suspicion = suspicionNow(entry);
-      entry.suspicion = sound
-        ? suspicion * SOUND_FACTOR
-        : Math.min(MAXIMUM_SUSPICION, suspicion + 1);
+      switch (verdict) {
+        case Verdict.Sound:
+          entry.suspicion = suspicion * SOUND_FACTOR;
+          break;
+        case Verdict.Failing:
+          entry.suspicion = Math.min(MAXIMUM_SUSPICION, suspicion + 1);
+          break;
+        case Verdict.Open:
+          entry.suspicion = suspicion;
+          break;
+        default: {
+          const unreachable: never = verdict;
+          throw new Error(String(unreachable));
+        }
+      }
       entry.suspicionAt = now();
     },
     reported(instanceId, load, ageMilliseconds = 0) {
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -12,6 +12,7 @@
 import type { Exchange, ExchangeEnd } from './exchange.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
 import { openForward } from './open-forward.js';
+import { Verdict } from './server-ledger.js';
 
 export enum StreamEndKind {
   /** The server's stream came to its proper end. */
@@ -158,16 +159,24 @@
     return { kind: StreamEndKind.Complete };
   }
 
-  function isSound(end: StreamEnd, exchangeEnd: ExchangeEnd): boolean {
+  /** A stream that is given up says nothing of a server with a queue, unless it gives no sign of life. */
+  function verdictOfBroken(exchangeEnd: ExchangeEnd): Verdict {
+    if (exchangeEnd.kind !== ExchangeEndKind.Cancelled || doubt !== undefined)
+      return Verdict.Failing;
+    if (liveness.isSilent(server)) return Verdict.Failing;
+    return wasAnswered ? Verdict.Sound : Verdict.Open;
+  }
+
+  function verdictOf(end: StreamEnd, exchangeEnd: ExchangeEnd): Verdict {
     switch (end.kind) {
       case StreamEndKind.Complete:
-        return true;
+        return Verdict.Sound;
       case StreamEndKind.Answered:
-        return end.head.status < 500;
+        return end.head.status < 500 ? Verdict.Sound : Verdict.Failing;
       case StreamEndKind.NotRun:
-        return end.wasRefused;
+        return end.wasRefused ? Verdict.Sound : Verdict.Failing;
       case StreamEndKind.Broken:
-        return exchangeEnd.kind === ExchangeEndKind.Cancelled && doubt === undefined;
+        return verdictOfBroken(exchangeEnd);
       default: {
         const unreachable: never = end;
         return unreachable;
@@ -197,7 +206,8 @@
           const judged = judge(exchangeEnd);
           const isCancelled = exchangeEnd.kind === ExchangeEndKind.Cancelled;
           if (isCancelled && head === undefined) context.metrics.countUnansweredSend();
-          ledger.ended(server.instanceId, isSound(judged, exchangeEnd), promptTokens, wasAnswered);
+          const verdict = verdictOf(judged, exchangeEnd);
+          ledger.ended(server.instanceId, verdict, promptTokens, wasAnswered);
           resolve(judged);
         },
       },
