Use a silent server again that the store lists for longer than a lease

Callers would have seen: less room for good where the sidecar of a server ends and does not start again. A server without a sidecar and without streams gives no sign of life, so nothing was sent to it, and so it gave none. The store drops a server whose own heartbeats cease after some seconds; one that is still listed after six lives. The test fails before.

--- a/packages/forwarding/src/server-liveness.test.ts
+++ b/packages/forwarding/src/server-liveness.test.ts
@@ -55,6 +55,16 @@
     expect(played.liveness.size()).toBe(0);
   });
 
+  it('is not silent any more where the store lists it for longer than a lease', () => {
+    // Guards against servers without work whose sidecar alone has stopped.
+    const played = playServers(16);
+    played.run(5000, [3]);
+    expect(played.silent()).toBe(1);
+    played.run(2000, [3]);
+    expect(played.silent()).toBe(0);
+    expect(played.liveness.size()).toBe(0);
+  });
+
   it('that was never heard counts from when it is known', () => {
     const played = playServers(16);
     played.run(300, [3]);
--- a/packages/forwarding/src/server-liveness.ts
+++ b/packages/forwarding/src/server-liveness.ts
@@ -12,7 +12,7 @@
   heard(instanceId: string, ageMilliseconds?: number): void;
   /** Since the last sign of life, or since the server is known; undefined for an unknown one. */
   silenceMilliseconds(instanceId: string): number | undefined;
-  /** Whether the server is silent while most of its service are not. */
+  /** Whether the server is silent while most of its service are not, and may be gone. */
   isSilent(server: BackendServer): boolean;
   /** Number of servers that were silent when last asked about. */
   size(): number;
@@ -24,6 +24,11 @@
 const SHORTEST_SILENCE_MILLISECONDS = 400;
 /** Half of the servers reported within half the pace of reports: two reports may be lost. */
 const MEDIAN_FACTOR = 4;
+/**
+ * The store lists no server whose own heartbeats have ceased for so long. One that is still listed
+ * has only lost its sidecar, and must not stay without work.
+ */
+const LEASE_MILLISECONDS = 6000;
 /** The limit is worked out anew after this long. */
 const LIMIT_MILLISECONDS = 50;
 
@@ -84,7 +89,10 @@
       if (groupRank === undefined) return false;
       const silence = silenceMilliseconds(instanceId) ?? 0;
       const limit = limitOf(service);
-      const isSilent = silence > limit;
+      const isSilent = silence > limit && silence < LEASE_MILLISECONDS;
+      if (!isSilent && silentSince.delete(instanceId)) {
+        logger.info('silent backend server still listed', { server: instanceId });
+      }
       if (isSilent && !silentSince.has(instanceId)) {
         silentSince.set(instanceId, now() - silence);
         logger.info('backend server silent', {
--- a/packages/log-story/src/draw-timeline.ts
+++ b/packages/log-story/src/draw-timeline.ts
@@ -63,6 +63,7 @@
     case 'backend server silent':
     case 'backend server heard again':
     case 'silent backend server removed':
+    case 'silent backend server still listed':
       return {
         matter: `backend server ${String(fields.server)}`,
         begins: event === 'backend server silent',
