--- a/packages/history/src/checkers.ts
+++ b/packages/history/src/checkers.ts
@@ -162,7 +162,7 @@
 /** Requests that may reach a backend server although their callers have left long before. */
 const ABANDONED_ARRIVALS = 3;
 
-/** A backend server is not given work that nobody waits for any more. */
+/** A backend server is not given requests whose callers have left. */
 export const checkAbandonment: Checker = (events) => {
   const arrivals = select(events, EventKind.AbandonedArrival);
   if (arrivals.length <= ABANDONED_ARRIVALS) return [];
