Log and count the backoffs that backend servers ask for

No decision uses it yet.

`server backoff` lines, `backoff` of `routing` lines, the reason of `attempt` lines, beliefs of `explain` and periods of `incident` tell it; the metrics list the servers and count requests that were sent to them meanwhile. Text that is no number of seconds is logged and ignored, an absurdly long time is cut to five minutes.

--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -11,11 +11,12 @@
   createGroupHealth,
   createPulse,
   createRetryShare,
+  createServerBackoffs,
   createServerLedger,
   createServerLiveness,
   createServerRateLimits,
 } from '@lapisbridge/forwarding';
-import type { ForwardContext, SendingEntries } from '@lapisbridge/forwarding';
+import type { BackingOffServer, ForwardContext, SendingEntries } from '@lapisbridge/forwarding';
 import type { Address } from '@lapisbridge/json-call';
 import { createRandom, monotonicClock } from '@lapisbridge/kernel';
 import { createMetrics, startMetricsListener } from '@lapisbridge/metrics';
@@ -45,6 +46,12 @@
   });
 }
 
+function secondsByServer(servers: readonly BackingOffServer[]): ReadonlyMap<string, number> {
+  return new Map(
+    servers.map(({ instanceId, ageMilliseconds }) => [instanceId, ageMilliseconds / 1000]),
+  );
+}
+
 /** Runs until a signal ends the process. */
 export async function startDirectEntry(adapters: EntryAdapters): Promise<void> {
   const life = beginLife('entry');
@@ -78,6 +85,7 @@
     onChange: () => fleet.onNews(),
     now: monotonicClock,
   });
+  const backoffs = createServerBackoffs(monotonicClock, logger);
   const { fleet, start: startFleetLink } = startFleet({
     settings: () => life.settings(),
     catalog,
@@ -117,7 +125,7 @@
   const coldShare = createColdShare(sendingEntries, monotonicClock);
   catalog.onChange(() => {
     const { servers } = catalog.servers();
-    for (const memory of [ledger, liveness, pulse, coldShare, rateLimits]) {
+    for (const memory of [ledger, liveness, pulse, coldShare, rateLimits, backoffs]) {
       memory.keepOnly(servers);
     }
   });
@@ -138,6 +146,17 @@
     () => rateLimits.requestsSent(),
   );
 
+  metrics.serverGauge(
+    'lapisbridge_server_backoff_seconds',
+    'Time since a backend server that backs off asked for it.',
+    () => secondsByServer(backoffs.list()),
+  );
+  metrics.gauge(
+    'lapisbridge_backoff_requests_sent_total',
+    'Requests sent to backend servers while they back off.',
+    () => backoffs.requestsSent(),
+  );
+
   const context: ForwardContext = {
     metrics,
     protocol: adapters.protocol,
@@ -155,6 +174,7 @@
     ),
     coldShare,
     rateLimits,
+    backoffs,
     arrivals: createArrivalMeter(monotonicClock),
     entries,
     pulse,
--- a/packages/forwarding/src/answer-head.ts
+++ b/packages/forwarding/src/answer-head.ts
@@ -2,6 +2,7 @@
  * What the head of a backend server's answer says: whether it can be believed, and whether it
  * proves that the request did not run.
  */
+import { RetryAfterKind } from './caller-protocol.js';
 import type { AnswerHead } from './caller-protocol.js';
 
 const SUCCESS_FROM = 200;
@@ -18,13 +19,25 @@
   return undefined;
 }
 
+function describeBackoff({ retryAfter }: AnswerHead): string {
+  if (retryAfter.kind !== RetryAfterKind.Stated) return '';
+  return `, back off for ${Math.round(retryAfter.milliseconds)} ms`;
+}
+
 export function describeRefusal(head: AnswerHead): string {
   if (head.isMisdirected) return 'another server has the address';
   return head.faultyAddress === undefined
-    ? 'refused by it'
+    ? `refused by it${describeBackoff(head)}`
     : `refused, ${head.faultyAddress} at fault`;
 }
 
+/** Whether the head is that of the server that the request was sent to. */
+export function speaksForServer(head: AnswerHead, requestId: string): boolean {
+  if (head.isMisdirected) return false;
+  // Refusals need not name the request.
+  return provesNotRun(head) || doubtHead(head, requestId) === undefined;
+}
+
 /** Whether the head proves that the request did not run. */
 export function provesNotRun(head: AnswerHead): boolean {
   return head.notRun || head.isMisdirected;
--- a/packages/forwarding/src/caller-protocol.ts
+++ b/packages/forwarding/src/caller-protocol.ts
@@ -56,6 +56,20 @@
   | { readonly kind: RateLimitKind.Stated; readonly requestsPerSecond: number }
   | { readonly kind: RateLimitKind.Unreadable };
 
+export enum RetryAfterKind {
+  /** The server states nothing. */
+  None = 'none',
+  Stated = 'stated',
+  /** It states something that is no number of seconds. */
+  Unreadable = 'unreadable',
+}
+
+/** For how long a backend server wants no further request from this entry. */
+export type StatedRetryAfter =
+  | { readonly kind: RetryAfterKind.None }
+  | { readonly kind: RetryAfterKind.Stated; readonly milliseconds: number }
+  | { readonly kind: RetryAfterKind.Unreadable };
+
 export interface AnswerHead {
   readonly status: number;
   readonly requestId: string | undefined;
@@ -69,6 +83,7 @@
   readonly faultyAddress: string | undefined;
   readonly load: ReportedLoad | undefined;
   readonly rateLimit: StatedRateLimit;
+  readonly retryAfter: StatedRetryAfter;
   /** End-to-end headers as raw pairs. */
   readonly headers: readonly string[];
 }
--- a/packages/forwarding/src/choose-server.ts
+++ b/packages/forwarding/src/choose-server.ts
@@ -86,6 +86,7 @@
     random: context.random,
   });
   const chosen = choice.kind === ServerChoiceKind.Chosen;
+  const backoff = chosen ? context.backoffs.remainingMilliseconds(choice.view.instanceId) : 0;
   const silence = chosen ? context.liveness.silenceMilliseconds(choice.view.instanceId) : undefined;
   context.logger.decision({
     kind: 'routing',
@@ -102,6 +103,7 @@
       silence: roundedOrNone(silence),
       suspicion: chosen ? Number(choice.view.suspicion.toFixed(2)) : undefined,
       rateLimit: chosen ? context.rateLimits.limitOf(choice.view.instanceId) : undefined,
+      backoff: backoff > 0 ? Math.round(backoff) : undefined,
     },
   });
   return { choice, server: chosen ? byId.get(choice.view.instanceId) : undefined };
--- a/packages/forwarding/src/fixture-protocol.ts
+++ b/packages/forwarding/src/fixture-protocol.ts
@@ -1,7 +1,7 @@
 /**
  * How callers and backend servers speak in tests of forwarding.
  */
-import { RateLimitKind } from './caller-protocol.js';
+import { RateLimitKind, RetryAfterKind } from './caller-protocol.js';
 import type { CallerProtocol } from './caller-protocol.js';
 
 /** Plain names of this fixture's own. */
@@ -45,6 +45,13 @@
             kind: RateLimitKind.Stated,
             requestsPerSecond: Number(incoming.headers['rate-limit']),
           },
+    retryAfter:
+      incoming.headers['retry-after'] === undefined
+        ? { kind: RetryAfterKind.None }
+        : {
+            kind: RetryAfterKind.Stated,
+            milliseconds: Number(incoming.headers['retry-after']) * 1000,
+          },
     headers: [
       'Signature',
       String(incoming.headers.signature),
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -21,6 +21,7 @@
 import { createPulse } from './pulse.js';
 import { createRetryShare } from './retry-share.js';
 import type { SendingEntries } from './sender-rank.js';
+import { createServerBackoffs } from './server-backoffs.js';
 import { createServerLedger } from './server-ledger.js';
 import { createServerLiveness } from './server-liveness.js';
 import type { ServerLiveness } from './server-liveness.js';
@@ -194,6 +195,7 @@
       onChange: () => undefined,
       now,
     }),
+    backoffs: createServerBackoffs(now, logger),
     arrivals: createArrivalMeter(now),
     entries: () => 1,
     pulse: { ...createPulse(now), isStuck: () => isStuck.value },
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -5,7 +5,7 @@
 export type { ArrivalMeter } from './arrival-meter.js';
 export { createCallerListener } from './caller-listener.js';
 export type { CallerListener, CallerListenerOptions } from './caller-listener.js';
-export { RateLimitKind } from './caller-protocol.js';
+export { RateLimitKind, RetryAfterKind } from './caller-protocol.js';
 export type {
   AnswerHead,
   CallerProtocol,
@@ -13,6 +13,7 @@
   ForwardInput,
   ReportedLoad,
   StatedRateLimit,
+  StatedRetryAfter,
 } from './caller-protocol.js';
 export { createColdShare } from './cold-share.js';
 export type { ColdShare } from './cold-share.js';
@@ -23,6 +24,8 @@
 export { createRetryShare } from './retry-share.js';
 export type { RetryBounds, RetryShare } from './retry-share.js';
 export type { SendingEntries } from './sender-rank.js';
+export { createServerBackoffs } from './server-backoffs.js';
+export type { BackingOffServer, ServerBackoffs } from './server-backoffs.js';
 export { createServerLedger } from './server-ledger.js';
 export type { ServerLedger } from './server-ledger.js';
 export { createServerLiveness } from './server-liveness.js';
--- a/packages/forwarding/src/play-rate-limit.ts
+++ b/packages/forwarding/src/play-rate-limit.ts
@@ -6,7 +6,7 @@
 import { createSilentLogger } from '@lapisbridge/logger';
 import { rendezvousOrder } from '@lapisbridge/routing';
 
-import { RateLimitKind } from './caller-protocol.js';
+import { RateLimitKind, RetryAfterKind } from './caller-protocol.js';
 import type { AnswerHead } from './caller-protocol.js';
 import { createServerRateLimits } from './server-rate-limits.js';
 import type { RateLimitStatement, ServerRateLimits } from './server-rate-limits.js';
@@ -72,6 +72,7 @@
     isMisdirected: false,
     faultyAddress: undefined,
     load: undefined,
+    retryAfter: { kind: RetryAfterKind.None },
     rateLimit:
       requestsPerSecond === undefined
         ? { kind: RateLimitKind.None }
--- /dev/null
+++ b/packages/forwarding/src/server-backoffs.test.ts
@@ -0,0 +1,84 @@
+import { createSilentLogger } from '@lapisbridge/logger';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import { RateLimitKind, RetryAfterKind } from './caller-protocol.js';
+import type { AnswerHead, StatedRetryAfter } from './caller-protocol.js';
+import { createServerBackoffs, LONGEST_BACKOFF_MILLISECONDS } from './server-backoffs.js';
+import type { ServerBackoffs } from './server-backoffs.js';
+
+function refusal(retryAfter: StatedRetryAfter, status = 503): AnswerHead {
+  return {
+    status,
+    requestId: 'id',
+    isSigned: true,
+    notRun: status === 503,
+    isMisdirected: false,
+    faultyAddress: undefined,
+    load: undefined,
+    rateLimit: { kind: RateLimitKind.None },
+    retryAfter,
+    headers: [],
+  };
+}
+
+function after(milliseconds: number): StatedRetryAfter {
+  return { kind: RetryAfterKind.Stated, milliseconds };
+}
+
+describe('backoffs that servers ask for', () => {
+  let now = 0;
+  let backoffs: ServerBackoffs;
+
+  beforeEach(() => {
+    now = 1000;
+    backoffs = createServerBackoffs(() => now, createSilentLogger());
+  });
+
+  it('last as long as was asked for', () => {
+    backoffs.onAnswer('server', refusal(after(3000)));
+    now += 2999;
+    expect(backoffs.remainingMilliseconds('server')).toBe(1);
+    expect(backoffs.remainingMilliseconds('other')).toBe(0);
+    now += 1;
+    expect(backoffs.remainingMilliseconds('server')).toBe(0);
+    expect(backoffs.list()).toEqual([]);
+  });
+
+  it('are prolonged by later answers, and not shortened or ended', () => {
+    backoffs.onAnswer('server', refusal(after(3000)));
+    now += 1000;
+    backoffs.onAnswer('server', refusal(after(500)));
+    backoffs.onAnswer('server', refusal({ kind: RetryAfterKind.None }, 200));
+    expect(backoffs.remainingMilliseconds('server')).toBe(2000);
+    backoffs.onAnswer('server', refusal(after(4000)));
+    expect(backoffs.remainingMilliseconds('server')).toBe(4000);
+    expect(backoffs.list()).toEqual([{ instanceId: 'server', ageMilliseconds: 1000 }]);
+  });
+
+  it('are asked for by 503 alone, in a time that can be read and is above 0', () => {
+    backoffs.onAnswer('server', refusal(after(3000), 200));
+    backoffs.onAnswer('server', refusal(after(3000), 429));
+    backoffs.onAnswer('server', refusal({ kind: RetryAfterKind.Unreadable }));
+    backoffs.onAnswer('server', refusal(after(0)));
+    expect(backoffs.remainingMilliseconds('server')).toBe(0);
+  });
+
+  it('are bounded, so that a server that asks for ever is tried again', () => {
+    backoffs.onAnswer('server', refusal(after(Infinity)));
+    expect(backoffs.remainingMilliseconds('server')).toBe(LONGEST_BACKOFF_MILLISECONDS);
+  });
+
+  it('outlast a moment in which the server is missing from the list', () => {
+    backoffs.onAnswer('server', refusal(after(3000)));
+    backoffs.keepOnly(new Map());
+    expect(backoffs.remainingMilliseconds('server')).toBe(3000);
+  });
+
+  it('count the requests that are sent meanwhile', () => {
+    backoffs.noteSent('server');
+    backoffs.onAnswer('server', refusal(after(3000)));
+    backoffs.noteSent('server');
+    backoffs.noteSent('other');
+    expect(backoffs.requestsSent()).toBe(1);
+  });
+});
--- /dev/null
+++ b/packages/forwarding/src/server-backoffs.ts
@@ -0,0 +1,104 @@
+/**
+ * Backoffs that backend servers ask for: with a 503, a server may say for how long it wants no
+ * further request from this entry. A backoff concerns the entry that was told, and no other.
+ */
+import type { Logger } from '@lapisbridge/logger';
+
+import { RetryAfterKind } from './caller-protocol.js';
+import type { AnswerHead } from './caller-protocol.js';
+
+/** A server that backs off, with the milliseconds since it asked for it first. */
+export interface BackingOffServer {
+  readonly instanceId: string;
+  readonly ageMilliseconds: number;
+}
+
+export interface ServerBackoffs {
+  /** Takes what a server's answer states; the answer has to be the server's own. */
+  onAnswer(instanceId: string, head: AnswerHead): void;
+  /** Milliseconds until the server may be sent to again; 0 for now. */
+  remainingMilliseconds(instanceId: string): number;
+  noteSent(instanceId: string): void;
+  /** Servers that back off now. */
+  list(): BackingOffServer[];
+  /** Requests sent to servers while they backed off, since the start. */
+  requestsSent(): number;
+  /** Forgets servers that are gone, once their backoffs are over. */
+  keepOnly(instanceIds: ReadonlyMap<string, unknown>): void;
+}
+
+interface Backoff {
+  readonly since: number;
+  until: number;
+}
+
+const SERVICE_UNAVAILABLE = 503;
+/** A server that asks for more is sent a request after this long all the same. */
+export const LONGEST_BACKOFF_MILLISECONDS = 300_000;
+
+export function createServerBackoffs(now: () => number, logger: Logger): ServerBackoffs {
+  const backoffs = new Map<string, Backoff>();
+  let requestsSent = 0;
+
+  function current(instanceId: string): Backoff | undefined {
+    const backoff = backoffs.get(instanceId);
+    if (backoff === undefined || backoff.until > now()) return backoff;
+    backoffs.delete(instanceId);
+    return undefined;
+  }
+
+  return {
+    onAnswer(instanceId, { status, retryAfter }) {
+      if (status !== SERVICE_UNAVAILABLE) return;
+      switch (retryAfter.kind) {
+        case RetryAfterKind.None:
+          return;
+        case RetryAfterKind.Unreadable:
+          logger.warn('server backoff unreadable', { server: instanceId });
+          return;
+        case RetryAfterKind.Stated:
+          break;
+        default: {
+          const unreachable: never = retryAfter;
+          throw new Error(String(unreachable));
+        }
+      }
+      const milliseconds = Math.min(retryAfter.milliseconds, LONGEST_BACKOFF_MILLISECONDS);
+      if (milliseconds <= 0) return;
+      const until = now() + milliseconds;
+      const before = current(instanceId);
+      if (before !== undefined) {
+        before.until = Math.max(before.until, until);
+        return;
+      }
+      backoffs.set(instanceId, { since: now(), until });
+      logger.info('server backoff', {
+        server: instanceId,
+        milliseconds,
+        stated: retryAfter.milliseconds,
+      });
+    },
+    remainingMilliseconds(instanceId) {
+      const backoff = current(instanceId);
+      return backoff === undefined ? 0 : backoff.until - now();
+    },
+    noteSent(instanceId) {
+      if (current(instanceId) !== undefined) requestsSent += 1;
+    },
+    list() {
+      const listed: BackingOffServer[] = [];
+      for (const instanceId of [...backoffs.keys()]) {
+        const backoff = current(instanceId);
+        if (backoff === undefined) continue;
+        listed.push({ instanceId, ageMilliseconds: now() - backoff.since });
+      }
+      return listed;
+    },
+    requestsSent: () => requestsSent,
+    keepOnly(instanceIds) {
+      for (const instanceId of [...backoffs.keys()]) {
+        if (!instanceIds.has(instanceId)) current(instanceId);
+      }
+    },
+  };
+}
--- a/packages/forwarding/src/server-rate-limits.test.ts
+++ b/packages/forwarding/src/server-rate-limits.test.ts
@@ -1,7 +1,7 @@
 import { createSilentLogger } from '@lapisbridge/logger';
 import { describe, expect, it } from 'vitest';
 
-import { RateLimitKind } from './caller-protocol.js';
+import { RateLimitKind, RetryAfterKind } from './caller-protocol.js';
 import type { AnswerHead, StatedRateLimit } from './caller-protocol.js';
 import { createServerRateLimits } from './server-rate-limits.js';
 import type { ServerRateLimits } from './server-rate-limits.js';
@@ -20,6 +20,7 @@
     faultyAddress: undefined,
     load: undefined,
     rateLimit: { kind: RateLimitKind.None },
+    retryAfter: { kind: RetryAfterKind.None },
     headers: [],
     ...fields,
   };
--- a/packages/forwarding/src/server-rate-limits.ts
+++ b/packages/forwarding/src/server-rate-limits.ts
@@ -5,7 +5,7 @@
  */
 import type { Logger } from '@lapisbridge/logger';
 
-import { doubtHead, isSuccess, provesNotRun } from './answer-head.js';
+import { isSuccess, speaksForServer } from './answer-head.js';
 import { RateLimitKind } from './caller-protocol.js';
 import type { AnswerHead } from './caller-protocol.js';
 import { planRateLimitRoom } from './plan-rate-limit-room.js';
@@ -113,9 +113,7 @@
 
   return {
     onAnswer({ instanceId, head, requestId, sentAt }) {
-      if (head.isMisdirected) return;
-      // Refusals need not name the request.
-      if (!provesNotRun(head) && doubtHead(head, requestId) !== undefined) return;
+      if (!speaksForServer(head, requestId)) return;
       const { rateLimit } = head;
       switch (rateLimit.kind) {
         case RateLimitKind.Stated:
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -4,7 +4,13 @@
  */
 import type { BackendServer } from '@lapisbridge/catalog';
 
-import { describeRefusal, doubtHead, isSuccess, provesNotRun } from './answer-head.js';
+import {
+  describeRefusal,
+  doubtHead,
+  isSuccess,
+  provesNotRun,
+  speaksForServer,
+} from './answer-head.js';
 import type { AnswerHead } from './caller-protocol.js';
 import { createEventSplitter } from './event-splitter.js';
 import type { StreamEvent } from './event-splitter.js';
@@ -187,6 +193,7 @@
   ledger.sent(server.instanceId, promptTokens);
   context.coldShare.noteSent(server.instanceId);
   context.rateLimits.noteSent(server.instanceId);
+  context.backoffs.noteSent(server.instanceId);
   const end = new Promise<StreamEnd>((resolve) => {
     exchange = openForward(
       { context, accepted, server, lastEventId: sink.lastEventId(), isMoved },
@@ -197,6 +204,7 @@
           if (head.load !== undefined) ledger.reported(server.instanceId, head.load);
           const { instanceId } = server;
           context.rateLimits.onAnswer({ instanceId, head, requestId, sentAt: startedAt });
+          if (speaksForServer(head, requestId)) context.backoffs.onAnswer(instanceId, head);
           if (provesNotRun(head)) return;
           const doubted = doubtHead(head, requestId);
           if (doubted !== undefined) giveUp(doubted);
--- a/packages/log-story/src/draw-timeline.ts
+++ b/packages/log-story/src/draw-timeline.ts
@@ -49,8 +49,16 @@
   readonly awaited: Set<string>;
 }
 
+interface Change {
+  readonly matter: string;
+  readonly begins: boolean;
+  readonly cause: string;
+  /** Known in advance where the line says how long it lasts. */
+  readonly lastsMilliseconds?: number;
+}
+
 /** What begins or ends with a line; undefined for other lines. */
-function changeOf(line: LogLine): { matter: string; begins: boolean; cause: string } | undefined {
+function changeOf(line: LogLine): Change | undefined {
   const { event, fields, instance } = line;
   const cause = String(fields.cause ?? fields.reason ?? '');
   switch (event) {
@@ -75,6 +83,13 @@
         begins: fields.requestsPerSecond !== 'none',
         cause: `${String(fields.requestsPerSecond)} requests a second`,
       };
+    case 'server backoff':
+      return {
+        matter: `backoff of ${String(fields.server)}`,
+        begins: true,
+        cause: `the server asked for ${String(fields.milliseconds)} ms without requests`,
+        lastsMilliseconds: Number(fields.milliseconds) || 0,
+      };
     case 'stopping':
       return { matter: `process ${instance}`, begins: true, cause: 'asked to stop' };
     case 'started':
@@ -104,12 +119,13 @@
     }
     const change = changeOf(line);
     if (change === undefined) continue;
-    const { matter, begins, cause } = change;
+    const { matter, begins, cause, lastsMilliseconds } = change;
     const current = periods.findLast((period) => period.matter === matter);
     if (begins) {
       const isSame =
         current !== undefined &&
         (current.awaited.size > 0 || line.at - current.fromAt < TOGETHER_MILLISECONDS);
+      const endsAt = lastsMilliseconds === undefined ? undefined : line.at + lastsMilliseconds;
       const period = isSame
         ? current
         : {
@@ -123,8 +139,10 @@
           };
       if (!isSame) periods.push(period);
       period.instances.add(line.instance);
-      period.awaited.add(line.instance);
-      period.until = undefined;
+      if (endsAt === undefined) {
+        period.awaited.add(line.instance);
+        period.until = undefined;
+      } else period.until = Math.max(period.until ?? 0, endsAt);
     } else if (current !== undefined) endAt(current, line);
   }
   return periods;
--- a/packages/log-story/src/log-story.test.ts
+++ b/packages/log-story/src/log-story.test.ts
@@ -160,6 +160,19 @@
     ]);
   });
 
+  it('shows for how long a backend server backed off, as it asked', () => {
+    const backoff = { event: 'server backoff', server: 'i-1', milliseconds: 3000 };
+    const lines = linesOf(
+      { second: 1, ...backoff },
+      { second: 2, instance: 'entry-2', ...backoff },
+      { second: 9, ...backoff, milliseconds: 500 },
+    );
+    expect(drawTimeline(lines).periods).toMatchObject([
+      { matter: 'backoff of i-1', milliseconds: 4000, instances: ['entry-1', 'entry-2'] },
+      { matter: 'backoff of i-1', milliseconds: 500, instances: ['entry-1'] },
+    ]);
+  });
+
   it('leaves open what was not regained', () => {
     const lines = linesOf({ second: 1, event: 'group lost', group: 'g', cause: 'refused' });
     expect(drawTimeline(lines).periods).toMatchObject([
--- a/packages/log-story/src/tell-story.ts
+++ b/packages/log-story/src/tell-story.ts
@@ -51,6 +51,11 @@
         matter: `rate limit of ${String(fields.server)}`,
         state: `${String(fields.requestsPerSecond)} requests a second`,
       };
+    case 'server backoff':
+      return {
+        matter: `backoff of ${String(fields.server)}`,
+        state: `asked for ${String(fields.milliseconds)} ms without requests`,
+      };
     case 'copy taken from a peer':
       return { matter: `copy of ${String(fields.table)}`, state: `from ${String(fields.host)}` };
     case 'started':
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -28,6 +28,8 @@
   observe(kind: LatencyKind, milliseconds: number): void;
   /** Registers a value that is read when metrics are asked for. */
   gauge(name: string, help: string, read: () => number): void;
+  /** Registers values by backend server that are read when metrics are asked for. */
+  serverGauge(name: string, help: string, read: () => ReadonlyMap<string, number>): void;
   /** Registers counts of datagrams sent, by kind, that are read when metrics are asked for. */
   datagrams(read: () => ReadonlyMap<string, DatagramCount>): void;
   text(): Promise<string>;
@@ -98,6 +100,19 @@
       });
       registry.registerMetric(gauge);
     },
+    serverGauge(name, help, read) {
+      const gauge = new Gauge({
+        name,
+        help,
+        labelNames: ['server'],
+        registers: [registry],
+        collect() {
+          this.reset();
+          for (const [server, value] of read()) this.set({ server }, value);
+        },
+      });
+      registry.registerMetric(gauge);
+    },
     datagrams(read) {
       const sent = new Gauge({
         name: 'lapisbridge_datagrams_sent_total',
