--- /dev/null
+++ b/packages/forwarding/src/backoff.test.ts
@@ -0,0 +1,126 @@
+/**
+ * Requests while one of their backend servers has asked for a backoff.
+ */
+import { request } from 'node:http';
+
+import { RequestKind } from '@lapisbridge/catalog';
+import { afterEach, expect, it } from 'vitest';
+
+import { answerWith, startFixture, streamEvents } from './forwarding-fixture.js';
+import type { Fixture, Script } from './forwarding-fixture.js';
+
+let fixture: Fixture;
+
+afterEach(() => fixture.close());
+
+/** Refuses the request and asks for so many seconds without others. */
+function askForBackoff(seconds: number): Script {
+  return (incoming, response) => {
+    response.writeHead(503, {
+      'request-id': String(incoming.headers['request-id']),
+      'not-run': '1',
+      'retry-after': String(seconds),
+      'content-length': 0,
+    });
+    response.end();
+  };
+}
+
+/** Answers later than a server is expected to whose times are not known yet. */
+function slowly(script: Script): Script {
+  return (incoming, response) => void setTimeout(() => script(incoming, response), 80);
+}
+
+interface Received {
+  readonly status: number;
+  readonly retryAfter: number;
+  readonly milliseconds: number;
+}
+
+function send(id: string): Promise<Received> {
+  const sentAt = performance.now();
+  return new Promise((resolve, reject) => {
+    const headers = { 'request-id': id };
+    const outgoing = request(
+      { host: '127.0.0.1', port: fixture.port, method: 'POST', headers },
+      (incoming) => {
+        incoming.resume();
+        incoming.on('end', () =>
+          resolve({
+            status: incoming.statusCode ?? 0,
+            retryAfter: Number(incoming.headers['retry-after']),
+            milliseconds: performance.now() - sentAt,
+          }),
+        );
+      },
+    );
+    outgoing.on('error', reject);
+    outgoing.end('body');
+  });
+}
+
+function arrivalsAt(server: string): number {
+  return fixture.arrivals.filter(({ instanceId }) => instanceId === server).length;
+}
+
+it.each([
+  ['streams', RequestKind.Streaming],
+  ['at-most-once requests', RequestKind.AtMostOnce],
+  ['idempotent requests', RequestKind.Idempotent],
+])('sends no %s to a server that backs off, and all to others', async (_, kind) => {
+  // Guards against entries that go on sending to a server that has asked for rest.
+  const serve = kind === RequestKind.Streaming ? streamEvents(2) : answerWith('answer');
+  fixture = await startFixture({
+    servers: { backingOff: askForBackoff(30), other: slowly(serve) },
+    route: { kind },
+  });
+  for (let index = 0; index < 8; index += 1) {
+    expect((await send(`id-${index}`)).status).toBe(200);
+  }
+  expect(arrivalsAt('backingOff')).toBe(1);
+});
+
+it('sends to the server again when the backoff is over', async () => {
+  // Guards against servers that stay without work after a backoff.
+  fixture = await startFixture({
+    servers: { one: askForBackoff(0.3), other: slowly(answerWith('answer')) },
+  });
+  await send('first');
+  await new Promise((resolve) => {
+    setTimeout(resolve, 350);
+  });
+  await send('second');
+  expect(arrivalsAt('one')).toBe(2);
+});
+
+it('keeps a request where a backoff is over soon', async () => {
+  // Guards against callers that are told to come back later than they could be served.
+  let isFirst = true;
+  fixture = await startFixture({
+    servers: {
+      one(incoming, response) {
+        const script = isFirst ? askForBackoff(0.3) : answerWith('answer');
+        isFirst = false;
+        script(incoming, response);
+      },
+    },
+    route: { kind: RequestKind.AtMostOnce, objectiveMilliseconds: 60_000 },
+  });
+  await send('first');
+  const { status, milliseconds } = await send('second');
+  expect(status).toBe(200);
+  expect(milliseconds).toBeGreaterThan(250);
+  expect(arrivalsAt('one')).toBe(2);
+});
+
+it('refuses a request at once where every server backs off for long, and says until when', async () => {
+  // Guards against callers that come back within the backoff, or wait for nothing.
+  fixture = await startFixture({ servers: { one: askForBackoff(1.4), two: askForBackoff(2) } });
+  await send('first');
+  const { status, retryAfter, milliseconds } = await send('second');
+  expect(status).toBe(503);
+  expect(milliseconds).toBeLessThan(200);
+  expect(retryAfter).toBeGreaterThan(1.3);
+  expect(retryAfter).toBeLessThan(2);
+  expect(fixture.arrivals).toHaveLength(2);
+});
--- a/packages/history/src/checkers.ts
+++ b/packages/history/src/checkers.ts
@@ -171,6 +171,20 @@
   return [{ promise: 'abandonment', detail }];
 };
 
+/** Requests of one entry that may reach a backend server within a backoff. */
+const BACKOFF_REQUESTS = 2;
+
+/** A backend server that asks an entry to back off gets hardly any request of it. */
+export const checkBackoff: Checker = (events) => {
+  const violations: Violation[] = [];
+  for (const { instanceId, entry, requests } of select(events, EventKind.BackoffLoad)) {
+    if (requests !== BACKOFF_REQUESTS + 1) continue;
+    const detail = `${instanceId} got more than ${BACKOFF_REQUESTS} requests of ${entry} while it backed off`;
+    violations.push({ promise: 'backoff', detail });
+  }
+  return violations;
+};
+
 /** In every step, all ranks of a group use one and the same expert map. */
 export const checkOneMapPerStep: Checker = (events) => {
   const violations: Violation[] = [];
@@ -197,6 +211,7 @@
   checkColdStart,
   checkRateLimit,
   checkAbandonment,
+  checkBackoff,
   checkOneMapPerStep,
 ];
 
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -34,6 +34,8 @@
   RateLimitedLoad = 'rateLimitedLoad',
   /** A request reached a backend server long after its caller had left. */
   AbandonedArrival = 'abandonedArrival',
+  /** A request of an entry reached a backend server that had asked this entry to back off. */
+  BackoffLoad = 'backoffLoad',
 }
 
 export type HistoryEvent =
@@ -92,6 +94,13 @@
       readonly kind: EventKind.AbandonedArrival;
       readonly instanceId: string;
       readonly request: string;
+    }
+  | {
+      readonly kind: EventKind.BackoffLoad;
+      readonly instanceId: string;
+      readonly entry: string;
+      /** Within this backoff so far. */
+      readonly requests: number;
     };
 
 export type EventOf<K extends EventKind> = Extract<HistoryEvent, { readonly kind: K }>;
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -12,6 +12,7 @@
 const BAD_SHARE = 0.4;
 const LATE_SHARE = 0.4;
 const RATE_LIMITS = [1, 0.4, 2.5];
+const BACKOFF_SECONDS = [3, 2, 0.7];
 
 const STORE_FAULTS: Readonly<Partial<Record<FaultKind, StoreFault>>> = {
   [FaultKind.StoreDown]: StoreFault.Down,
@@ -37,6 +38,7 @@
 /** Sends a signal that ends or holds up a process, which so may not know what it was told. */
 function interrupt(site: Site, program: Program, signal: NodeJS.Signals): void {
   site.rateLimitWatch.excuse(program.name);
+  site.backoffWatch.excuse(program.name);
   site.abandonmentWatch.excuse(program.name);
   program.signal(signal);
 }
@@ -101,9 +103,13 @@
     case FaultKind.LinkReset:
     case FaultKind.LinkSilent:
     case FaultKind.LinkOneWay: {
-      const { link } = pick(servers, target);
+      const { instanceId, link } = pick(servers, target);
       link.setMode(LINK_MODES[kind] ?? LinkMode.Passing);
-      return () => link.setMode(LinkMode.Passing);
+      site.backoffWatch.cut(instanceId);
+      return () => {
+        link.setMode(LinkMode.Passing);
+        site.backoffWatch.mend(instanceId);
+      };
     }
     case FaultKind.ChangeConfiguration:
       site.configure(['key', `other-${target}`]);
@@ -115,14 +121,23 @@
         runner.rateLimit = undefined;
       };
     }
+    case FaultKind.ShedLoad: {
+      const { runner } = pick(servers, target);
+      runner.backoffSeconds = pick(BACKOFF_SECONDS, target);
+      return () => {
+        runner.backoffSeconds = undefined;
+      };
+    }
     case FaultKind.StopMachine: {
       const server = pick(site.ranks, target);
       const resumeSidecar = pause(site, pick(site.sidecars, target));
       server.isStopped = true;
       server.link.setMode(LinkMode.Held);
+      site.backoffWatch.cut(server.instanceId);
       return () => {
         server.isStopped = false;
         server.link.setMode(LinkMode.Passing);
+        site.backoffWatch.mend(server.instanceId);
         resumeSidecar();
       };
     }
--- a/packages/soak/src/plan-faults.ts
+++ b/packages/soak/src/plan-faults.ts
@@ -27,6 +27,8 @@
   DrainServer = 'drainServer',
   /** A backend server states a rate limit. */
   LimitRate = 'limitRate',
+  /** A backend server turns every request away and asks for time without requests. */
+  ShedLoad = 'shedLoad',
   /** The machine of a rank stands still: its backend server and the sidecar beside it. */
   StopMachine = 'stopMachine',
 }
@@ -63,6 +65,7 @@
     seed: 0x5eed,
     lengthFactor: RATE_LIMIT_LENGTH,
   },
+  { kind: FaultKind.ShedLoad, gapMilliseconds: 6000, seed: 0xb0ff, lengthFactor: 2 },
   { kind: FaultKind.StopMachine, gapMilliseconds: 7000, seed: 0x5709, lengthFactor: 1.5 },
 ];
 
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -27,6 +27,8 @@
 import type { Link } from './link.js';
 import { createProgram } from './program.js';
 import type { Program } from './program.js';
+import { createBackoffWatch } from './backoff-watch.js';
+import type { BackoffWatch } from './backoff-watch.js';
 import { createRateLimitWatch } from './rate-limit-watch.js';
 import type { RateLimitWatch } from './rate-limit-watch.js';
 
@@ -49,6 +51,7 @@
   readonly entries: readonly Program[];
   readonly sidecars: readonly Program[];
   readonly rateLimitWatch: RateLimitWatch;
+  readonly backoffWatch: BackoffWatch;
   readonly abandonmentWatch: AbandonmentWatch;
   /** Notes which entry a request is sent to. */
   noteEntry(requestId: string, entry: string): void;
@@ -114,6 +117,7 @@
   });
   const servers: Server[] = [];
   const rateLimitWatch = createRateLimitWatch(history, () => performance.now());
+  const backoffWatch = createBackoffWatch(history, () => performance.now());
   const abandonmentWatch = createAbandonmentWatch(history, () => performance.now());
   const entryOf = new Map<string, string>();
   await listen(store.server, addressOf(Net.Store, 0), STORE_PORT);
@@ -132,11 +136,15 @@
       onArrival(requestId) {
         const entry = entryOf.get(requestId) ?? '';
         rateLimitWatch.onArrival(instanceId, entry, runner.rateLimit);
+        backoffWatch.onArrival(instanceId, entry);
         abandonmentWatch.onArrival(instanceId, entry, requestId);
       },
       onRateLimitStated(requestId) {
         rateLimitWatch.onStated(instanceId, entryOf.get(requestId) ?? '');
       },
+      onBackoffAsked(requestId, milliseconds) {
+        backoffWatch.onAsked(instanceId, entryOf.get(requestId) ?? '', milliseconds);
+      },
     });
     const host = addressOf(Net.Servers, index);
     const link = createLink({ host, port: SERVER_PORT });
@@ -248,6 +256,7 @@
     entries,
     sidecars,
     rateLimitWatch,
+    backoffWatch,
     abandonmentWatch,
     noteEntry: (requestId, entry) => entryOf.set(requestId, entry),
     callersAt: (entry) => ({ host: addressOf(Net.Entries, entry), port: CALLERS_PORT }),
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -43,6 +43,19 @@
   });
 });
 
+describe('a backend server that turns requests away and asks for a backoff', () => {
+  it.each([
+    ['plain server', 4],
+    ['rank of a group', 0],
+  ])('as a %s gets hardly any request until the backoff is over', async (_what, target) => {
+    // Guards against entries that go on sending to a server that has asked for rest.
+    const faults = [{ kind: FaultKind.ShedLoad, at: 1000, lasts: 7000, target }];
+    const result = await runSoak({ seed: 1, milliseconds: 9000, faults, network: 12 });
+    expect(result.violations).toEqual([]);
+    expect(result.served).toBeGreaterThan(0);
+  });
+});
+
 describe('a rank whose machine stands still', () => {
   it('gets few streams that run after their callers have left', async () => {
     // Guards against entries that take a silent server for one with room.
