Send nothing more to a backend server that says in its answers that it leaves

The store may list it as ready meanwhile.

Rate limits, backoffs and departures are met in one place, `server-statements.ts`: every answer passes there once it is known to be the server's own, and `chooseServer` asks there for every send. A departure holds until the store lists another start of the server or has dropped it for ten minutes. `server leaving` lines, `leaving` of `routing` lines, a metric by server, `explain` and `incident` tell it.

Two tests of rate limits, on answers of other servers and to other requests, move to `server-statements.test.ts` and cover all three statements there.

Every soak checks the rule on the servers' side.

--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -12,11 +12,18 @@
   createPulse,
   createRetryShare,
   createServerBackoffs,
+  createServerDepartures,
   createServerLedger,
   createServerLiveness,
   createServerRateLimits,
+  createServerStatements,
+} from '@lapisbridge/forwarding';
+import type {
+  BackingOffServer,
+  ForwardContext,
+  LeavingServer,
+  SendingEntries,
 } from '@lapisbridge/forwarding';
-import type { BackingOffServer, ForwardContext, SendingEntries } from '@lapisbridge/forwarding';
 import type { Address } from '@lapisbridge/json-call';
 import { createRandom, monotonicClock } from '@lapisbridge/kernel';
 import { createMetrics, startMetricsListener } from '@lapisbridge/metrics';
@@ -46,7 +53,9 @@
   });
 }
 
-function secondsByServer(servers: readonly BackingOffServer[]): ReadonlyMap<string, number> {
+function secondsByServer(
+  servers: readonly (BackingOffServer | LeavingServer)[],
+): ReadonlyMap<string, number> {
   return new Map(
     servers.map(({ instanceId, ageMilliseconds }) => [instanceId, ageMilliseconds / 1000]),
   );
@@ -86,6 +95,8 @@
     now: monotonicClock,
   });
   const backoffs = createServerBackoffs(monotonicClock, logger);
+  const departures = createServerDepartures(monotonicClock, logger);
+  const statements = createServerStatements({ rateLimits, backoffs, departures });
   const { fleet, start: startFleetLink } = startFleet({
     settings: () => life.settings(),
     catalog,
@@ -125,7 +136,7 @@
   const coldShare = createColdShare(sendingEntries, monotonicClock);
   catalog.onChange(() => {
     const { servers } = catalog.servers();
-    for (const memory of [ledger, liveness, pulse, coldShare, rateLimits, backoffs]) {
+    for (const memory of [ledger, liveness, pulse, coldShare, statements]) {
       memory.keepOnly(servers);
     }
   });
@@ -151,6 +162,11 @@
     'Time since a backend server that backs off asked for it.',
     () => secondsByServer(backoffs.list()),
   );
+  metrics.serverGauge(
+    'lapisbridge_server_leaving_seconds',
+    'Time since a backend server first stated that it leaves.',
+    () => secondsByServer(departures.list()),
+  );
   metrics.gauge(
     'lapisbridge_backoff_requests_sent_total',
     'Requests sent to backend servers while they back off.',
@@ -173,8 +189,7 @@
       monotonicClock,
     ),
     coldShare,
-    rateLimits,
-    backoffs,
+    statements,
     arrivals: createArrivalMeter(monotonicClock),
     entries,
     pulse,
--- a/packages/forwarding/src/caller-protocol.ts
+++ b/packages/forwarding/src/caller-protocol.ts
@@ -84,6 +84,8 @@
   readonly load: ReportedLoad | undefined;
   readonly rateLimit: StatedRateLimit;
   readonly retryAfter: StatedRetryAfter;
+  /** The backend server takes no new work, and will end. */
+  readonly isLeaving: boolean;
   /** End-to-end headers as raw pairs. */
   readonly headers: readonly string[];
 }
--- a/packages/forwarding/src/choose-server.ts
+++ b/packages/forwarding/src/choose-server.ts
@@ -11,31 +11,33 @@
 /** Reading speed of services without a model, which have no prompts. */
 const NO_PROMPTS = 1;
 
-/** Until the server's cold-start share and its rate limit both allow one more request. */
-function roomIn({ coldShare, rateLimits }: ForwardContext, id: string, coldRate: number): number {
-  const coldRoom = coldShare.roomIn(id, coldRate);
-  if (rateLimits.limitOf(id) === undefined) return coldRoom;
-  return Math.max(coldRoom, rateLimits.roomIn(id, coldShare.senders(coldRate)));
-}
-
 function viewsOf(
   context: ForwardContext,
   accepted: AcceptedRequest,
-): { views: ServerView[]; byId: ReadonlyMap<string, BackendServer> } {
+): { views: ServerView[]; byId: ReadonlyMap<string, BackendServer>; leaving: number } {
+  const { coldShare } = context;
   const profile = accepted.configuration.services.get(accepted.service);
   const { drainedZones } = context.catalog.operators();
   const byId = context.catalog.servers().servers;
   const views: ServerView[] = [];
+  const coldRate = profile?.coldRequestsPerSecond ?? 0;
+  const senders = coldShare.senders(coldRate);
+  let leaving = 0;
   for (const server of byId.values()) {
     if (server.service !== accepted.service || server.draining) continue;
     if (drainedZones.has(server.availabilityZone)) continue;
-    const coldRate = profile?.coldRequestsPerSecond ?? 0;
+    const admission = context.statements.admission(server, senders);
+    if (admission.isLeaving) {
+      leaving += 1;
+      continue;
+    }
+    const coldRoom = coldShare.roomIn(server.instanceId, coldRate);
     views.push(
       context.ledger.view(
         server,
         {
-          roomInMilliseconds: roomIn(context, server.instanceId, coldRate),
-          backoffMilliseconds: context.backoffs.remainingMilliseconds(server.instanceId),
+          roomInMilliseconds: Math.max(coldRoom, admission.roomInMilliseconds),
+          backoffMilliseconds: admission.backoffMilliseconds,
           brokenForMilliseconds: context.groupHealth.brokenFor(server),
           isSilent: context.liveness.isSilent(server),
         },
@@ -43,7 +45,7 @@
       ),
     );
   }
-  return { views, byId };
+  return { views, byId, leaving };
 }
 
 /** What the other entries may have sent since the servers reported. */
@@ -75,7 +77,7 @@
   progress: Progress,
   fits: (view: ServerView) => boolean = () => true,
 ): ChosenServer {
-  const { views, byId } = viewsOf(context, accepted);
+  const { views, byId, leaving } = viewsOf(context, accepted);
   const engine = accepted.configuration.services.get(accepted.service)?.engine;
   const choice = planServer({
     views,
@@ -97,12 +99,13 @@
       configurationVersion: accepted.configuration.version,
       serversRevision: context.catalog.servers().revision,
       candidates: views.length,
+      leaving: leaving > 0 ? leaving : undefined,
       cost: chosen ? Math.round(choice.cost) : undefined,
       outstanding: chosen ? choice.view.outstanding : undefined,
       reportAge: chosen ? roundedOrNone(choice.view.reportAge) : undefined,
       silence: roundedOrNone(silence),
       suspicion: chosen ? Number(choice.view.suspicion.toFixed(2)) : undefined,
-      rateLimit: chosen ? context.rateLimits.limitOf(choice.view.instanceId) : undefined,
+      rateLimit: chosen ? context.statements.rateLimitOf(choice.view.instanceId) : undefined,
       backoff:
         choice.kind === ServerChoiceKind.AllBackingOff
           ? Math.round(choice.backoffMilliseconds)
--- a/packages/forwarding/src/fixture-protocol.ts
+++ b/packages/forwarding/src/fixture-protocol.ts
@@ -52,6 +52,7 @@
             kind: RetryAfterKind.Stated,
             milliseconds: Number(incoming.headers['retry-after']) * 1000,
           },
+    isLeaving: incoming.headers.leaving !== undefined,
     headers: [
       'Signature',
       String(incoming.headers.signature),
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -13,10 +13,9 @@
 import type { Outcome } from './outcome.js';
 import type { Pulse } from './pulse.js';
 import type { RetryShare } from './retry-share.js';
-import type { ServerBackoffs } from './server-backoffs.js';
 import type { ServerLedger } from './server-ledger.js';
 import type { ServerLiveness } from './server-liveness.js';
-import type { ServerRateLimits } from './server-rate-limits.js';
+import type { ServerStatements } from './server-statements.js';
 
 export interface ForwardContext {
   readonly protocol: CallerProtocol;
@@ -25,8 +24,7 @@
   readonly liveness: ServerLiveness;
   readonly retryShare: RetryShare;
   readonly coldShare: ColdShare;
-  readonly rateLimits: ServerRateLimits;
-  readonly backoffs: ServerBackoffs;
+  readonly statements: ServerStatements;
   readonly pulse: Pulse;
   readonly groupHealth: GroupHealth;
   readonly logger: Logger;
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -22,10 +22,12 @@
 import { createRetryShare } from './retry-share.js';
 import type { SendingEntries } from './sender-rank.js';
 import { createServerBackoffs } from './server-backoffs.js';
+import { createServerDepartures } from './server-departures.js';
 import { createServerLedger } from './server-ledger.js';
 import { createServerLiveness } from './server-liveness.js';
 import type { ServerLiveness } from './server-liveness.js';
 import { createServerRateLimits } from './server-rate-limits.js';
+import { createServerStatements } from './server-statements.js';
 
 /** What one backend server does with a request. */
 export type Script = (incoming: IncomingMessage, response: ServerResponse) => void;
@@ -189,13 +191,16 @@
       now,
     ),
     coldShare: createColdShare(() => options.sendingEntries ?? ALONE, now),
-    rateLimits: createServerRateLimits({
-      logger,
-      entries: () => options.sendingEntries ?? ALONE,
-      onChange: () => undefined,
-      now,
+    statements: createServerStatements({
+      rateLimits: createServerRateLimits({
+        logger,
+        entries: () => options.sendingEntries ?? ALONE,
+        onChange: () => undefined,
+        now,
+      }),
+      backoffs: createServerBackoffs(now, logger),
+      departures: createServerDepartures(now, logger),
     }),
-    backoffs: createServerBackoffs(now, logger),
     arrivals: createArrivalMeter(now),
     entries: () => 1,
     pulse: { ...createPulse(now), isStuck: () => isStuck.value },
@@ -254,6 +259,17 @@
   response.end();
 };
 
+/** Answers in full, and says that it leaves. */
+export const answerLeaving: Script = (incoming, response) => {
+  response.writeHead(200, {
+    'request-id': String(incoming.headers['request-id']),
+    signature: 'signed',
+    leaving: '1',
+    'content-length': 0,
+  });
+  response.end();
+};
+
 /** Takes the request and closes the connection without an answer. */
 export const loseAnswer: Script = (incoming) => {
   incoming.socket.destroy();
--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -5,7 +5,7 @@
 import type { BackendServer } from '@lapisbridge/catalog';
 
 import type { AnswerHead } from './caller-protocol.js';
-import { describeRefusal, doubtHead, provesNotRun, speaksForServer } from './answer-head.js';
+import { describeRefusal, doubtHead, provesNotRun } from './answer-head.js';
 import { ExchangeEndKind } from './exchange.js';
 import type { Exchange, ExchangeEnd } from './exchange.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
@@ -93,8 +93,7 @@
 
   ledger.sent(server.instanceId, 0);
   context.coldShare.noteSent(server.instanceId);
-  context.rateLimits.noteSent(server.instanceId);
-  context.backoffs.noteSent(server.instanceId);
+  context.statements.noteSent(server.instanceId);
   const outcome = new Promise<Outcome>((resolve) => {
     exchange = openForward(
       { context, accepted, server, lastEventId: request.lastEventId, isMoved: false },
@@ -103,9 +102,7 @@
           liveness.heard(server.instanceId);
           head = protocol.decodeAnswer(incoming);
           if (head.load !== undefined) ledger.reported(server.instanceId, head.load);
-          const { instanceId } = server;
-          context.rateLimits.onAnswer({ instanceId, head, requestId, sentAt: startedAt });
-          if (speaksForServer(head, requestId)) context.backoffs.onAnswer(instanceId, head);
+          context.statements.onAnswer({ server, head, requestId, sentAt: startedAt });
         },
         onData(chunk) {
           size += chunk.length;
--- a/packages/forwarding/src/play-rate-limit.ts
+++ b/packages/forwarding/src/play-rate-limit.ts
@@ -6,8 +6,9 @@
 import { createSilentLogger } from '@lapisbridge/logger';
 import { rendezvousOrder } from '@lapisbridge/routing';
 
-import { RateLimitKind, RetryAfterKind } from './caller-protocol.js';
+import { RateLimitKind } from './caller-protocol.js';
 import type { AnswerHead } from './caller-protocol.js';
+import { headWith } from './head-fixture.js';
 import { createServerRateLimits } from './server-rate-limits.js';
 import type { RateLimitStatement, ServerRateLimits } from './server-rate-limits.js';
 
@@ -63,22 +64,9 @@
   run(): void;
 }
 
-function headWith(requestsPerSecond: number | undefined): AnswerHead {
-  return {
-    status: 200,
-    requestId: 'id',
-    isSigned: true,
-    notRun: false,
-    isMisdirected: false,
-    faultyAddress: undefined,
-    load: undefined,
-    retryAfter: { kind: RetryAfterKind.None },
-    rateLimit:
-      requestsPerSecond === undefined
-        ? { kind: RateLimitKind.None }
-        : { kind: RateLimitKind.Stated, requestsPerSecond },
-    headers: [],
-  };
+function headStating(requestsPerSecond: number | undefined): AnswerHead {
+  if (requestsPerSecond === undefined) return headWith();
+  return headWith({ rateLimit: { kind: RateLimitKind.Stated, requestsPerSecond } });
 }
 
 function worstExcess(arrivals: readonly number[], allowed: number): number {
@@ -141,8 +129,8 @@
     const sentAt = now;
     if (limitNow() !== undefined && entry.limitOf(SERVER) !== undefined) arrivals.push(now);
     later(LONGEST_ANSWER_MILLISECONDS * random(), () => {
-      const head = headWith(limitNow());
-      entry.onAnswer({ instanceId: SERVER, head, requestId: 'id', sentAt });
+      const head = headStating(limitNow());
+      entry.onAnswer({ instanceId: SERVER, head, sentAt });
     });
   }
 
--- a/packages/forwarding/src/server-backoffs.test.ts
+++ b/packages/forwarding/src/server-backoffs.test.ts
@@ -1,24 +1,14 @@
 import { createSilentLogger } from '@lapisbridge/logger';
 import { beforeEach, describe, expect, it } from 'vitest';
 
-import { RateLimitKind, RetryAfterKind } from './caller-protocol.js';
+import { RetryAfterKind } from './caller-protocol.js';
 import type { AnswerHead, StatedRetryAfter } from './caller-protocol.js';
+import { refusalWith } from './head-fixture.js';
 import { createServerBackoffs, LONGEST_BACKOFF_MILLISECONDS } from './server-backoffs.js';
 import type { ServerBackoffs } from './server-backoffs.js';
 
 function refusal(retryAfter: StatedRetryAfter, status = 503): AnswerHead {
-  return {
-    status,
-    requestId: 'id',
-    isSigned: true,
-    notRun: status === 503,
-    isMisdirected: false,
-    faultyAddress: undefined,
-    load: undefined,
-    rateLimit: { kind: RateLimitKind.None },
-    retryAfter,
-    headers: [],
-  };
+  return refusalWith({ status, retryAfter, notRun: status === 503 });
 }
 
 function after(milliseconds: number): StatedRetryAfter {
--- /dev/null
+++ b/packages/forwarding/src/server-departures.test.ts
@@ -0,0 +1,68 @@
+import type { BackendServer } from '@lapisbridge/catalog';
+import { createSilentLogger } from '@lapisbridge/logger';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import { headWith } from './head-fixture.js';
+import { createServerDepartures } from './server-departures.js';
+import type { ServerDepartures } from './server-departures.js';
+
+function server(startedAt: number | undefined): BackendServer {
+  return {
+    instanceId: 'server',
+    service: 'service',
+    host: '10.0.0.1',
+    port: 80,
+    availabilityZone: 'zone',
+    slots: 4,
+    draining: false,
+    groupRank: undefined,
+    startedAt,
+  };
+}
+
+describe('departures that servers state', () => {
+  let now = 0;
+  let departures: ServerDepartures;
+
+  function list(...servers: readonly BackendServer[]): void {
+    departures.keepOnly(new Map(servers.map((one) => [one.instanceId, one])));
+  }
+
+  beforeEach(() => {
+    now = 1000;
+    departures = createServerDepartures(() => now, createSilentLogger());
+    departures.onAnswer(server(1), headWith({ isLeaving: true }));
+  });
+
+  it('hold from the first answer on, whatever later ones or the store say', () => {
+    now += 60_000;
+    departures.onAnswer(server(1), headWith());
+    list(server(1));
+    expect(departures.isLeaving(server(1))).toBe(true);
+    expect(departures.list()).toEqual([{ instanceId: 'server', ageMilliseconds: 60_000 }]);
+  });
+
+  it('do not hold for a process that starts anew under the same id', () => {
+    expect(departures.isLeaving(server(2))).toBe(false);
+    list(server(2));
+    expect(departures.list()).toEqual([]);
+    departures.onAnswer(server(2), headWith({ isLeaving: true }));
+    expect(departures.isLeaving(server(2))).toBe(true);
+  });
+
+  it('hold where the start of a process is not known', () => {
+    expect(departures.isLeaving(server(undefined))).toBe(true);
+  });
+
+  it('outlast a time in which the server is missing from the list', () => {
+    list();
+    expect(departures.list()).toEqual([]);
+    now += 60_000;
+    list(server(1));
+    expect(departures.isLeaving(server(1))).toBe(true);
+    list();
+    now += 1_000_000;
+    list();
+    expect(departures.isLeaving(server(1))).toBe(false);
+  });
+});
--- a/packages/forwarding/src/server-rate-limits.test.ts
+++ b/packages/forwarding/src/server-rate-limits.test.ts
@@ -1,8 +1,9 @@
 import { createSilentLogger } from '@lapisbridge/logger';
 import { describe, expect, it } from 'vitest';
 
-import { RateLimitKind, RetryAfterKind } from './caller-protocol.js';
+import { RateLimitKind } from './caller-protocol.js';
 import type { AnswerHead, StatedRateLimit } from './caller-protocol.js';
+import { headWith } from './head-fixture.js';
 import { createServerRateLimits } from './server-rate-limits.js';
 import type { ServerRateLimits } from './server-rate-limits.js';
 
@@ -10,22 +11,6 @@
   return { kind: RateLimitKind.Stated, requestsPerSecond };
 }
 
-function head(fields: Partial<AnswerHead> = {}): AnswerHead {
-  return {
-    status: 200,
-    requestId: 'id',
-    isSigned: true,
-    notRun: false,
-    isMisdirected: false,
-    faultyAddress: undefined,
-    load: undefined,
-    rateLimit: { kind: RateLimitKind.None },
-    retryAfter: { kind: RetryAfterKind.None },
-    headers: [],
-    ...fields,
-  };
-}
-
 describe('rate limits that servers state', () => {
   let now = 0;
   let changes = 0;
@@ -41,56 +26,44 @@
       },
       now: () => now,
     });
-    answer(limits, head({ rateLimit: stated(1.5) }), 900);
+    answer(limits, headWith({ rateLimit: stated(1.5) }), 900);
     now = 1100;
     return limits;
   }
 
   function answer(limits: ServerRateLimits, stating: AnswerHead, sentAt: number): void {
-    limits.onAnswer({ instanceId: 'server', head: stating, requestId: 'id', sentAt });
+    limits.onAnswer({ instanceId: 'server', head: stating, sentAt });
   }
 
   it('stand from the answer that states one to the answer that states none', () => {
     const limits = limited();
     expect(limits.limitOf('server')).toBe(1.5);
     expect(limits.limitOf('other')).toBeUndefined();
-    answer(limits, head({ rateLimit: stated(0) }), 1050);
+    answer(limits, headWith({ rateLimit: stated(0) }), 1050);
     expect(limits.limitOf('server')).toBe(0);
-    answer(limits, head(), 1100);
+    answer(limits, headWith(), 1100);
     expect(limits.limitOf('server')).toBeUndefined();
   });
 
   it('are stated by refusals and failures, which do not lift them', () => {
     const limits = limited();
-    answer(limits, head({ status: 503, notRun: true }), 1050);
+    answer(limits, headWith({ status: 503, notRun: true }), 1050);
     expect(limits.limitOf('server')).toBe(1.5);
-    answer(limits, head({ status: 503, notRun: true, rateLimit: stated(2) }), 1050);
+    answer(limits, headWith({ status: 503, notRun: true, rateLimit: stated(2) }), 1050);
     expect(limits.limitOf('server')).toBe(2);
-    answer(limits, head({ status: 500 }), 1100);
+    answer(limits, headWith({ status: 500 }), 1100);
     expect(limits.limitOf('server')).toBe(2);
   });
 
   it('are not lifted by the answer to a request that was sent before', () => {
     const limits = limited();
-    answer(limits, head(), 950);
-    expect(limits.limitOf('server')).toBe(1.5);
-  });
-
-  it('are not those of another server that has the address now', () => {
-    const limits = limited();
-    answer(limits, head({ status: 421, isMisdirected: true, rateLimit: stated(9) }), 1050);
+    answer(limits, headWith(), 950);
     expect(limits.limitOf('server')).toBe(1.5);
   });
 
   it('are not lifted by a statement that cannot be read', () => {
     const limits = limited();
-    answer(limits, head({ rateLimit: { kind: RateLimitKind.Unreadable } }), 1050);
-    expect(limits.limitOf('server')).toBe(1.5);
-  });
-
-  it('are not those of an answer to another request', () => {
-    const limits = limited();
-    answer(limits, head({ requestId: 'other' }), 1050);
+    answer(limits, headWith({ rateLimit: { kind: RateLimitKind.Unreadable } }), 1050);
     expect(limits.limitOf('server')).toBe(1.5);
   });
 
@@ -98,7 +71,7 @@
     const limits = limited();
     const told = { instanceId: 'server', requestsPerSecond: 1.5, ageMilliseconds: 100 };
     expect(limits.statements()).toEqual([told]);
-    answer(limits, head(), 1050);
+    answer(limits, headWith(), 1050);
     now += 200;
     const lifted = { instanceId: 'server', requestsPerSecond: undefined, ageMilliseconds: 200 };
     expect(limits.statements()).toEqual([lifted]);
@@ -123,11 +96,11 @@
   it('make news when they change, and not when they are stated again', () => {
     const limits = limited();
     expect(changes).toBe(1);
-    answer(limits, head({ rateLimit: stated(1.5) }), 1050);
+    answer(limits, headWith({ rateLimit: stated(1.5) }), 1050);
     expect(changes).toBe(1);
-    answer(limits, head({ rateLimit: stated(2) }), 1050);
-    answer(limits, head(), 1100);
-    answer(limits, head(), 1100);
+    answer(limits, headWith({ rateLimit: stated(2) }), 1050);
+    answer(limits, headWith(), 1100);
+    answer(limits, headWith(), 1100);
     expect(changes).toBe(3);
   });
 
--- a/packages/forwarding/src/server-rate-limits.ts
+++ b/packages/forwarding/src/server-rate-limits.ts
@@ -5,7 +5,7 @@
  */
 import type { Logger } from '@lapisbridge/logger';
 
-import { isSuccess, speaksForServer } from './answer-head.js';
+import { isSuccess } from './answer-head.js';
 import { RateLimitKind } from './caller-protocol.js';
 import type { AnswerHead } from './caller-protocol.js';
 import { planRateLimitRoom } from './plan-rate-limit-room.js';
@@ -21,18 +21,17 @@
   readonly ageMilliseconds: number;
 }
 
-/** One answer of a server. */
-export interface StatingAnswer {
+/** One answer, which has to be the server's own. */
+export interface RateLimitedAnswer {
   readonly instanceId: string;
   readonly head: AnswerHead;
-  /** Id and time of the request that it answers. */
-  readonly requestId: string;
+  /** Time of the request that it answers. */
   readonly sentAt: number;
 }
 
 export interface ServerRateLimits {
   /** Takes what the head of a server's answer states. */
-  onAnswer(answer: StatingAnswer): void;
+  onAnswer(answer: RateLimitedAnswer): void;
   /** Takes what another entry tells. */
   onTold(statements: readonly RateLimitStatement[]): void;
   /** Statements for other entries, with limits that were lifted a short time ago. */
@@ -112,8 +111,7 @@
   }
 
   return {
-    onAnswer({ instanceId, head, requestId, sentAt }) {
-      if (!speaksForServer(head, requestId)) return;
+    onAnswer({ instanceId, head, sentAt }) {
       const { rateLimit } = head;
       switch (rateLimit.kind) {
         case RateLimitKind.Stated:
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -4,13 +4,7 @@
  */
 import type { BackendServer } from '@lapisbridge/catalog';
 
-import {
-  describeRefusal,
-  doubtHead,
-  isSuccess,
-  provesNotRun,
-  speaksForServer,
-} from './answer-head.js';
+import { describeRefusal, doubtHead, isSuccess, provesNotRun } from './answer-head.js';
 import type { AnswerHead } from './caller-protocol.js';
 import { createEventSplitter } from './event-splitter.js';
 import type { StreamEvent } from './event-splitter.js';
@@ -192,8 +186,7 @@
 
   ledger.sent(server.instanceId, promptTokens);
   context.coldShare.noteSent(server.instanceId);
-  context.rateLimits.noteSent(server.instanceId);
-  context.backoffs.noteSent(server.instanceId);
+  context.statements.noteSent(server.instanceId);
   const end = new Promise<StreamEnd>((resolve) => {
     exchange = openForward(
       { context, accepted, server, lastEventId: sink.lastEventId(), isMoved },
@@ -202,9 +195,7 @@
           liveness.heard(server.instanceId);
           head = protocol.decodeAnswer(incoming);
           if (head.load !== undefined) ledger.reported(server.instanceId, head.load);
-          const { instanceId } = server;
-          context.rateLimits.onAnswer({ instanceId, head, requestId, sentAt: startedAt });
-          if (speaksForServer(head, requestId)) context.backoffs.onAnswer(instanceId, head);
+          context.statements.onAnswer({ server, head, requestId, sentAt: startedAt });
           if (provesNotRun(head)) return;
           const doubted = doubtHead(head, requestId);
           if (doubted !== undefined) giveUp(doubted);
--- a/packages/history/src/checkers.ts
+++ b/packages/history/src/checkers.ts
@@ -171,6 +171,13 @@
   return [{ promise: 'abandonment', detail }];
 };
 
+/** A backend server that says that it leaves gets no request that came later. */
+export const checkDeparture: Checker = (events) =>
+  select(events, EventKind.SentToLeaving).map(({ instanceId, entry }) => ({
+    promise: 'departure',
+    detail: `${instanceId} got a request of ${entry}, which it had told that it leaves`,
+  }));
+
 /** Requests of one entry that may reach a backend server within a backoff. */
 const BACKOFF_REQUESTS = 2;
 
@@ -211,6 +218,7 @@
   checkColdStart,
   checkRateLimit,
   checkAbandonment,
+  checkDeparture,
   checkBackoff,
   checkOneMapPerStep,
 ];
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -36,6 +36,8 @@
   AbandonedArrival = 'abandonedArrival',
   /** A request of an entry reached a backend server that had asked this entry to back off. */
   BackoffLoad = 'backoffLoad',
+  /** A request reached a backend server that had told its entry long before that it leaves. */
+  SentToLeaving = 'sentToLeaving',
 }
 
 export type HistoryEvent =
@@ -95,6 +97,11 @@
       readonly instanceId: string;
       readonly request: string;
     }
+  | {
+      readonly kind: EventKind.SentToLeaving;
+      readonly instanceId: string;
+      readonly entry: string;
+    }
   | {
       readonly kind: EventKind.BackoffLoad;
       readonly instanceId: string;
--- a/packages/log-story/src/draw-timeline.ts
+++ b/packages/log-story/src/draw-timeline.ts
@@ -83,6 +83,13 @@
         begins: fields.requestsPerSecond !== 'none',
         cause: `${String(fields.requestsPerSecond)} requests a second`,
       };
+    case 'server leaving':
+    case 'leaving server gone':
+      return {
+        matter: `departure of ${String(fields.server)}`,
+        begins: event === 'server leaving',
+        cause: 'the server said so in an answer',
+      };
     case 'server backoff':
       return {
         matter: `backoff of ${String(fields.server)}`,
--- a/packages/log-story/src/tell-story.ts
+++ b/packages/log-story/src/tell-story.ts
@@ -51,6 +51,9 @@
         matter: `rate limit of ${String(fields.server)}`,
         state: `${String(fields.requestsPerSecond)} requests a second`,
       };
+    case 'server leaving':
+    case 'leaving server gone':
+      return { matter: `departure of ${String(fields.server)}`, state: event };
     case 'server backoff':
       return {
         matter: `backoff of ${String(fields.server)}`,
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -39,6 +39,7 @@
 function interrupt(site: Site, program: Program, signal: NodeJS.Signals): void {
   site.rateLimitWatch.excuse(program.name);
   site.backoffWatch.excuse(program.name);
+  site.departureWatch.excuse(program.name);
   site.abandonmentWatch.excuse(program.name);
   program.signal(signal);
 }
@@ -48,6 +49,17 @@
   return () => interrupt(site, program, 'SIGCONT');
 }
 
+/** Until it is mended, an entry may not learn what the server answers. */
+function cutLink(site: Site, { instanceId, link }: SiteServer, mode: LinkMode): () => void {
+  const watches = [site.backoffWatch, site.departureWatch];
+  link.setMode(mode);
+  for (const watch of watches) watch.cut(instanceId);
+  return () => {
+    link.setMode(LinkMode.Passing);
+    for (const watch of watches) watch.mend(instanceId);
+  };
+}
+
 function nothing(): void {
   // Whoever was killed starts again by itself.
 }
@@ -102,15 +114,8 @@
     case FaultKind.LinkDelayed:
     case FaultKind.LinkReset:
     case FaultKind.LinkSilent:
-    case FaultKind.LinkOneWay: {
-      const { instanceId, link } = pick(servers, target);
-      link.setMode(LINK_MODES[kind] ?? LinkMode.Passing);
-      site.backoffWatch.cut(instanceId);
-      return () => {
-        link.setMode(LinkMode.Passing);
-        site.backoffWatch.mend(instanceId);
-      };
-    }
+    case FaultKind.LinkOneWay:
+      return cutLink(site, pick(servers, target), LINK_MODES[kind] ?? LinkMode.Passing);
     case FaultKind.ChangeConfiguration:
       site.configure(['key', `other-${target}`]);
       return () => site.configure(['key']);
@@ -121,6 +126,15 @@
         runner.rateLimit = undefined;
       };
     }
+    case FaultKind.AnnounceLeaving: {
+      const server = pick(servers, target);
+      server.runner.isLeaving = true;
+      return () => {
+        server.runner.isLeaving = false;
+        server.startedAt += 1;
+        site.departureWatch.onReplaced(server.instanceId);
+      };
+    }
     case FaultKind.ShedLoad: {
       const { runner } = pick(servers, target);
       runner.backoffSeconds = pick(BACKOFF_SECONDS, target);
@@ -132,12 +146,10 @@
       const server = pick(site.ranks, target);
       const resumeSidecar = pause(site, pick(site.sidecars, target));
       server.isStopped = true;
-      server.link.setMode(LinkMode.Held);
-      site.backoffWatch.cut(server.instanceId);
+      const resumeServer = cutLink(site, server, LinkMode.Held);
       return () => {
         server.isStopped = false;
-        server.link.setMode(LinkMode.Passing);
-        site.backoffWatch.mend(server.instanceId);
+        resumeServer();
         resumeSidecar();
       };
     }
--- a/packages/soak/src/plan-faults.ts
+++ b/packages/soak/src/plan-faults.ts
@@ -27,6 +27,8 @@
   DrainServer = 'drainServer',
   /** A backend server states a rate limit. */
   LimitRate = 'limitRate',
+  /** A backend server says in its answers that it leaves, and then starts anew. */
+  AnnounceLeaving = 'announceLeaving',
   /** A backend server turns every request away and asks for time without requests. */
   ShedLoad = 'shedLoad',
   /** The machine of a rank stands still: its backend server and the sidecar beside it. */
@@ -66,6 +68,7 @@
     lengthFactor: RATE_LIMIT_LENGTH,
   },
   { kind: FaultKind.ShedLoad, gapMilliseconds: 6000, seed: 0xb0ff, lengthFactor: 2 },
+  { kind: FaultKind.AnnounceLeaving, gapMilliseconds: 7000, seed: 0x1eaf, lengthFactor: 2 },
   { kind: FaultKind.StopMachine, gapMilliseconds: 7000, seed: 0x5709, lengthFactor: 1.5 },
 ];
 
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -29,6 +29,8 @@
 import type { Program } from './program.js';
 import { createBackoffWatch } from './backoff-watch.js';
 import type { BackoffWatch } from './backoff-watch.js';
+import { createDepartureWatch } from './departure-watch.js';
+import type { DepartureWatch } from './departure-watch.js';
 import { createRateLimitWatch } from './rate-limit-watch.js';
 import type { RateLimitWatch } from './rate-limit-watch.js';
 
@@ -37,6 +39,8 @@
   readonly runner: RunnerStandIn;
   readonly link: Link;
   isDraining: boolean;
+  /** Rises when another process takes its place. */
+  startedAt: number;
   /** Its machine stands still, and its heartbeats with it. */
   isStopped: boolean;
 }
@@ -52,6 +56,7 @@
   readonly sidecars: readonly Program[];
   readonly rateLimitWatch: RateLimitWatch;
   readonly backoffWatch: BackoffWatch;
+  readonly departureWatch: DepartureWatch;
   readonly abandonmentWatch: AbandonmentWatch;
   /** Notes which entry a request is sent to. */
   noteEntry(requestId: string, entry: string): void;
@@ -118,8 +123,10 @@
   const servers: Server[] = [];
   const rateLimitWatch = createRateLimitWatch(history, () => performance.now());
   const backoffWatch = createBackoffWatch(history, () => performance.now());
+  const departureWatch = createDepartureWatch(history, () => performance.now());
   const abandonmentWatch = createAbandonmentWatch(history, () => performance.now());
   const entryOf = new Map<string, string>();
+  const sentAt = new Map<string, number>();
   await listen(store.server, addressOf(Net.Store, 0), STORE_PORT);
   servers.push(store.server);
 
@@ -137,11 +144,15 @@
         const entry = entryOf.get(requestId) ?? '';
         rateLimitWatch.onArrival(instanceId, entry, runner.rateLimit);
         backoffWatch.onArrival(instanceId, entry);
+        departureWatch.onArrival(instanceId, entry, sentAt.get(requestId) ?? 0);
         abandonmentWatch.onArrival(instanceId, entry, requestId);
       },
       onRateLimitStated(requestId) {
         rateLimitWatch.onStated(instanceId, entryOf.get(requestId) ?? '');
       },
+      onLeavingStated(requestId) {
+        departureWatch.onStated(instanceId, entryOf.get(requestId) ?? '');
+      },
       onBackoffAsked(requestId, milliseconds) {
         backoffWatch.onAsked(instanceId, entryOf.get(requestId) ?? '', milliseconds);
       },
@@ -151,7 +162,7 @@
     await listen(runner.server, host, SERVER_PORT);
     await listen(link.server, host, LINK_PORT);
     servers.push(runner.server, link.server);
-    return { instanceId, runner, link, isDraining: false, isStopped: false };
+    return { instanceId, runner, link, isDraining: false, startedAt: 1, isStopped: false };
   }
 
   const ranks: SiteServer[] = [];
@@ -172,7 +183,7 @@
         address: `${addressOf(Net.Servers, index)}:${LINK_PORT}`,
         zone: ZONES[index % ZONES.length] ?? '',
         isDraining: server.isDraining,
-        startedAt: 1,
+        startedAt: server.startedAt,
         group: isRank
           ? {
               name: 'group',
@@ -257,8 +268,12 @@
     sidecars,
     rateLimitWatch,
     backoffWatch,
+    departureWatch,
     abandonmentWatch,
-    noteEntry: (requestId, entry) => entryOf.set(requestId, entry),
+    noteEntry(requestId, entry) {
+      entryOf.set(requestId, entry);
+      sentAt.set(requestId, performance.now());
+    },
     callersAt: (entry) => ({ host: addressOf(Net.Entries, entry), port: CALLERS_PORT }),
     readinessAt: (entry) => ({ host: addressOf(Net.Entries, entry), port: READINESS_PORT }),
     configure,
--- a/packages/soak/src/soak.test.ts
+++ b/packages/soak/src/soak.test.ts
@@ -56,6 +56,19 @@
   });
 });
 
+describe('a backend server that says in its answers that it leaves', () => {
+  it.each([
+    ['plain server', 4],
+    ['rank of a group', 0],
+  ])('as a %s gets no further request, and work again as a new process', async (_what, target) => {
+    // Guards against entries that send to a leaving server that the store lists as ready.
+    const faults = [{ kind: FaultKind.AnnounceLeaving, at: 1000, lasts: 6000, target }];
+    const result = await runSoak({ seed: 1, milliseconds: 9000, faults, network: 13 });
+    expect(result.violations).toEqual([]);
+    expect(result.served).toBeGreaterThan(0);
+  });
+});
+
 describe('a rank whose machine stands still', () => {
   it('gets few streams that run after their callers have left', async () => {
     // Guards against entries that take a silent server for one with room.
