Count a refusal by a server with free slots as a sign of a failing server

Callers were refused while servers had room: a server that turned everything away reported no load, was chosen first for that reason, and used up the sends and the retry budget of every request. This holds without any `Retry-After` as well, and after the end of each backoff.

Cause: a refusal counted as a sound answer. The cases of `shedding-server.test.ts` fail without the change (9 requests to the refusing server, 4 allowed).

Now a refusal is judged by the server's last load: with a slot free it speaks against the server, else it says nothing, as does one on account of the server's group.

--- a/packages/forwarding/src/fixture-protocol.ts
+++ b/packages/forwarding/src/fixture-protocol.ts
@@ -37,7 +37,10 @@
     notRun: incoming.headers['not-run'] !== undefined,
     isMisdirected: incoming.statusCode === 421,
     faultyAddress: incoming.headers['faulty-address'] as string | undefined,
-    load: undefined,
+    load:
+      incoming.headers.running === undefined
+        ? undefined
+        : { running: Number(incoming.headers.running), waiting: 0 },
     rateLimit:
       incoming.headers['rate-limit'] === undefined
         ? { kind: RateLimitKind.None }
--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -13,7 +13,7 @@
 import { lateMilliseconds } from './late-answer.js';
 import { OutcomeKind } from './outcome.js';
 import type { Outcome } from './outcome.js';
-import { Verdict } from './server-ledger.js';
+import { judgeRefusal, Verdict } from './server-ledger.js';
 
 export interface RunningAttempt {
   readonly server: BackendServer;
@@ -55,13 +55,13 @@
   }
 }
 
-/** Server errors speak against the server, refusals do not: a full server is sound. */
-function verdictOf(outcome: Outcome): Verdict {
+/** `hasRoom`: whether the server has a free slot. */
+function verdictOf(outcome: Outcome, hasRoom: boolean): Verdict {
   switch (outcome.kind) {
     case OutcomeKind.Answered:
       return outcome.head.status < 500 ? Verdict.Sound : Verdict.Failing;
     case OutcomeKind.NotRun:
-      return outcome.wasRefused ? Verdict.Sound : Verdict.Failing;
+      return outcome.wasRefused ? judgeRefusal(hasRoom) : Verdict.Failing;
     case OutcomeKind.Unknown:
       return Verdict.Failing;
     default: {
@@ -115,7 +115,9 @@
           if (isCancelled && head === undefined) context.metrics.countUnansweredSend();
           const wasAnswered = judged.kind === OutcomeKind.Answered;
           if (wasAnswered) ledger.answered(server.instanceId, context.now() - startedAt, 0);
-          const verdict = isCancelled ? verdictOfCancelled() : verdictOf(judged);
+          const verdict = isCancelled
+            ? verdictOfCancelled()
+            : verdictOf(judged, ledger.hasRoom(server));
           ledger.ended(server.instanceId, verdict, 0, wasAnswered);
           resolve(judged);
         },
--- a/packages/forwarding/src/server-ledger.test.ts
+++ b/packages/forwarding/src/server-ledger.test.ts
@@ -1,7 +1,7 @@
 import type { BackendServer } from '@lapisbridge/catalog';
 import { expect, it } from 'vitest';
 
-import { createServerLedger, Verdict } from './server-ledger.js';
+import { createServerLedger, judgeRefusal, Verdict } from './server-ledger.js';
 
 const SERVER: BackendServer = {
   instanceId: 'server',
@@ -33,3 +33,18 @@
   expect(suspicionAfter(Verdict.Open)).toBe(doubt);
   expect(suspicionAfter(Verdict.Sound)).toBeLessThan(doubt);
 });
+
+it('doubts a server that refuses with slots free, and not one that is full or tells no load', () => {
+  // Guards against a server that sheds all load and draws every request as the least loaded one.
+  let now = 0;
+  const ledger = createServerLedger(() => now);
+  const verdict = (): Verdict => judgeRefusal(ledger.hasRoom(SERVER));
+  expect(verdict()).toBe(Verdict.Open);
+  ledger.reported(SERVER.instanceId, { running: 7, waiting: 0 });
+  expect(verdict()).toBe(Verdict.Failing);
+  ledger.reported(SERVER.instanceId, { running: 7, waiting: 1 });
+  expect(verdict()).toBe(Verdict.Open);
+  ledger.reported(SERVER.instanceId, { running: 0, waiting: 0 });
+  now = 60_000;
+  expect(verdict()).toBe(Verdict.Open);
+});
--- a/packages/forwarding/src/server-ledger.ts
+++ b/packages/forwarding/src/server-ledger.ts
@@ -16,6 +16,14 @@
   Open = 'open',
 }
 
+/**
+ * What a refusal says of its server. A full server is neither sound nor failing; one that refuses
+ * with slots free fails, and would draw every request by its low load.
+ */
+export function judgeRefusal(hasRoom: boolean): Verdict {
+  return hasRoom ? Verdict.Failing : Verdict.Open;
+}
+
 export interface ServerLedger {
   sent(instanceId: string, promptTokens: number): void;
   /** A stream's first event, or a whole answer, came after this time. */
@@ -27,6 +35,8 @@
   inFlight(instanceId: string): number;
   /** Whether requests wait at the server, by its last report. */
   isQueueing(instanceId: string): boolean;
+  /** Whether the server had a free slot, by its last report; false where there is none to go by. */
+  hasRoom(server: BackendServer): boolean;
   /** `senders` are the entries that send to the same servers. */
   view(
     server: BackendServer,
@@ -159,6 +169,11 @@
       if (entry?.report === undefined || reportAge(entry) === undefined) return false;
       return entry.report.waiting > 0;
     },
+    hasRoom({ instanceId, slots }) {
+      const entry = entries.get(instanceId);
+      if (entry?.report === undefined || reportAge(entry) === undefined) return false;
+      return entry.report.running + entry.report.waiting < slots;
+    },
     inFlight: (instanceId) => entries.get(instanceId)?.inFlight ?? 0,
     view(server, limits, senders) {
       const entry = entryOf(server.instanceId);
--- /dev/null
+++ b/packages/forwarding/src/shedding-server.test.ts
@@ -0,0 +1,60 @@
+/**
+ * Requests while one of their backend servers refuses everything, though it has slots free.
+ */
+import { request } from 'node:http';
+
+import { RequestKind } from '@lapisbridge/catalog';
+import { afterEach, expect, it } from 'vitest';
+
+import { answerWith, startFixture, streamEvents } from './forwarding-fixture.js';
+import type { Fixture, Script } from './forwarding-fixture.js';
+
+let fixture: Fixture;
+
+afterEach(() => fixture.close());
+
+const shed: Script = (incoming, response) => {
+  response.writeHead(503, {
+    'request-id': String(incoming.headers['request-id']),
+    'not-run': '1',
+    running: '0',
+    'content-length': 0,
+  });
+  response.end();
+};
+
+/** Answers later than a server is expected to whose times are not known yet. */
+function slowly(script: Script): Script {
+  return (incoming, response) => void setTimeout(() => script(incoming, response), 80);
+}
+
+function send(id: string): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const headers = { 'request-id': id };
+    const outgoing = request(
+      { host: '127.0.0.1', port: fixture.port, method: 'POST', headers },
+      (incoming) => {
+        incoming.resume();
+        incoming.on('end', () => resolve(incoming.statusCode ?? 0));
+      },
+    );
+    outgoing.on('error', reject);
+    outgoing.end('body');
+  });
+}
+
+it.each([
+  ['streams', RequestKind.Streaming],
+  ['at-most-once requests', RequestKind.AtMostOnce],
+  ['idempotent requests', RequestKind.Idempotent],
+])('sends most %s to servers that do not refuse them', async (_, kind) => {
+  // Guards against retry budgets spent on a server that sheds all load.
+  const serve = kind === RequestKind.Streaming ? streamEvents(2) : answerWith('answer');
+  fixture = await startFixture({
+    servers: { other: slowly(serve), shedding: shed },
+    route: { kind },
+  });
+  for (let index = 0; index < 10; index += 1) expect(await send(`id-${index}`)).toBe(200);
+  const toShedding = fixture.arrivals.filter(({ instanceId }) => instanceId === 'shedding');
+  expect(toShedding.length).toBeLessThan(5);
+});
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -12,7 +12,7 @@
 import type { Exchange, ExchangeEnd } from './exchange.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
 import { openForward } from './open-forward.js';
-import { Verdict } from './server-ledger.js';
+import { judgeRefusal, Verdict } from './server-ledger.js';
 
 export enum StreamEndKind {
   /** The server's stream came to its proper end. */
@@ -174,7 +174,8 @@
       case StreamEndKind.Answered:
         return end.head.status < 500 ? Verdict.Sound : Verdict.Failing;
       case StreamEndKind.NotRun:
-        return end.wasRefused ? Verdict.Sound : Verdict.Failing;
+        if (end.isGroupBroken) return Verdict.Open;
+        return end.wasRefused ? judgeRefusal(ledger.hasRoom(server)) : Verdict.Failing;
       case StreamEndKind.Broken:
         return verdictOfBroken(exchangeEnd);
       default: {
