Keep work from a backend server of the product's own interface while it backs off

After a 503 the next good load report, a quarter of a second later, brought it all its work back.

The gate in front of the server starts nothing until the backoff is over, refuses what comes with that time as Retry-After, and the sidecar tells entries at once that it takes no work. Decimal numbers and Retry-After are read in one place for both interfaces. The cut to five minutes moves there, with its test.

--- a/packages/forwarding/src/server-backoffs.test.ts
+++ b/packages/forwarding/src/server-backoffs.test.ts
@@ -4,7 +4,7 @@
 import { RetryAfterKind } from './caller-protocol.js';
 import type { AnswerHead, StatedRetryAfter } from './caller-protocol.js';
 import { refusalWith } from './head-fixture.js';
-import { createServerBackoffs, LONGEST_BACKOFF_MILLISECONDS } from './server-backoffs.js';
+import { createServerBackoffs } from './server-backoffs.js';
 import type { ServerBackoffs } from './server-backoffs.js';
 
 function refusal(retryAfter: StatedRetryAfter, status = 503): AnswerHead {
@@ -53,11 +53,6 @@
     expect(backoffs.remainingMilliseconds('server')).toBe(0);
   });
 
-  it('are bounded, so that a server that asks for ever is tried again', () => {
-    backoffs.onAnswer('server', refusal(after(Infinity)));
-    expect(backoffs.remainingMilliseconds('server')).toBe(LONGEST_BACKOFF_MILLISECONDS);
-  });
-
   it('outlast a moment in which the server is missing from the list', () => {
     backoffs.onAnswer('server', refusal(after(3000)));
     backoffs.keepOnly(new Map());
--- a/packages/forwarding/src/server-backoffs.ts
+++ b/packages/forwarding/src/server-backoffs.ts
@@ -33,8 +33,6 @@
 }
 
 const SERVICE_UNAVAILABLE = 503;
-/** A server that asks for more is sent a request after this long all the same. */
-export const LONGEST_BACKOFF_MILLISECONDS = 300_000;
 
 export function createServerBackoffs(now: () => number, logger: Logger): ServerBackoffs {
   const backoffs = new Map<string, Backoff>();
@@ -63,8 +61,8 @@
           throw new Error(String(unreachable));
         }
       }
-      const milliseconds = Math.min(retryAfter.milliseconds, LONGEST_BACKOFF_MILLISECONDS);
-      if (milliseconds <= 0) return;
+      const { milliseconds } = retryAfter;
+      if (milliseconds === 0) return;
       const until = now() + milliseconds;
       const before = current(instanceId);
       if (before !== undefined) {
@@ -72,11 +70,7 @@
         return;
       }
       backoffs.set(instanceId, { since: now(), until });
-      logger.info('server backoff', {
-        server: instanceId,
-        milliseconds,
-        stated: retryAfter.milliseconds,
-      });
+      logger.info('server backoff', { server: instanceId, milliseconds });
     },
     remainingMilliseconds(instanceId) {
       const backoff = current(instanceId);
--- a/packages/json-call/src/index.ts
+++ b/packages/json-call/src/index.ts
@@ -7,3 +7,4 @@
 export type { JsonObject } from './decode.js';
 export { parseAddress } from './parse-address.js';
 export type { Address } from './parse-address.js';
+export { LONGEST_BACKOFF_MILLISECONDS, parseDecimal, parseRetryAfter } from './parse-decimal.js';
--- a/packages/sidecar/src/call-runner.ts
+++ b/packages/sidecar/src/call-runner.ts
@@ -32,6 +32,8 @@
   weightOf(account: string): number;
   running(): number;
   noteUnreachable(): void;
+  /** The backend server has asked for a backoff, in the words of its answer. */
+  noteBackoff(retryAfter: string): void;
   load(): LoadReport;
   storeReachable(): boolean;
   noteStore(reachable: boolean): void;
@@ -89,6 +91,9 @@
       gate.observe({ kind: EvidenceKind.Lost });
     }
     if (outcome.kind === ServiceOutcomeKind.NotSent) options.noteUnreachable();
+    if (outcome.kind === ServiceOutcomeKind.Answered && outcome.retryAfter !== undefined) {
+      options.noteBackoff(outcome.retryAfter);
+    }
     return outcome;
   }
 
--- a/packages/sidecar/src/draft-runner.ts
+++ b/packages/sidecar/src/draft-runner.ts
@@ -26,6 +26,8 @@
   weightOf(account: string): number;
   running(): number;
   noteUnreachable(): void;
+  /** The backend server has asked for a backoff, in the words of its answer. */
+  noteBackoff(retryAfter: string): void;
   readonly load: () => LoadReport;
 }
 
@@ -89,6 +91,11 @@
     });
   }
 
+  function noteNotStarted(retryAfter: string | undefined): void {
+    options.noteUnreachable();
+    if (retryAfter !== undefined) options.noteBackoff(retryAfter);
+  }
+
   function conclude(run: Run, outcome: EngineOutcome): void {
     if (outcome.kind === EngineOutcomeKind.Complete) {
       run.buffer.complete({
@@ -100,7 +107,7 @@
       run.buffer.fail();
       const ownDoing = run.abort.signal.aborted || outcome.kind === EngineOutcomeKind.Rejected;
       if (!ownDoing) gate.observe({ kind: EvidenceKind.Lost });
-      if (outcome.kind === EngineOutcomeKind.NotStarted) options.noteUnreachable();
+      if (outcome.kind === EngineOutcomeKind.NotStarted) noteNotStarted(outcome.retryAfter);
       logger.warn('draft not completed', {
         requestId: run.start.requestId,
         attempt: run.start.attempt,
--- a/packages/sidecar/src/engine-client.ts
+++ b/packages/sidecar/src/engine-client.ts
@@ -7,6 +7,8 @@
 import { createParser } from 'eventsource-parser';
 import { Agent, request } from 'undici';
 
+import { retryAfterOf } from './retry-after-of.js';
+
 export interface EngineRequest {
   /** The caller's own fields; messages are extended when an answer is continued. */
   readonly body: Readonly<Record<string, unknown>>;
@@ -29,7 +31,12 @@
 
 export type EngineOutcome =
   | { readonly kind: EngineOutcomeKind.Complete; readonly finishReason: string }
-  | { readonly kind: EngineOutcomeKind.NotStarted; readonly reason: string }
+  | {
+      readonly kind: EngineOutcomeKind.NotStarted;
+      readonly reason: string;
+      /** What the engine says of the time without requests that it wants. */
+      readonly retryAfter: string | undefined;
+    }
   | { readonly kind: EngineOutcomeKind.Rejected; readonly reason: string }
   | { readonly kind: EngineOutcomeKind.Broken; readonly reason: string };
 
@@ -133,8 +140,8 @@
           const reason = `the engine answered ${reply.statusCode}`;
           await reply.body.dump();
           const rejected = reply.statusCode >= 400 && reply.statusCode < 429;
-          const kind = rejected ? EngineOutcomeKind.Rejected : EngineOutcomeKind.NotStarted;
-          return { kind, reason };
+          if (rejected) return { kind: EngineOutcomeKind.Rejected, reason };
+          return { kind: EngineOutcomeKind.NotStarted, reason, retryAfter: retryAfterOf(reply) };
         }
         const follower = createFollower(given.onText);
         const decoder = new TextDecoder();
@@ -149,8 +156,9 @@
       } catch (thrown) {
         const { code, message } = thrown as NodeJS.ErrnoException;
         const unsent = UNSENT_ERRORS.has(code ?? '');
-        const kind = unsent ? EngineOutcomeKind.NotStarted : EngineOutcomeKind.Broken;
-        return { kind, reason: silence.signal.aborted ? 'the engine fell silent' : message };
+        const reason = silence.signal.aborted ? 'the engine fell silent' : message;
+        if (!unsent) return { kind: EngineOutcomeKind.Broken, reason };
+        return { kind: EngineOutcomeKind.NotStarted, reason, retryAfter: undefined };
       } finally {
         clearTimeout(timer);
       }
--- a/packages/sidecar/src/gate.ts
+++ b/packages/sidecar/src/gate.ts
@@ -58,6 +58,10 @@
 export interface Gate {
   enter(request: GateRequest, signal: AbortSignal): Promise<Entrance>;
   observe(evidence: Evidence): void;
+  /** Starts nothing and refuses what comes for so long: the backend server has asked for it. */
+  suspend(milliseconds: number): void;
+  /** Milliseconds until the suspension is over; 0 where there is none. */
+  suspendedMilliseconds(): number;
   load(): GateLoad;
 }
 
@@ -100,6 +104,7 @@
   let runningTokens = 0;
   let limit: LimitState | undefined;
   let lastStepAt = -Infinity;
+  let suspendedUntil = -Infinity;
 
   /** Kept within the bounds of the policy in force; not kept at all until there is one. */
   function limitState(): LimitState {
@@ -116,7 +121,12 @@
     return performance.now() - lastStepAt < FRESH_MILLISECONDS;
   }
 
+  function suspendedMilliseconds(): number {
+    return Math.max(0, suspendedUntil - performance.now());
+  }
+
   function mayStart(account: string): boolean {
+    if (suspendedMilliseconds() > 0) return false;
     return shares.mayStart(account, running, limitState().limit, performance.now());
   }
 
@@ -180,6 +190,10 @@
   return {
     async enter(request, signal) {
       if (options.isDraining()) return refused(ResultCode.Draining, 'draining', 0);
+      const suspended = suspendedMilliseconds();
+      if (suspended > 0) {
+        return refused(ResultCode.Overloaded, 'the backend server backs off', suspended);
+      }
       // A dead server fails requests fast and so looks idle: it would draw all new work to itself.
       if (!options.isBackendReachable()) {
         return refused(ResultCode.NoBackendServer, 'the backend server is not there', 0);
@@ -236,6 +250,11 @@
       });
       startWaiting();
     },
+    suspend(milliseconds) {
+      suspendedUntil = Math.max(suspendedUntil, performance.now() + milliseconds);
+      setTimeout(startWaiting, Math.ceil(milliseconds)).unref();
+    },
+    suspendedMilliseconds,
     load() {
       const state = limitState();
       return {
--- a/packages/sidecar/src/service-client.ts
+++ b/packages/sidecar/src/service-client.ts
@@ -4,6 +4,8 @@
  */
 import { Agent, request } from 'undici';
 
+import { retryAfterOf } from './retry-after-of.js';
+
 export interface ServiceCall {
   readonly method: string;
   readonly path: string;
@@ -28,6 +30,8 @@
       readonly status: number;
       readonly contentType: string;
       readonly body: Buffer;
+      /** What the service says of the time without calls that it wants. */
+      readonly retryAfter: string | undefined;
     }
   | { readonly kind: ServiceOutcomeKind.NotSent; readonly reason: string }
   | {
@@ -84,6 +88,7 @@
           status: reply.statusCode,
           contentType: typeof contentType === 'string' ? contentType : 'application/octet-stream',
           body,
+          retryAfter: retryAfterOf(reply),
         };
       } catch (thrown) {
         const { code, message } = thrown as NodeJS.ErrnoException;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -9,6 +9,7 @@
 import { ResultCode } from '@lapisbridge/errors';
 import { createInstance } from '@lapisbridge/instance';
 import type { Instance } from '@lapisbridge/instance';
+import { parseRetryAfter } from '@lapisbridge/json-call';
 import { sleep } from '@lapisbridge/kernel';
 import { createStoreWatcher } from '@lapisbridge/platform';
 import { Ran } from '@lapisbridge/types';
@@ -74,6 +75,17 @@
     isDraining,
     isBackendReachable: () => loadWatcher.reachable,
   });
+  function noteBackoff(retryAfter: string): void {
+    const milliseconds = parseRetryAfter(retryAfter);
+    if (milliseconds === undefined) {
+      logger.warn('server backoff unreadable', { server: backendServer.url });
+      return;
+    }
+    if (milliseconds === 0) return;
+    logger.info('server backoff', { server: backendServer.url, milliseconds });
+    gate.suspend(milliseconds);
+  }
+
   const background = createBackgroundRetry(random);
   const storeWatcher = createStoreWatcher(platform.table, random);
   const seenKeys = createSeenKeys();
@@ -89,6 +101,7 @@
   const common = {
     gate,
     noteUnreachable: () => loadWatcher.noteUnreachable(),
+    noteBackoff,
     load,
     logger,
     limits,
@@ -116,7 +129,8 @@
   function load(): LoadReport {
     return {
       ...gate.load(),
-      backendReachable: loadWatcher.reachable,
+      // Entries choose other servers while this one backs off.
+      backendReachable: loadWatcher.reachable && gate.suspendedMilliseconds() === 0,
       storeReachable: storeWatcher.reachable,
       draining: isDraining(),
     };
