Read a leader's own rank without a datagram, which it never gets

Streams of a whole group waited longer than needed under every hold, and callers left after two seconds where the leader had been replaced.

Cause: a leader asked every rank for its report by datagram, its own too, and instances drop datagrams of themselves. It waited 60 ms for that answer with every look before it asked by HTTP.

`large-group.test.ts` guards it.

--- a/packages/group-leader/src/large-group.test.ts
+++ b/packages/group-leader/src/large-group.test.ts
@@ -8,6 +8,7 @@
 import { packChanges, packMap, unpackChanges, unpackMap } from './pack-map.js';
 import { planPace } from './plan-pace.js';
 import { createReportQuestions } from './report-questions.js';
+import type { ReportQuestions } from './report-questions.js';
 
 const RANKS = 63;
 const EXPERTS = 252;
@@ -107,9 +108,21 @@
 describe('a question for a fresh report', () => {
   const report = { rank: 1 } as RankReport;
 
+  function createQuestions(send: (host: string, question: number) => boolean): ReportQuestions {
+    return createReportQuestions({ ownHost: 'own', ownReport: async () => report, send });
+  }
+
+  it('to the own rank is answered without a datagram', async () => {
+    // Guards against leaders that wait in vain for an answer of themselves with every look.
+    const questions = createQuestions(() => {
+      throw new Error('a datagram was sent');
+    });
+    expect(await questions.ask('own')).toBe(report);
+  });
+
   it('is answered by its own answer only', async () => {
     const asked: number[] = [];
-    const questions = createReportQuestions((_, question) => asked.push(question) > 0);
+    const questions = createQuestions((_, question) => asked.push(question) > 0);
     const [first, second] = [questions.ask('one'), questions.ask('two')];
     questions.answered(asked[1] ?? 0, report);
     expect(await second).toBe(report);
@@ -118,7 +131,7 @@
   });
 
   it('ends at once where nobody can be asked', async () => {
-    expect(await createReportQuestions(() => false).ask('nobody')).toBeUndefined();
+    expect(await createQuestions(() => false).ask('nobody')).toBeUndefined();
   });
 });
 
--- a/packages/group-leader/src/report-questions.ts
+++ b/packages/group-leader/src/report-questions.ts
@@ -18,17 +18,23 @@
  */
 const ANSWER_MILLISECONDS = 60;
 
-/** `send` puts a question to the sidecar at a host; false where none is known there. */
-export function createReportQuestions(
-  send: (host: string, question: number) => boolean,
-): ReportQuestions {
+export interface ReportQuestionsOptions {
+  readonly ownHost: string;
+  /** A fresh report of the rank beside this sidecar, which gets no datagrams of its own. */
+  ownReport(): Promise<RankReport | undefined>;
+  /** Puts a question to the sidecar at a host; false where none is known there. */
+  send(host: string, question: number): boolean;
+}
+
+export function createReportQuestions(options: ReportQuestionsOptions): ReportQuestions {
   const waiting = new Map<number, (report: RankReport | undefined) => void>();
   let last = 0;
   return {
     ask(host) {
+      if (host === options.ownHost) return options.ownReport();
       last += 1;
       const question = last;
-      if (!send(host, question)) return Promise.resolve(undefined);
+      if (!options.send(host, question)) return Promise.resolve(undefined);
       return new Promise((resolve) => {
         const timer = setTimeout(() => {
           waiting.delete(question);
--- a/packages/group-sidecar/src/rank-member.ts
+++ b/packages/group-sidecar/src/rank-member.ts
@@ -83,9 +83,16 @@
     now,
     onMessage: (from, message) => fleet.receive(from, message),
   });
-  const questions = createReportQuestions((asked, question) => {
-    fleet.ask(asked, question);
-    return true;
+  const questions = createReportQuestions({
+    ownHost: host,
+    async ownReport() {
+      await observer.refresh();
+      return observer.report();
+    },
+    send(asked, question) {
+      fleet.ask(asked, question);
+      return true;
+    },
   });
 
   const fleet = createSidecarFleet({
