Take a server that an entry is not to send to at all for limited while it backs off

In a large fleet an entry sends to some servers only. One of the others that backed off made the choice say that no server is there, so a caller was told to come back as for a missing server. The new case of `plan-server.test.ts` fails without the change (noneLeft).

--- a/packages/routing/src/plan-server.test.ts
+++ b/packages/routing/src/plan-server.test.ts
@@ -67,6 +67,9 @@
     expect(choose([short, view('cold', { roomInMilliseconds: 200 })])).toBe(
       ServerChoiceKind.AllLimited,
     );
+    // One that this entry is not to send to at all is limited, whatever it asks for.
+    const foreign = view('foreign', { backoffMilliseconds: 700, roomInMilliseconds: Infinity });
+    expect(choose([foreign])).toBe(ServerChoiceKind.AllLimited);
     const choice = planServer({
       views: [short, long, view('cold', { roomInMilliseconds: 900 })],
       ownZone: 'zone',
--- a/packages/routing/src/plan-server.ts
+++ b/packages/routing/src/plan-server.ts
@@ -139,9 +139,8 @@
       brokenFor = Math.max(brokenFor, view.brokenForMilliseconds);
       continue;
     }
-    if (view.backoffMilliseconds > 0) {
-      const free = Math.max(view.backoffMilliseconds, view.roomInMilliseconds);
-      backoff = Math.min(backoff ?? Infinity, free);
+    if (view.backoffMilliseconds > view.roomInMilliseconds) {
+      backoff = Math.min(backoff ?? Infinity, view.backoffMilliseconds);
       continue;
     }
     if (view.roomInMilliseconds > 0) {
