--- a/packages/forwarding/src/backoff.test.ts
+++ b/packages/forwarding/src/backoff.test.ts
@@ -1,12 +1,12 @@
 /**
  * Requests while one of their backend servers has asked for a backoff.
  */
-import { request } from 'node:http';
-
 import { RequestKind } from '@lapisbridge/catalog';
 import { afterEach, expect, it } from 'vitest';
 
-import { answerWith, startFixture, streamEvents } from './forwarding-fixture.js';
+import { sendRequest } from './caller-fixture.js';
+import type { ReceivedAnswer } from './caller-fixture.js';
+import { answerWith, slowly, startFixture, streamEvents } from './forwarding-fixture.js';
 import type { Fixture, Script } from './forwarding-fixture.js';
 
 let fixture: Fixture;
@@ -26,37 +26,8 @@
   };
 }
 
-/** Answers later than a server is expected to whose times are not known yet. */
-function slowly(script: Script): Script {
-  return (incoming, response) => void setTimeout(() => script(incoming, response), 80);
-}
-
-interface Received {
-  readonly status: number;
-  readonly retryAfter: number;
-  readonly milliseconds: number;
-}
-
-function send(id: string): Promise<Received> {
-  const sentAt = performance.now();
-  return new Promise((resolve, reject) => {
-    const headers = { 'request-id': id };
-    const outgoing = request(
-      { host: '127.0.0.1', port: fixture.port, method: 'POST', headers },
-      (incoming) => {
-        incoming.resume();
-        incoming.on('end', () =>
-          resolve({
-            status: incoming.statusCode ?? 0,
-            retryAfter: Number(incoming.headers['retry-after']),
-            milliseconds: performance.now() - sentAt,
-          }),
-        );
-      },
-    );
-    outgoing.on('error', reject);
-    outgoing.end('body');
-  });
+function send(id: string): Promise<ReceivedAnswer> {
+  return sendRequest(fixture.port, id);
 }
 
 function arrivalsAt(server: string): number {
--- /dev/null
+++ b/packages/forwarding/src/caller-fixture.ts
@@ -0,0 +1,32 @@
+/**
+ * A caller of an entry, for tests of forwarding.
+ */
+import { request } from 'node:http';
+
+export interface ReceivedAnswer {
+  readonly status: number;
+  /** Seconds; NaN where the answer has none. */
+  readonly retryAfter: number;
+  /** From the request to the end of the answer. */
+  readonly milliseconds: number;
+}
+
+/** Sends one request to the entry at the port. Rejects where the connection fails. */
+export function sendRequest(port: number, requestId: string): Promise<ReceivedAnswer> {
+  const sentAt = performance.now();
+  return new Promise((resolve, reject) => {
+    const headers = { 'request-id': requestId };
+    const outgoing = request({ host: '127.0.0.1', port, method: 'POST', headers }, (incoming) => {
+      incoming.resume();
+      incoming.on('end', () =>
+        resolve({
+          status: incoming.statusCode ?? 0,
+          retryAfter: Number(incoming.headers['retry-after'] ?? NaN),
+          milliseconds: performance.now() - sentAt,
+        }),
+      );
+    });
+    outgoing.on('error', reject);
+    outgoing.end('body');
+  });
+}
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -249,6 +249,11 @@
   };
 }
 
+/** Answers later than a server is expected to whose times are not known yet. */
+export function slowly(script: Script): Script {
+  return (incoming, response) => void setTimeout(() => script(incoming, response), 80);
+}
+
 /** States that it did not run the request. */
 export const refuseAll: Script = (incoming, response) => {
   response.writeHead(503, {
--- a/packages/forwarding/src/rate-limit.test.ts
+++ b/packages/forwarding/src/rate-limit.test.ts
@@ -1,11 +1,11 @@
 /**
  * Requests while one of their backend servers states a rate limit.
  */
-import { request } from 'node:http';
-
 import { RequestKind } from '@lapisbridge/catalog';
 import { afterEach, expect, it } from 'vitest';
 
+import { sendRequest } from './caller-fixture.js';
+import type { ReceivedAnswer } from './caller-fixture.js';
 import { refuseAll, startFixture } from './forwarding-fixture.js';
 import type { Fixture, Script } from './forwarding-fixture.js';
 
@@ -26,24 +26,8 @@
   };
 }
 
-function send(id: string): Promise<{ status: number; retryAfter: string | undefined }> {
-  return new Promise((resolve, reject) => {
-    const headers = { 'request-id': id };
-    const outgoing = request(
-      { host: '127.0.0.1', port: fixture.port, method: 'POST', headers },
-      (incoming) => {
-        incoming.resume();
-        incoming.on('end', () =>
-          resolve({
-            status: incoming.statusCode ?? 0,
-            retryAfter: incoming.headers['retry-after'],
-          }),
-        );
-      },
-    );
-    outgoing.on('error', reject);
-    outgoing.end('body');
-  });
+function send(id: string): Promise<ReceivedAnswer> {
+  return sendRequest(fixture.port, id);
 }
 
 it.each([
@@ -81,7 +65,7 @@
   for (let index = 0; index < 6; index += 1) {
     const { status, retryAfter } = await send(`id-${index}`);
     statuses.push(status);
-    if (status === 503) expect(Number(retryAfter)).toBeGreaterThan(0);
+    if (status === 503) expect(retryAfter).toBeGreaterThan(0);
   }
   expect(statuses.at(-1)).toBe(503);
   expect(fixture.arrivals.filter(({ instanceId }) => instanceId === 'one').length).toBeLessThan(4);
--- a/packages/forwarding/src/server-departures.test.ts
+++ b/packages/forwarding/src/server-departures.test.ts
@@ -2,22 +2,13 @@
 import { createSilentLogger } from '@lapisbridge/logger';
 import { beforeEach, describe, expect, it } from 'vitest';
 
+import { serverWith } from './backend-server-fixture.js';
 import { headWith } from './head-fixture.js';
 import { createServerDepartures } from './server-departures.js';
 import type { ServerDepartures } from './server-departures.js';
 
 function server(startedAt: number | undefined): BackendServer {
-  return {
-    instanceId: 'server',
-    service: 'service',
-    host: '10.0.0.1',
-    port: 80,
-    availabilityZone: 'zone',
-    slots: 4,
-    draining: false,
-    groupRank: undefined,
-    startedAt,
-  };
+  return serverWith({ startedAt });
 }
 
 describe('departures that servers state', () => {
--- a/packages/forwarding/src/server-statements.test.ts
+++ b/packages/forwarding/src/server-statements.test.ts
@@ -1,7 +1,7 @@
-import type { BackendServer } from '@lapisbridge/catalog';
 import { createSilentLogger } from '@lapisbridge/logger';
 import { beforeEach, describe, expect, it } from 'vitest';
 
+import { serverWith } from './backend-server-fixture.js';
 import { RateLimitKind, RetryAfterKind } from './caller-protocol.js';
 import type { AnswerHead } from './caller-protocol.js';
 import { headWith, refusalWith } from './head-fixture.js';
@@ -11,17 +11,7 @@
 import { createServerStatements } from './server-statements.js';
 import type { ServerStatements } from './server-statements.js';
 
-const SERVER: BackendServer = {
-  instanceId: 'server',
-  service: 'service',
-  host: '10.0.0.1',
-  port: 80,
-  availabilityZone: 'zone',
-  slots: 4,
-  draining: false,
-  groupRank: undefined,
-  startedAt: 1,
-};
+const SERVER = serverWith();
 
 /** States all that a server can state. */
 const STATING: Partial<AnswerHead> = {
--- a/packages/forwarding/src/shedding-server.test.ts
+++ b/packages/forwarding/src/shedding-server.test.ts
@@ -1,12 +1,11 @@
 /**
  * Requests while one of their backend servers refuses everything, though it has slots free.
  */
-import { request } from 'node:http';
-
 import { RequestKind } from '@lapisbridge/catalog';
 import { afterEach, expect, it } from 'vitest';
 
-import { answerWith, startFixture, streamEvents } from './forwarding-fixture.js';
+import { sendRequest } from './caller-fixture.js';
+import { answerWith, slowly, startFixture, streamEvents } from './forwarding-fixture.js';
 import type { Fixture, Script } from './forwarding-fixture.js';
 
 let fixture: Fixture;
@@ -23,26 +22,6 @@
   response.end();
 };
 
-/** Answers later than a server is expected to whose times are not known yet. */
-function slowly(script: Script): Script {
-  return (incoming, response) => void setTimeout(() => script(incoming, response), 80);
-}
-
-function send(id: string): Promise<number> {
-  return new Promise((resolve, reject) => {
-    const headers = { 'request-id': id };
-    const outgoing = request(
-      { host: '127.0.0.1', port: fixture.port, method: 'POST', headers },
-      (incoming) => {
-        incoming.resume();
-        incoming.on('end', () => resolve(incoming.statusCode ?? 0));
-      },
-    );
-    outgoing.on('error', reject);
-    outgoing.end('body');
-  });
-}
-
 it.each([
   ['streams', RequestKind.Streaming],
   ['at-most-once requests', RequestKind.AtMostOnce],
@@ -54,7 +33,8 @@
     servers: { other: slowly(serve), shedding: shed },
     route: { kind },
   });
-  for (let index = 0; index < 10; index += 1) expect(await send(`id-${index}`)).toBe(200);
+  for (let index = 0; index < 10; index += 1)
+    expect((await sendRequest(fixture.port, `id-${index}`)).status).toBe(200);
   const toShedding = fixture.arrivals.filter(({ instanceId }) => instanceId === 'shedding');
   expect(toShedding.length).toBeLessThan(5);
 });
