Test that second tries, hedges and resumed streams keep to a server's backoff

So far only first tries and held requests were tested; that the other ways of sending ask the same choice was read, not shown. Moved streams have no case: they ask the same choice, and the soak draws them together with shedding servers.

--- a/packages/forwarding/src/backoff.test.ts
+++ b/packages/forwarding/src/backoff.test.ts
@@ -6,7 +6,13 @@
 
 import { sendRequest } from './caller-fixture.js';
 import type { ReceivedAnswer } from './caller-fixture.js';
-import { answerWith, slowly, startFixture, streamEvents } from './forwarding-fixture.js';
+import {
+  answerWith,
+  loseAnswer,
+  slowly,
+  startFixture,
+  streamEvents,
+} from './forwarding-fixture.js';
 import type { Fixture, Script } from './forwarding-fixture.js';
 
 let fixture: Fixture;
@@ -51,6 +57,42 @@
   expect(arrivalsAt('backingOff')).toBe(1);
 });
 
+/** Treats the first request in one way and all others in another. */
+function changing(first: Script, later: Script): Script {
+  let isFirst = true;
+  return (incoming, response) => {
+    const script = isFirst ? first : later;
+    isFirst = false;
+    script(incoming, response);
+  };
+}
+
+const hang: Script = () => undefined;
+
+it.each([
+  ['second try', RequestKind.Idempotent, answerWith('answer'), loseAnswer],
+  ['hedge', RequestKind.Idempotent, answerWith('answer'), hang],
+  ['resumed stream', RequestKind.Streaming, streamEvents(6), streamEvents(6, 3)],
+])('sends no %s to a server that backs off', async (_, kind, serve, failure) => {
+  // Guards against ways of sending that pass the choice of a server by.
+  fixture = await startFixture({
+    servers: {
+      backingOff: askForBackoff(30),
+      failing: changing(serve, failure),
+      sound: serve,
+    },
+    route: { kind, resumable: true },
+  });
+  expect((await send('first')).status).toBe(200);
+  expect((await send('second')).status).toBe(200);
+  expect(fixture.arrivals.map(({ instanceId }) => instanceId)).toEqual([
+    'backingOff',
+    'failing',
+    'failing',
+    'sound',
+  ]);
+});
+
 it('sends to the server again when the backoff is over', async () => {
   // Guards against servers that stay without work after a backoff.
   fixture = await startFixture({
@@ -66,15 +108,8 @@
 
 it('keeps a request where a backoff is over soon', async () => {
   // Guards against callers that are told to come back later than they could be served.
-  let isFirst = true;
   fixture = await startFixture({
-    servers: {
-      one(incoming, response) {
-        const script = isFirst ? askForBackoff(0.3) : answerWith('answer');
-        isFirst = false;
-        script(incoming, response);
-      },
-    },
+    servers: { one: changing(askForBackoff(0.3), answerWith('answer')) },
     route: { kind: RequestKind.AtMostOnce, objectiveMilliseconds: 60_000 },
   });
   await send('first');
