One type for standing statements, one module for Retry-After

The case of a server that is missing from the list is replaced by one on forgetting, since backoffs no longer look at the list.

--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -18,12 +18,7 @@
   createServerRateLimits,
   createServerStatements,
 } from '@lapisbridge/forwarding';
-import type {
-  BackingOffServer,
-  ForwardContext,
-  LeavingServer,
-  SendingEntries,
-} from '@lapisbridge/forwarding';
+import type { ForwardContext, SendingEntries, StandingStatement } from '@lapisbridge/forwarding';
 import type { Address } from '@lapisbridge/json-call';
 import { createRandom, monotonicClock } from '@lapisbridge/kernel';
 import { createMetrics, startMetricsListener } from '@lapisbridge/metrics';
@@ -53,11 +48,9 @@
   });
 }
 
-function secondsByServer(
-  servers: readonly (BackingOffServer | LeavingServer)[],
-): ReadonlyMap<string, number> {
+function secondsByServer(statements: readonly StandingStatement[]): ReadonlyMap<string, number> {
   return new Map(
-    servers.map(({ instanceId, ageMilliseconds }) => [instanceId, ageMilliseconds / 1000]),
+    statements.map(({ instanceId, ageMilliseconds }) => [instanceId, ageMilliseconds / 1000]),
   );
 }
 
--- a/packages/forwarding/src/server-backoffs.test.ts
+++ b/packages/forwarding/src/server-backoffs.test.ts
@@ -53,9 +53,9 @@
     expect(backoffs.remainingMilliseconds('server')).toBe(0);
   });
 
-  it('outlast a moment in which the server is missing from the list', () => {
+  it('are forgotten when they are over, and not before', () => {
     backoffs.onAnswer('server', refusal(after(3000)));
-    backoffs.keepOnly(new Map());
+    backoffs.forgetOver();
     expect(backoffs.remainingMilliseconds('server')).toBe(3000);
   });
 
--- a/packages/forwarding/src/server-backoffs.ts
+++ b/packages/forwarding/src/server-backoffs.ts
@@ -6,12 +6,7 @@
 
 import { RetryAfterKind } from './caller-protocol.js';
 import type { AnswerHead } from './caller-protocol.js';
-
-/** A server that backs off, with the milliseconds since it asked for it first. */
-export interface BackingOffServer {
-  readonly instanceId: string;
-  readonly ageMilliseconds: number;
-}
+import type { StandingStatement } from './standing-statement.js';
 
 export interface ServerBackoffs {
   /** Takes what a server's answer states; the answer has to be the server's own. */
@@ -20,11 +15,11 @@
   remainingMilliseconds(instanceId: string): number;
   noteSent(instanceId: string): void;
   /** Servers that back off now. */
-  list(): BackingOffServer[];
+  list(): StandingStatement[];
   /** Requests sent to servers while they backed off, since the start. */
   requestsSent(): number;
-  /** Forgets servers that are gone, once their backoffs are over. */
-  keepOnly(instanceIds: ReadonlyMap<string, unknown>): void;
+  /** Forgets backoffs that are over, also those of servers that are not asked about any more. */
+  forgetOver(): void;
 }
 
 interface Backoff {
@@ -80,7 +75,7 @@
       if (current(instanceId) !== undefined) requestsSent += 1;
     },
     list() {
-      const listed: BackingOffServer[] = [];
+      const listed: StandingStatement[] = [];
       for (const instanceId of [...backoffs.keys()]) {
         const backoff = current(instanceId);
         if (backoff === undefined) continue;
@@ -89,10 +84,8 @@
       return listed;
     },
     requestsSent: () => requestsSent,
-    keepOnly(instanceIds) {
-      for (const instanceId of [...backoffs.keys()]) {
-        if (!instanceIds.has(instanceId)) current(instanceId);
-      }
+    forgetOver() {
+      for (const instanceId of [...backoffs.keys()]) current(instanceId);
     },
   };
 }
--- a/packages/forwarding/src/server-departures.ts
+++ b/packages/forwarding/src/server-departures.ts
@@ -6,19 +6,14 @@
 import type { Logger } from '@lapisbridge/logger';
 
 import type { AnswerHead } from './caller-protocol.js';
-
-/** A server that leaves, with the milliseconds since it said so first. */
-export interface LeavingServer {
-  readonly instanceId: string;
-  readonly ageMilliseconds: number;
-}
+import type { StandingStatement } from './standing-statement.js';
 
 export interface ServerDepartures {
   /** Takes what a server's answer states; the answer has to be the server's own. */
   onAnswer(server: BackendServer, head: AnswerHead): void;
   isLeaving(server: BackendServer): boolean;
   /** Servers that leave and are not gone for long. */
-  list(): LeavingServer[];
+  list(): StandingStatement[];
   /** Forgets servers that are gone or have started anew. */
   keepOnly(servers: ReadonlyMap<string, BackendServer>): void;
 }
@@ -57,7 +52,7 @@
       return departure !== undefined && !hasRestarted(departure, server);
     },
     list() {
-      const listed: LeavingServer[] = [];
+      const listed: StandingStatement[] = [];
       for (const [instanceId, { since, goneAt }] of departures) {
         if (goneAt === undefined) listed.push({ instanceId, ageMilliseconds: now() - since });
       }
--- a/packages/forwarding/src/server-statements.ts
+++ b/packages/forwarding/src/server-statements.ts
@@ -72,7 +72,9 @@
     },
     rateLimitOf: (instanceId) => rateLimits.limitOf(instanceId),
     keepOnly(servers) {
-      for (const memory of [rateLimits, backoffs, departures]) memory.keepOnly(servers);
+      rateLimits.keepOnly(servers);
+      departures.keepOnly(servers);
+      backoffs.forgetOver();
     },
   };
 }
--- /dev/null
+++ b/packages/forwarding/src/standing-statement.ts
@@ -0,0 +1,8 @@
+/**
+ * A statement of a backend server that stands, as metrics tell of it.
+ */
+export interface StandingStatement {
+  readonly instanceId: string;
+  /** Since the server first stated it. */
+  readonly ageMilliseconds: number;
+}
--- a/packages/json-call/src/index.ts
+++ b/packages/json-call/src/index.ts
@@ -7,4 +7,5 @@
 export type { JsonObject } from './decode.js';
 export { parseAddress } from './parse-address.js';
 export type { Address } from './parse-address.js';
-export { LONGEST_BACKOFF_MILLISECONDS, parseDecimal, parseRetryAfter } from './parse-decimal.js';
+export { parseDecimal } from './parse-decimal.js';
+export { parseRetryAfter } from './parse-retry-after.js';
