--- a/packages/forwarding/src/silent-server.test.ts
+++ b/packages/forwarding/src/silent-server.test.ts
@@ -9,6 +9,8 @@
 
 import { startFixture, streamEvents } from './forwarding-fixture.js';
 import type { Fixture, Script } from './forwarding-fixture.js';
+import { callerPatience } from './plan-wait.js';
+import { STREAM_ROUTE } from './stream-route-fixture.js';
 
 let fixture: Fixture;
 let reports: NodeJS.Timeout;
@@ -90,3 +92,18 @@
   expect(await answer).toBe(ALL_EVENTS);
   expect(fixture.arrivals[1]).toMatchObject({ headers: { 'last-event': '3' } });
 });
+
+it.each([
+  ['that waits', 0],
+  ['that has begun', 3],
+])('ends a stream %s before its caller leaves where no server goes on', async (_what, events) => {
+  // Guards against streams that are moved, wait for a service that stands still, and are left.
+  await start(fallSilentAfter(events), fallSilentAfter(0));
+  const began = performance.now();
+  const answer = stream('late');
+  await sleep(50);
+  reporting.delete('one');
+  await answer;
+  expect(performance.now() - began).toBeLessThan(callerPatience(STREAM_ROUTE));
+  expect(fixture.arrivals[0]?.instanceId).toBe('one');
+});
