--- a/packages/forwarding/src/silent-server.test.ts
+++ b/packages/forwarding/src/silent-server.test.ts
@@ -107,3 +107,15 @@
   expect(performance.now() - began).toBeLessThan(callerPatience(STREAM_ROUTE));
   expect(fixture.arrivals[0]?.instanceId).toBe('one');
 });
+
+it('ends a stream before its caller leaves where its server stops after a long wait', async () => {
+  // Guards against streams that wait at one server for as long as their callers stay.
+  await start(fallSilentAfter(0), streamEvents(EVENTS));
+  const began = performance.now();
+  const answer = stream('long');
+  await sleep(1750);
+  reporting.delete('one');
+  await answer;
+  expect(performance.now() - began).toBeLessThan(callerPatience(STREAM_ROUTE));
+  expect(fixture.arrivals[0]?.instanceId).toBe('one');
+});
