--- a/packages/forwarding/src/choose-server.ts
+++ b/packages/forwarding/src/choose-server.ts
@@ -5,6 +5,7 @@
 import { planServer, ServerChoiceKind } from '@lapisbridge/routing';
 import type { ServerChoice, ServerView } from '@lapisbridge/routing';
 
+import { remainingOf } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext, Progress } from './forward-context.js';
 import { roundedOrNone } from './rounded-or-none.js';
 
@@ -102,6 +103,8 @@
       leaving: leaving > 0 ? leaving : undefined,
       cost: chosen ? Math.round(choice.cost) : undefined,
       outstanding: chosen ? choice.view.outstanding : undefined,
+      slots: chosen ? choice.view.slots : undefined,
+      remaining: chosen ? remainingOf(context, accepted) : undefined,
       reportAge: chosen ? roundedOrNone(choice.view.reportAge) : undefined,
       silence: roundedOrNone(silence),
       suspicion: chosen ? Number(choice.view.suspicion.toFixed(2)) : undefined,
