--- a/packages/direct-entry/src/knowledge.ts
+++ b/packages/direct-entry/src/knowledge.ts
@@ -22,13 +22,12 @@
 import { ReadingRole } from '@lapisbridge/fleet';
 import type { InstanceName } from '@lapisbridge/fleet';
 import type { JsonObject } from '@lapisbridge/json-call';
-import { monotonicClock } from '@lapisbridge/kernel';
-import type { Random } from '@lapisbridge/kernel';
+import type { MonotonicClock, Random } from '@lapisbridge/kernel';
 import type { Logger } from '@lapisbridge/logger';
 
 import type { TableAdapter, TableRows } from './adapters.js';
-import { createCopyResponder, fetchCopy, FollowedTable } from './copy-exchange.js';
-import type { CopyResponder } from './copy-exchange.js';
+import { createCopyResponder, FollowedTable } from './copy-exchange.js';
+import type { CopyResponder, FetchedCopy } from './copy-exchange.js';
 import { planReading, SERVERS_WAIT_MILLISECONDS } from './plan-reading.js';
 import type { OrderBounds, ReadingPace } from './plan-reading.js';
 
@@ -54,9 +53,10 @@
   readonly tables: TableAdapter;
   readonly logger: Logger;
   readonly random: Random;
-  /** Where entries answer each other. */
-  readonly port: number;
   readonly availabilityZone: string;
+  readonly now: MonotonicClock;
+  /** Asks another entry for its copy. Rejects when no answer came. */
+  fetchCopy(host: string, table: FollowedTable, since: number): Promise<FetchedCopy | undefined>;
   bounds(): OrderBounds;
   /** Whether some entries read the store for others. */
   isDelegating(): boolean;
@@ -88,11 +88,11 @@
 }
 
 export function createKnowledge(options: KnowledgeOptions): Knowledge {
-  const { logger, random, tables, catalog } = options;
+  const { logger, random, tables, catalog, now } = options;
   const asking = new Set<FollowedTable>();
   let isStoreReachable = true;
   let returnedAt = -Infinity;
-  let serversTakenAt = monotonicClock();
+  let serversTakenAt = now();
   let serversFingerprint = '';
   /** Revisions of the last changes that matter. */
   const changedAt = { [FollowedTable.Operators]: 0, [FollowedTable.Servers]: 0 };
@@ -102,8 +102,8 @@
     [FollowedTable.Servers]: undefined,
   };
   const watches: Readonly<Record<FollowedTable, FreshnessWatch>> = {
-    [FollowedTable.Operators]: createFreshnessWatch(monotonicClock),
-    [FollowedTable.Servers]: createFreshnessWatch(monotonicClock),
+    [FollowedTable.Operators]: createFreshnessWatch(now),
+    [FollowedTable.Servers]: createFreshnessWatch(now),
   };
 
   function pace(): ReadingPace {
@@ -123,22 +123,22 @@
   /** To be called before a new confirmation of the servers' table is noted. */
   function onServersConfirmed(): void {
     const unconfirmedFor = Math.min(
-      monotonicClock() - serversTakenAt,
+      now() - serversTakenAt,
       watches[FollowedTable.Servers].freshnessAgeMilliseconds(Infinity),
     );
     if (unconfirmedFor <= OUTAGE_MILLISECONDS) return;
-    returnedAt = monotonicClock();
+    returnedAt = now();
     setTimeout(dropLapsed, LAPSE_MILLISECONDS);
   }
 
   function takeServers(rows: TableRows, revision: number): void {
     onServersConfirmed();
-    serversTakenAt = monotonicClock();
+    serversTakenAt = now();
     const listed = tables.decodeServers(rows, revision);
     const servers = retainLapsed({
       before: catalog.servers().servers,
       listed: dropReplaced(listed.servers),
-      sinceReturn: monotonicClock() - returnedAt,
+      sinceReturn: now() - returnedAt,
     });
     catalog.replaceServers({ revision, servers });
     const fingerprint = fingerprintOf(listed);
@@ -206,7 +206,7 @@
     store: options.store,
     part: '',
     random,
-    now: monotonicClock,
+    now,
     onStoreResult,
     longestRetryMilliseconds,
   };
@@ -234,7 +234,7 @@
     asking.add(table);
     const since = followers[table].copy()?.revision ?? 0;
     try {
-      const fetched = await fetchCopy(host, options.port, table, since);
+      const fetched = await options.fetchCopy(host, table, since);
       if (fetched === undefined) return;
       const { list, ageMilliseconds } = fetched;
       const isAdopted = followers[table].adopt(list);
@@ -268,8 +268,8 @@
       behindSince[table] = undefined;
       return;
     }
-    behindSince[table] ??= monotonicClock();
-    const behindFor = monotonicClock() - (behindSince[table] ?? 0);
+    behindSince[table] ??= now();
+    const behindFor = now() - (behindSince[table] ?? 0);
     const isInZone = from.availabilityZone === options.availabilityZone;
     if (behindFor >= fetchDelayMilliseconds(table, isInZone)) void ask(table, from.host);
   }
--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -25,6 +25,7 @@
 import { beginLife, endOnSignal, endUnstarted } from '@lapisbridge/process-life';
 
 import type { EntryAdapters } from './adapters.js';
+import { fetchCopy } from './copy-exchange.js';
 import { startInstanceListener } from './instance-listener.js';
 import { createKnowledge } from './knowledge.js';
 import type { Knowledge } from './knowledge.js';
@@ -112,8 +113,9 @@
     tables: adapters.tables,
     logger,
     random,
-    port: settings.peerPort,
     availabilityZone: settings.availabilityZone,
+    now: monotonicClock,
+    fetchCopy: (host, table, since) => fetchCopy(host, settings.peerPort, table, since),
     bounds: () => ({
       configuration: life.settings().configurationBoundMilliseconds,
       draining: life.settings().drainingBoundMilliseconds,
