Log how an entry learned of a configuration and when it reads the store itself

'configuration in force' did not say where the version came from, nor how long the copy before it had been unconfirmed; nothing told when an entry begins to read for itself, or that a fetch failed.

--- a/packages/catalog/src/freshness-watch.ts
+++ b/packages/catalog/src/freshness-watch.ts
@@ -28,6 +28,8 @@
   onReport(entry: string, report: FreshnessReport): void;
   /** Milliseconds since the store confirmed to anyone that this revision is the newest. */
   freshnessAgeMilliseconds(revision: number): number;
+  /** The entry whose report is the newest confirmation; undefined while there is none. */
+  confirmedBy(): string | undefined;
 }
 
 interface HeardReport {
@@ -58,5 +60,15 @@
       }
       return now() - latest;
     },
+    confirmedBy() {
+      let by: string | undefined;
+      let latest = -Infinity;
+      for (const [entry, { confirmedAt }] of reports) {
+        if (confirmedAt <= latest) continue;
+        latest = confirmedAt;
+        by = entry;
+      }
+      return by;
+    },
   };
 }
--- a/packages/direct-entry/src/knowledge.ts
+++ b/packages/direct-entry/src/knowledge.ts
@@ -42,6 +42,8 @@
 const OWN_READ_MILLISECONDS = 400;
 /** Head start of a zone's primary in fetching a copy from another zone. */
 const FETCH_HEAD_START_MILLISECONDS = 150;
+/** Between two lines about fetches that failed. */
+const FETCH_LOG_MILLISECONDS = 1000;
 /** Longest pause between tries while the store does not answer. */
 const DELEGATE_RETRY_MILLISECONDS = 800;
 const FOLLOWER_RETRY_MILLISECONDS = 3000;
@@ -82,6 +84,18 @@
 
 const TABLES = Object.values(FollowedTable);
 
+/** Whether and since when an entry reads a table of the store for itself. */
+interface OwnReading {
+  isReading: boolean;
+  /** Age of the copy when the latest call began. */
+  ageMilliseconds: number;
+}
+
+/** For logs; undefined where there is no such time. */
+function wholeOf(milliseconds: number): number | undefined {
+  return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined;
+}
+
 /** Changes with everything but heartbeats. */
 function fingerprintOf({ servers }: ServerList): string {
   return JSON.stringify([...servers.values()]);
@@ -101,6 +115,14 @@
     [FollowedTable.Operators]: undefined,
     [FollowedTable.Servers]: undefined,
   };
+  const ownReading: Record<FollowedTable, OwnReading> = {
+    [FollowedTable.Operators]: { isReading: true, ageMilliseconds: Infinity },
+    [FollowedTable.Servers]: { isReading: true, ageMilliseconds: Infinity },
+  };
+  /** Where the copy comes from that is being taken over; undefined for the store. */
+  let copiedFrom: string | undefined;
+  let fetchLoggedAt = -Infinity;
+  let failedFetches = 0;
   const watches: Readonly<Record<FollowedTable, FreshnessWatch>> = {
     [FollowedTable.Operators]: createFreshnessWatch(now),
     [FollowedTable.Servers]: createFreshnessWatch(now),
@@ -157,6 +179,9 @@
       version: catalog.operators().configuration?.version,
       revision,
       drainedZones: [...orders.drainedZones],
+      source: copiedFrom ?? 'store',
+      age: wholeOf(ownReading[FollowedTable.Operators].ageMilliseconds),
+      knownFor: wholeOf(now() - (behindSince[FollowedTable.Operators] ?? now())),
     });
   }
 
@@ -190,6 +215,23 @@
     return freshnessAgeMilliseconds(table) < limitOf(table);
   }
 
+  /** The same, when the table's follower is about to act on it. */
+  function decideReading(table: FollowedTable): boolean {
+    const isDelegated = isReadDelegated(table);
+    const own = ownReading[table];
+    own.ageMilliseconds = freshnessAgeMilliseconds(table);
+    if (own.isReading !== isDelegated) return isDelegated;
+    own.isReading = !isDelegated;
+    logger.info(isDelegated ? 'relying on readers' : 'reading the store', {
+      table,
+      role: options.role(),
+      age: wholeOf(own.ageMilliseconds),
+      ownAge: wholeOf(followers[table].millisecondsSinceResponse()),
+      confirmedBy: watches[table].confirmedBy(),
+    });
+    return isDelegated;
+  }
+
   /** The time is up for servers that had only lapsed. */
   function dropLapsed(): void {
     const copy = followers[FollowedTable.Servers].copy();
@@ -214,7 +256,7 @@
     [FollowedTable.Operators]: followTable({
       ...shared,
       table: tables.operatorsTable,
-      isReadDelegated: () => isReadDelegated(FollowedTable.Operators),
+      isReadDelegated: () => decideReading(FollowedTable.Operators),
       waitMilliseconds: () => pace().operatorsWait,
       pauseMilliseconds: () => 0,
       onRows: takeOperators,
@@ -222,31 +264,49 @@
     [FollowedTable.Servers]: followTable({
       ...shared,
       table: tables.serversTable,
-      isReadDelegated: () => isReadDelegated(FollowedTable.Servers),
+      isReadDelegated: () => decideReading(FollowedTable.Servers),
       waitMilliseconds: () => SERVERS_WAIT_MILLISECONDS,
       pauseMilliseconds: () => pace().serversPause,
       onRows: takeServers,
     }),
   };
 
+  function logFailedFetch(table: FollowedTable, host: string, reason: string): void {
+    failedFetches += 1;
+    if (now() - fetchLoggedAt < FETCH_LOG_MILLISECONDS) return;
+    fetchLoggedAt = now();
+    logger.info('copy not fetched', { table, host, reason, failures: failedFetches });
+    failedFetches = 0;
+  }
+
   async function ask(table: FollowedTable, host: string): Promise<void> {
     if (asking.has(table)) return;
     asking.add(table);
     const since = followers[table].copy()?.revision ?? 0;
+    const askedAt = now();
     try {
       const fetched = await options.fetchCopy(host, table, since);
       if (fetched === undefined) return;
       const { list, ageMilliseconds } = fetched;
+      ownReading[table].ageMilliseconds = freshnessAgeMilliseconds(table);
+      copiedFrom = host;
       const isAdopted = followers[table].adopt(list);
+      copiedFrom = undefined;
       const revision = isAdopted ? list.revision : since;
       watches[table].onReport(`copy of ${host}`, { revision, ageMilliseconds });
       if (isAdopted) {
         behindSince[table] = undefined;
-        logger.info('copy taken from a peer', { table, host, revision: list.revision });
+        logger.info('copy taken from a peer', {
+          table,
+          host,
+          revision: list.revision,
+          milliseconds: Math.round(now() - askedAt),
+        });
       }
     } catch (thrown) {
-      logger.debug('peer gave no copy', { table, host, reason: String(thrown) });
+      logFailedFetch(table, host, String(thrown));
     } finally {
+      copiedFrom = undefined;
       asking.delete(table);
     }
   }
