--- a/packages/fleet/src/played-fleet.ts
+++ b/packages/fleet/src/played-fleet.ts
@@ -4,6 +4,7 @@
  */
 import { planPace } from '@lapisbridge/group-leader';
 import type { PackedGrowth } from '@lapisbridge/group-leader';
+import type { JsonObject } from '@lapisbridge/json-call';
 import { createRandom } from '@lapisbridge/kernel';
 import { createSilentLogger } from '@lapisbridge/logger';
 
@@ -24,6 +25,11 @@
   readonly loss?: number;
   /** Instances start within this time of each other. */
   readonly startWithinMilliseconds?: number;
+  /** Time of a datagram on its way. */
+  readonly delayMilliseconds?: number;
+  /** What an entry tells of its copies of the store's tables. */
+  freshness?(entry: InstanceName): JsonObject;
+  onFreshness?(entry: InstanceName, from: InstanceName, freshness: JsonObject): void;
 }
 
 export interface PlayedEntry {
@@ -67,6 +73,9 @@
   run(milliseconds: number): void;
   /** Stops an instance without a word. */
   kill(instanceId: string): void;
+  /** Lets an instance stand still: what reaches it waits until it goes on. */
+  pause(instanceId: string): void;
+  resume(instanceId: string): void;
   /** Drops what goes from one instance to the other where the filter says so. */
   cut(isCut: (from: InstanceName, to: InstanceName) => boolean): void;
   /** Counts the traffic from now on. */
@@ -132,6 +141,8 @@
   const timeline = createTimeline();
   const byHost = new Map<string, Instance>();
   const dead = new Set<string>();
+  /** What paused instances do once they go on. */
+  const paused = new Map<string, (() => void)[]>();
   const entries: PlayedEntry[] = [];
   const sidecars: PlayedSidecar[] = [];
   let isCut: (from: InstanceName, to: InstanceName) => boolean = () => false;
@@ -142,6 +153,11 @@
     const target = byHost.get(host);
     if (target === undefined || dead.has(target.name.instanceId)) return;
     if (dead.has(from.instanceId) || isCut(from, target.name)) return;
+    const held = paused.get(target.name.instanceId);
+    if (held !== undefined) {
+      held.push(() => deliver(from, host, bytes, kind));
+      return;
+    }
     const datagram = decodeDatagram(bytes);
     if (datagram === undefined) throw new Error(`${kind} does not decode`);
     const count = received.get(target.name.instanceId) ?? { datagrams: 0, bytes: 0 };
@@ -156,13 +172,18 @@
       datagrams.set(message.kind, (datagrams.get(message.kind) ?? 0) + 1);
       if (random() < (options.loss ?? 0)) return;
       const bytes = encodeDatagram({ from, sequence: 1, message });
-      timeline.after(HOP_MILLISECONDS, () => deliver(from, host, bytes, message.kind));
+      timeline.after(options.delayMilliseconds ?? HOP_MILLISECONDS, () =>
+        deliver(from, host, bytes, message.kind),
+      );
     };
   }
 
   function start(name: InstanceName, tick: () => number): void {
     const step = (): void => {
-      if (!dead.has(name.instanceId)) timeline.after(tick(), step);
+      if (dead.has(name.instanceId)) return;
+      const held = paused.get(name.instanceId);
+      if (held === undefined) timeline.after(tick(), step);
+      else held.push(step);
     };
     timeline.after(random() * (options.startWithinMilliseconds ?? 300), step);
   }
@@ -200,7 +221,7 @@
       sidecars: () => sidecarAddresses,
       fleetSize: () => Math.max(fleet.entryIds().length, Math.ceil(options.sidecars / 3)),
       profiles: () => ({}),
-      freshness: () => ({}),
+      freshness: () => options.freshness?.(name) ?? {},
       rateLimits: () =>
         [...rateLimits].map(([instanceId, { requestsPerSecond, at }]) => ({
           instanceId,
@@ -208,12 +229,19 @@
           ageMilliseconds: timeline.now() - at,
         })),
       onRateLimits: takeRateLimits,
-      onFreshness: (from) => freshness.push({ from: from.instanceId, at: timeline.now() }),
+      onFreshness(from, told) {
+        freshness.push({ from: from.instanceId, at: timeline.now() });
+        options.onFreshness?.(name, from, told);
+      },
       onLoads(told) {
         for (const load of told) loads.set(load.rank, { load, at: timeline.now() });
       },
       send: sender(name),
-      wake: () => timeline.after(1, () => fleet.tick()),
+      wake() {
+        timeline.after(1, () => {
+          if (!paused.has(name.instanceId)) fleet.tick();
+        });
+      },
       now: () => timeline.now(),
       random,
     });
@@ -280,6 +308,12 @@
     now: () => timeline.now(),
     run: (milliseconds) => timeline.runUntil(timeline.now() + milliseconds),
     kill: (instanceId) => dead.add(instanceId),
+    pause: (instanceId) => paused.set(instanceId, []),
+    resume(instanceId) {
+      const held = paused.get(instanceId) ?? [];
+      paused.delete(instanceId);
+      for (const run of held) run();
+    },
     cut(cutBetween) {
       isCut = cutBetween;
     },
