--- a/packages/direct-entry/src/knowledge.ts
+++ b/packages/direct-entry/src/knowledge.ts
@@ -22,13 +22,12 @@
 import { ReadingRole } from '@lapisbridge/fleet';
 import type { InstanceName } from '@lapisbridge/fleet';
 import type { JsonObject } from '@lapisbridge/json-call';
-import { monotonicClock } from '@lapisbridge/kernel';
-import type { Random } from '@lapisbridge/kernel';
+import type { MonotonicClock, Random } from '@lapisbridge/kernel';
 import type { Logger } from '@lapisbridge/logger';
 
 import type { TableAdapter, TableRows } from './adapters.js';
-import { createCopyResponder, fetchCopy, FollowedTable } from './copy-exchange.js';
-import type { CopyResponder } from './copy-exchange.js';
+import { createCopyResponder, FollowedTable } from './copy-exchange.js';
+import type { CopyResponder, FetchedCopy } from './copy-exchange.js';
 import { planReading, SERVERS_WAIT_MILLISECONDS } from './plan-reading.js';
 import type { OrderBounds, ReadingPace } from './plan-reading.js';
 
@@ -43,6 +42,8 @@
 const OWN_READ_MILLISECONDS = 400;
 /** Head start of a zone's primary in fetching a copy from another zone. */
 const FETCH_HEAD_START_MILLISECONDS = 150;
+/** Between two lines about fetches that failed. */
+const FETCH_LOG_MILLISECONDS = 1000;
 /** Longest pause between tries while the store does not answer. */
 const DELEGATE_RETRY_MILLISECONDS = 800;
 const FOLLOWER_RETRY_MILLISECONDS = 3000;
@@ -54,9 +55,10 @@
   readonly tables: TableAdapter;
   readonly logger: Logger;
   readonly random: Random;
-  /** Where entries answer each other. */
-  readonly port: number;
   readonly availabilityZone: string;
+  readonly now: MonotonicClock;
+  /** Asks another entry for its copy. Rejects when no answer came. */
+  fetchCopy(host: string, table: FollowedTable, since: number): Promise<FetchedCopy | undefined>;
   bounds(): OrderBounds;
   /** Whether some entries read the store for others. */
   isDelegating(): boolean;
@@ -82,17 +84,29 @@
 
 const TABLES = Object.values(FollowedTable);
 
+/** Whether and since when an entry reads a table of the store for itself. */
+interface OwnReading {
+  isReading: boolean;
+  /** Age of the copy when the latest call began. */
+  ageMilliseconds: number;
+}
+
+/** For logs; undefined where there is no such time. */
+function wholeOf(milliseconds: number): number | undefined {
+  return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined;
+}
+
 /** Changes with everything but heartbeats. */
 function fingerprintOf({ servers }: ServerList): string {
   return JSON.stringify([...servers.values()]);
 }
 
 export function createKnowledge(options: KnowledgeOptions): Knowledge {
-  const { logger, random, tables, catalog } = options;
+  const { logger, random, tables, catalog, now } = options;
   const asking = new Set<FollowedTable>();
   let isStoreReachable = true;
   let returnedAt = -Infinity;
-  let serversTakenAt = monotonicClock();
+  let serversTakenAt = now();
   let serversFingerprint = '';
   /** Revisions of the last changes that matter. */
   const changedAt = { [FollowedTable.Operators]: 0, [FollowedTable.Servers]: 0 };
@@ -101,9 +115,17 @@
     [FollowedTable.Operators]: undefined,
     [FollowedTable.Servers]: undefined,
   };
+  const ownReading: Record<FollowedTable, OwnReading> = {
+    [FollowedTable.Operators]: { isReading: true, ageMilliseconds: Infinity },
+    [FollowedTable.Servers]: { isReading: true, ageMilliseconds: Infinity },
+  };
+  /** Where the copy comes from that is being taken over; undefined for the store. */
+  let copiedFrom: string | undefined;
+  let fetchLoggedAt = -Infinity;
+  let failedFetches = 0;
   const watches: Readonly<Record<FollowedTable, FreshnessWatch>> = {
-    [FollowedTable.Operators]: createFreshnessWatch(monotonicClock),
-    [FollowedTable.Servers]: createFreshnessWatch(monotonicClock),
+    [FollowedTable.Operators]: createFreshnessWatch(now),
+    [FollowedTable.Servers]: createFreshnessWatch(now),
   };
 
   function pace(): ReadingPace {
@@ -123,22 +145,22 @@
   /** To be called before a new confirmation of the servers' table is noted. */
   function onServersConfirmed(): void {
     const unconfirmedFor = Math.min(
-      monotonicClock() - serversTakenAt,
+      now() - serversTakenAt,
       watches[FollowedTable.Servers].freshnessAgeMilliseconds(Infinity),
     );
     if (unconfirmedFor <= OUTAGE_MILLISECONDS) return;
-    returnedAt = monotonicClock();
+    returnedAt = now();
     setTimeout(dropLapsed, LAPSE_MILLISECONDS);
   }
 
   function takeServers(rows: TableRows, revision: number): void {
     onServersConfirmed();
-    serversTakenAt = monotonicClock();
+    serversTakenAt = now();
     const listed = tables.decodeServers(rows, revision);
     const servers = retainLapsed({
       before: catalog.servers().servers,
       listed: dropReplaced(listed.servers),
-      sinceReturn: monotonicClock() - returnedAt,
+      sinceReturn: now() - returnedAt,
     });
     catalog.replaceServers({ revision, servers });
     const fingerprint = fingerprintOf(listed);
@@ -157,6 +179,9 @@
       version: catalog.operators().configuration?.version,
       revision,
       drainedZones: [...orders.drainedZones],
+      source: copiedFrom ?? 'store',
+      age: wholeOf(ownReading[FollowedTable.Operators].ageMilliseconds),
+      knownFor: wholeOf(now() - (behindSince[FollowedTable.Operators] ?? now())),
     });
   }
 
@@ -190,6 +215,23 @@
     return freshnessAgeMilliseconds(table) < limitOf(table);
   }
 
+  /** The same, when the table's follower is about to act on it. */
+  function decideReading(table: FollowedTable): boolean {
+    const isDelegated = isReadDelegated(table);
+    const own = ownReading[table];
+    own.ageMilliseconds = freshnessAgeMilliseconds(table);
+    if (own.isReading !== isDelegated) return isDelegated;
+    own.isReading = !isDelegated;
+    logger.info(isDelegated ? 'relying on readers' : 'reading the store', {
+      table,
+      role: options.role(),
+      age: wholeOf(own.ageMilliseconds),
+      ownAge: wholeOf(followers[table].millisecondsSinceResponse()),
+      confirmedBy: watches[table].confirmedBy(),
+    });
+    return isDelegated;
+  }
+
   /** The time is up for servers that had only lapsed. */
   function dropLapsed(): void {
     const copy = followers[FollowedTable.Servers].copy();
@@ -206,7 +248,7 @@
     store: options.store,
     part: '',
     random,
-    now: monotonicClock,
+    now,
     onStoreResult,
     longestRetryMilliseconds,
   };
@@ -214,7 +256,7 @@
     [FollowedTable.Operators]: followTable({
       ...shared,
       table: tables.operatorsTable,
-      isReadDelegated: () => isReadDelegated(FollowedTable.Operators),
+      isReadDelegated: () => decideReading(FollowedTable.Operators),
       waitMilliseconds: () => pace().operatorsWait,
       pauseMilliseconds: () => 0,
       onRows: takeOperators,
@@ -222,31 +264,49 @@
     [FollowedTable.Servers]: followTable({
       ...shared,
       table: tables.serversTable,
-      isReadDelegated: () => isReadDelegated(FollowedTable.Servers),
+      isReadDelegated: () => decideReading(FollowedTable.Servers),
       waitMilliseconds: () => SERVERS_WAIT_MILLISECONDS,
       pauseMilliseconds: () => pace().serversPause,
       onRows: takeServers,
     }),
   };
 
+  function logFailedFetch(table: FollowedTable, host: string, reason: string): void {
+    failedFetches += 1;
+    if (now() - fetchLoggedAt < FETCH_LOG_MILLISECONDS) return;
+    fetchLoggedAt = now();
+    logger.info('copy not fetched', { table, host, reason, failures: failedFetches });
+    failedFetches = 0;
+  }
+
   async function ask(table: FollowedTable, host: string): Promise<void> {
     if (asking.has(table)) return;
     asking.add(table);
     const since = followers[table].copy()?.revision ?? 0;
+    const askedAt = now();
     try {
-      const fetched = await fetchCopy(host, options.port, table, since);
+      const fetched = await options.fetchCopy(host, table, since);
       if (fetched === undefined) return;
       const { list, ageMilliseconds } = fetched;
+      ownReading[table].ageMilliseconds = freshnessAgeMilliseconds(table);
+      copiedFrom = host;
       const isAdopted = followers[table].adopt(list);
+      copiedFrom = undefined;
       const revision = isAdopted ? list.revision : since;
       watches[table].onReport(`copy of ${host}`, { revision, ageMilliseconds });
       if (isAdopted) {
         behindSince[table] = undefined;
-        logger.info('copy taken from a peer', { table, host, revision: list.revision });
+        logger.info('copy taken from a peer', {
+          table,
+          host,
+          revision: list.revision,
+          milliseconds: Math.round(now() - askedAt),
+        });
       }
     } catch (thrown) {
-      logger.debug('peer gave no copy', { table, host, reason: String(thrown) });
+      logFailedFetch(table, host, String(thrown));
     } finally {
+      copiedFrom = undefined;
       asking.delete(table);
     }
   }
@@ -268,8 +328,8 @@
       behindSince[table] = undefined;
       return;
     }
-    behindSince[table] ??= monotonicClock();
-    const behindFor = monotonicClock() - (behindSince[table] ?? 0);
+    behindSince[table] ??= now();
+    const behindFor = now() - (behindSince[table] ?? 0);
     const isInZone = from.availabilityZone === options.availabilityZone;
     if (behindFor >= fetchDelayMilliseconds(table, isInZone)) void ask(table, from.host);
   }
