Keep changes that the store tells while another instance's copy is taken over

An answer that is newer than the copy is applied, since rows are whole as of its revision; one that is older confirms nothing.

--- a/packages/catalog/src/follow-table.ts
+++ b/packages/catalog/src/follow-table.ts
@@ -67,16 +67,15 @@
     options.onRows(rows, revision);
   }
 
-  async function readChanges(): Promise<void> {
+  /** False where another instance's copy came meanwhile that is newer than the answer. */
+  async function readChanges(): Promise<boolean> {
     const askedFrom = revision;
     const feed = await store.feed(table, askedFrom, options.waitMilliseconds());
-    // Another entry's newer copy came meanwhile; these changes are in it already.
-    if (revision !== askedFrom) return;
     switch (feed.kind) {
       case FeedKind.HistoryGone:
         isWhole = false;
         await readWhole();
-        return;
+        return true;
       case FeedKind.Changes:
         break;
       default: {
@@ -84,7 +83,10 @@
         throw new Error(String(unreachable));
       }
     }
-    if (feed.revision < revision) throw new Error('the store answers from behind');
+    if (feed.revision < revision) {
+      if (revision > askedFrom) return false;
+      throw new Error('the store answers from behind');
+    }
     let changed = false;
     for (const row of feed.rows) {
       if (row.part !== part) continue;
@@ -94,6 +96,7 @@
     }
     revision = feed.revision;
     if (changed) options.onRows(rows, revision);
+    return true;
   }
 
   async function step(): Promise<void> {
@@ -105,10 +108,11 @@
     }
     let pause = options.pauseMilliseconds();
     try {
-      if (isWhole) await readChanges();
+      let isConfirmed = true;
+      if (isWhole) isConfirmed = await readChanges();
       else await readWhole();
       failures = 0;
-      heardAt = options.now();
+      if (isConfirmed) heardAt = options.now();
       options.onStoreResult(true, '');
     } catch (thrown) {
       options.onStoreResult(false, thrown instanceof Error ? thrown.message : String(thrown));
