Compare copies of the store's tables by their content

A revision counts all transactions of the store, so the same rows have another revision in each answer. On the other hand an entry that had just read relied on readers although a newer copy was known.

Reports carry a fingerprint of the content. Equal ones confirm each other whatever their revisions, older ones confirm nothing any more, and a newer one is fetched from a peer for 0.3 s, then read from the store.

--- a/packages/catalog/src/follow-table.ts
+++ b/packages/catalog/src/follow-table.ts
@@ -33,6 +33,9 @@
   copy(): { readonly rows: ReadonlyMap<string, StoreRow>; readonly revision: number } | undefined;
   /** Takes another's whole copy when it is newer than this one. */
   adopt(list: RowList): boolean;
+  /** Takes note that another has the same rows as of a revision. */
+  advance(revision: number): void;
+  /** Milliseconds since the store confirmed the copy in an answer to this instance. */
   millisecondsSinceResponse(): number;
   /** Whether the last call got no usable answer. */
   isFailing(): boolean;
@@ -144,6 +147,9 @@
       replace(list);
       return true;
     },
+    advance(to) {
+      if (isWhole) revision = Math.max(revision, to);
+    },
     millisecondsSinceResponse: () => options.now() - heardAt,
     isFailing: () => failures > 0,
   };
--- a/packages/catalog/src/freshness-watch.ts
+++ b/packages/catalog/src/freshness-watch.ts
@@ -4,12 +4,21 @@
  * confirmed their copy; reports are passed on with their age, so that a chain of entries cannot
  * confirm a copy that the store has not.
  */
-import { isObject, numberOf } from '@lapisbridge/json-call';
+import { isObject, numberOf, textOf } from '@lapisbridge/json-call';
 
-/** What an entry reports of its copy of a table. */
-export interface FreshnessReport {
-  /** Revision of the newest change that matters: heartbeats of servers do not. */
+/** A copy of a table, as entries compare theirs. */
+export interface CopyVersion {
+  /** Revision as of which the copy is whole. */
   readonly revision: number;
+  /**
+   * Of all that matters in the copy: heartbeats of servers do not. Revisions rise with every
+   * transaction, so copies of different revisions are mostly the same.
+   */
+  readonly fingerprint: string;
+}
+
+/** What an entry reports of its copy of a table. */
+export interface FreshnessReport extends CopyVersion {
   /** Milliseconds since the store confirmed that nothing newer exists. */
   readonly ageMilliseconds: number;
 }
@@ -18,22 +27,30 @@
 export function decodeFreshnessReport(value: unknown): FreshnessReport | undefined {
   if (!isObject(value)) return undefined;
   const revision = numberOf(value, 'revision');
+  const fingerprint = textOf(value, 'fingerprint');
   const ageMilliseconds = numberOf(value, 'ageMilliseconds');
-  if (revision === undefined || ageMilliseconds === undefined) return undefined;
-  return { revision, ageMilliseconds: Math.max(0, ageMilliseconds) };
+  if (revision === undefined || fingerprint === undefined || ageMilliseconds === undefined) {
+    return undefined;
+  }
+  return { revision, fingerprint, ageMilliseconds: Math.max(0, ageMilliseconds) };
+}
+
+export interface Confirmation {
+  /** Instance id of the entry that reported it. */
+  readonly entry: string;
+  readonly ageMilliseconds: number;
 }
 
 export interface FreshnessWatch {
   /** Takes the report of another entry. */
   onReport(entry: string, report: FreshnessReport): void;
-  /** Milliseconds since the store confirmed to anyone that this revision is the newest. */
-  freshnessAgeMilliseconds(revision: number): number;
-  /** The entry whose report is the newest confirmation; undefined while there is none. */
-  confirmedBy(): string | undefined;
+  /** Milliseconds since the store confirmed to anyone that this copy is the newest. */
+  freshnessAgeMilliseconds(copy: CopyVersion): number;
+  /** The newest confirmation of any copy by the store; undefined while there is none. */
+  latestConfirmation(): Confirmation | undefined;
 }
 
-interface HeardReport {
-  readonly revision: number;
+interface HeardReport extends CopyVersion {
   readonly confirmedAt: number;
   readonly heardAt: number;
 }
@@ -43,32 +60,35 @@
 
 export function createFreshnessWatch(now: () => number): FreshnessWatch {
   const reports = new Map<string, HeardReport>();
+
+  function recent(): ReadonlyMap<string, HeardReport> {
+    const from = now() - FORGET_MILLISECONDS;
+    for (const [entry, { heardAt }] of reports) if (heardAt < from) reports.delete(entry);
+    return reports;
+  }
+
   return {
-    onReport(entry, { revision, ageMilliseconds }) {
-      reports.set(entry, { revision, confirmedAt: now() - ageMilliseconds, heardAt: now() });
+    onReport(entry, { revision, fingerprint, ageMilliseconds }) {
+      const confirmedAt = now() - ageMilliseconds;
+      reports.set(entry, { revision, fingerprint, confirmedAt, heardAt: now() });
     },
-    freshnessAgeMilliseconds(revision) {
+    freshnessAgeMilliseconds({ revision, fingerprint }) {
       let latest = -Infinity;
-      for (const [entry, report] of reports) {
-        if (now() - report.heardAt > FORGET_MILLISECONDS) {
-          reports.delete(entry);
-          continue;
-        }
+      for (const report of recent().values()) {
+        if (report.fingerprint === fingerprint) latest = Math.max(latest, report.confirmedAt);
         // Unconfirmed until the newer copy is fetched.
-        if (report.revision > revision) return Infinity;
-        latest = Math.max(latest, report.confirmedAt);
+        else if (report.revision > revision) return Infinity;
       }
       return now() - latest;
     },
-    confirmedBy() {
-      let by: string | undefined;
-      let latest = -Infinity;
-      for (const [entry, { confirmedAt }] of reports) {
-        if (confirmedAt <= latest) continue;
-        latest = confirmedAt;
-        by = entry;
+    latestConfirmation() {
+      let latest: Confirmation | undefined;
+      for (const [entry, { confirmedAt }] of recent()) {
+        const ageMilliseconds = now() - confirmedAt;
+        if (ageMilliseconds < (latest?.ageMilliseconds ?? Infinity))
+          latest = { entry, ageMilliseconds };
       }
-      return by;
+      return latest;
     },
   };
 }
--- a/packages/catalog/src/index.ts
+++ b/packages/catalog/src/index.ts
@@ -25,6 +25,12 @@
 export { dropReplaced } from './drop-replaced.js';
 export { LAPSE_MILLISECONDS, retainLapsed } from './retain-lapsed.js';
 export type { LapseInput } from './retain-lapsed.js';
+export { fingerprintOf } from './fingerprint.js';
 export { createFreshnessWatch, decodeFreshnessReport } from './freshness-watch.js';
-export type { FreshnessReport, FreshnessWatch } from './freshness-watch.js';
+export type {
+  Confirmation,
+  CopyVersion,
+  FreshnessReport,
+  FreshnessWatch,
+} from './freshness-watch.js';
 export { decodeCopy, encodeCopy } from './table-copy.js';
--- a/packages/direct-entry/src/copy-exchange.ts
+++ b/packages/direct-entry/src/copy-exchange.ts
@@ -6,7 +6,7 @@
 
 import { decodeCopy, encodeCopy } from '@lapisbridge/catalog';
 import type { RowList, StoreRow } from '@lapisbridge/catalog';
-import { callJson, numberOf } from '@lapisbridge/json-call';
+import { callJson, numberOf, textOf } from '@lapisbridge/json-call';
 
 export enum FollowedTable {
   /** What operators ask for. */
@@ -22,6 +22,8 @@
 export interface FetchedCopy {
   /** Empty with revision 0 when the other entry has nothing newer. */
   readonly list: RowList;
+  /** Of the other entry's copy, newer or not. */
+  readonly fingerprint: string;
   /** Milliseconds since the store confirmed the other entry's copy; infinite where it did not. */
   readonly ageMilliseconds: number;
 }
@@ -47,11 +49,16 @@
   });
   const list = decodeCopy(answer.body, table, '');
   if (list === undefined) return undefined;
-  return { list, ageMilliseconds: numberOf(answer.body, 'ageMilliseconds') ?? Infinity };
+  return {
+    list,
+    fingerprint: textOf(answer.body, 'fingerprint') ?? '',
+    ageMilliseconds: numberOf(answer.body, 'ageMilliseconds') ?? Infinity,
+  };
 }
 
 export interface CopyServerOptions {
   copy(table: FollowedTable): TableCopy | undefined;
+  fingerprint(table: FollowedTable): string;
   /** Milliseconds since the store confirmed the copy; infinite where it did not. */
   ageMilliseconds(table: FollowedTable): number;
 }
@@ -92,8 +99,10 @@
     const rows = isNewer ? encode(table, copy) : '[]';
     const revision = isNewer ? copy.revision : 0;
     const ageMilliseconds = JSON.stringify(options.ageMilliseconds(table));
+    const fingerprint = JSON.stringify(options.fingerprint(table));
+    const head = `"revision":${revision},"fingerprint":${fingerprint}`;
     response.writeHead(200, { 'content-type': 'application/json' });
-    response.end(`{"revision":${revision},"ageMilliseconds":${ageMilliseconds},"rows":${rows}}`);
+    response.end(`{${head},"ageMilliseconds":${ageMilliseconds},"rows":${rows}}`);
     return true;
   };
 }
--- a/packages/direct-entry/src/knowledge.ts
+++ b/packages/direct-entry/src/knowledge.ts
@@ -7,12 +7,14 @@
   createFreshnessWatch,
   decodeFreshnessReport,
   dropReplaced,
+  fingerprintOf,
   followTable,
   LAPSE_MILLISECONDS,
   retainLapsed,
 } from '@lapisbridge/catalog';
 import type {
   Catalog,
+  CopyVersion,
   FreshnessReport,
   FreshnessWatch,
   ServerList,
@@ -40,6 +42,8 @@
 const OUTAGE_MILLISECONDS = 3000;
 /** An entry that reads a table itself waits so long for its own call to bring a change. */
 const OWN_READ_MILLISECONDS = 400;
+/** Time for peers to give a newer copy before the store is asked. */
+const BEHIND_MILLISECONDS = 300;
 /** Head start of a zone's primary in fetching a copy from another zone. */
 const FETCH_HEAD_START_MILLISECONDS = 150;
 /** Between two lines about fetches that failed. */
@@ -97,8 +101,12 @@
 }
 
 /** Changes with everything but heartbeats. */
-function fingerprintOf({ servers }: ServerList): string {
-  return JSON.stringify([...servers.values()]);
+function fingerprintOfServers({ servers }: ServerList): string {
+  return fingerprintOf([...servers.values()].map((server) => JSON.stringify(server)));
+}
+
+function fingerprintOfRows(rows: TableRows): string {
+  return fingerprintOf([...rows.values()].map(({ key, revision }) => `${key} ${revision}`));
 }
 
 export function createKnowledge(options: KnowledgeOptions): Knowledge {
@@ -107,9 +115,8 @@
   let isStoreReachable = true;
   let returnedAt = -Infinity;
   let serversTakenAt = now();
-  let serversFingerprint = '';
-  /** Revisions of the last changes that matter. */
-  const changedAt = { [FollowedTable.Operators]: 0, [FollowedTable.Servers]: 0 };
+  /** Of this entry's copies; empty before the first. */
+  const fingerprints = { [FollowedTable.Operators]: '', [FollowedTable.Servers]: '' };
   /** Since when another entry has had a newer copy; undefined while none has. */
   const behindSince: Record<FollowedTable, number | undefined> = {
     [FollowedTable.Operators]: undefined,
@@ -136,7 +143,9 @@
     });
   }
 
-  function onStoreResult(succeeded: boolean, reason: string): void {
+  function onStoreResult(table: FollowedTable, succeeded: boolean, reason: string): void {
+    // What the store itself has told just now is at least as new as what others reported.
+    if (succeeded) behindSince[table] = undefined;
     if (succeeded === isStoreReachable) return;
     isStoreReachable = succeeded;
     logger.info(succeeded ? 'store regained' : 'store lost', { reason });
@@ -146,7 +155,7 @@
   function onServersConfirmed(): void {
     const unconfirmedFor = Math.min(
       now() - serversTakenAt,
-      watches[FollowedTable.Servers].freshnessAgeMilliseconds(Infinity),
+      watches[FollowedTable.Servers].latestConfirmation()?.ageMilliseconds ?? Infinity,
     );
     if (unconfirmedFor <= OUTAGE_MILLISECONDS) return;
     returnedAt = now();
@@ -163,17 +172,18 @@
       sinceReturn: now() - returnedAt,
     });
     catalog.replaceServers({ revision, servers });
-    const fingerprint = fingerprintOf(listed);
-    if (fingerprint === serversFingerprint) return;
-    serversFingerprint = fingerprint;
-    changedAt[FollowedTable.Servers] = revision;
+    const fingerprint = fingerprintOfServers(listed);
+    if (fingerprint === fingerprints[FollowedTable.Servers]) return;
+    fingerprints[FollowedTable.Servers] = fingerprint;
     options.onNews();
   }
 
   function takeOperators(rows: TableRows, revision: number): void {
     const orders = tables.decodeOperators(rows, revision);
     catalog.replaceOperators(orders);
-    changedAt[FollowedTable.Operators] = revision;
+    const fingerprint = fingerprintOfRows(rows);
+    if (fingerprint === fingerprints[FollowedTable.Operators]) return;
+    fingerprints[FollowedTable.Operators] = fingerprint;
     options.onNews();
     logger.info('configuration in force', {
       version: catalog.operators().configuration?.version,
@@ -185,14 +195,19 @@
     });
   }
 
+  /** Revision 0 before the first copy. */
+  function versionOf(table: FollowedTable): CopyVersion {
+    const revision = followers[table].copy()?.revision ?? 0;
+    return { revision, fingerprint: fingerprints[table] };
+  }
+
   /** Milliseconds since the store confirmed the copy, to this entry or to another one. */
   function freshnessAgeMilliseconds(table: FollowedTable): number {
-    const follower = followers[table];
-    const revision = follower.copy()?.revision;
-    if (revision === undefined) return Infinity;
+    const version = versionOf(table);
+    if (version.revision === 0) return Infinity;
     return Math.min(
-      follower.millisecondsSinceResponse(),
-      watches[table].freshnessAgeMilliseconds(revision),
+      followers[table].millisecondsSinceResponse(),
+      watches[table].freshnessAgeMilliseconds(version),
     );
   }
 
@@ -212,6 +227,8 @@
   /** Milliseconds for which others read the table for this entry; 0 when it has to itself. */
   function delegatedMilliseconds(table: FollowedTable): number {
     if (options.role() === ReadingRole.Reader) return 0;
+    const behind = behindSince[table];
+    if (behind !== undefined) return Math.max(0, behind + BEHIND_MILLISECONDS - now());
     return Math.max(0, limitOf(table) - freshnessAgeMilliseconds(table));
   }
 
@@ -228,7 +245,7 @@
       role: options.role(),
       age: wholeOf(own.ageMilliseconds),
       ownAge: wholeOf(followers[table].millisecondsSinceResponse()),
-      confirmedBy: watches[table].confirmedBy(),
+      confirmedBy: watches[table].latestConfirmation()?.entry,
     });
     return delegated;
   }
@@ -245,14 +262,7 @@
       : DELEGATE_RETRY_MILLISECONDS;
   }
 
-  const shared = {
-    store: options.store,
-    part: '',
-    random,
-    now,
-    onStoreResult,
-    longestRetryMilliseconds,
-  };
+  const shared = { store: options.store, part: '', random, now, longestRetryMilliseconds };
   const followers: Readonly<Record<FollowedTable, TableFollower>> = {
     [FollowedTable.Operators]: followTable({
       ...shared,
@@ -261,6 +271,8 @@
       waitMilliseconds: () => pace().operatorsWait,
       pauseMilliseconds: () => 0,
       onRows: takeOperators,
+      onStoreResult: (succeeded, reason) =>
+        onStoreResult(FollowedTable.Operators, succeeded, reason),
     }),
     [FollowedTable.Servers]: followTable({
       ...shared,
@@ -269,6 +281,7 @@
       waitMilliseconds: () => SERVERS_WAIT_MILLISECONDS,
       pauseMilliseconds: () => pace().serversPause,
       onRows: takeServers,
+      onStoreResult: (succeeded, reason) => onStoreResult(FollowedTable.Servers, succeeded, reason),
     }),
   };
 
@@ -283,18 +296,18 @@
   async function ask(table: FollowedTable, host: string): Promise<void> {
     if (asking.has(table)) return;
     asking.add(table);
-    const since = followers[table].copy()?.revision ?? 0;
+    const since = versionOf(table).revision;
     const askedAt = now();
     try {
       const fetched = await options.fetchCopy(host, table, since);
       if (fetched === undefined) return;
-      const { list, ageMilliseconds } = fetched;
+      const { list, fingerprint, ageMilliseconds } = fetched;
       ownReading[table].ageMilliseconds = freshnessAgeMilliseconds(table);
       copiedFrom = host;
       const isAdopted = followers[table].adopt(list);
       copiedFrom = undefined;
-      const revision = isAdopted ? list.revision : since;
-      watches[table].onReport(`copy of ${host}`, { revision, ageMilliseconds });
+      const { revision } = list;
+      watches[table].onReport(`copy of ${host}`, { revision, fingerprint, ageMilliseconds });
       if (isAdopted) {
         behindSince[table] = undefined;
         logger.info('copy taken from a peer', {
@@ -324,8 +337,11 @@
   }
 
   /** Fetches another entry's copy where it is newer and the own reading does not bring it. */
-  function catchUp(table: FollowedTable, from: InstanceName, revision: number): void {
-    if (revision <= (followers[table].copy()?.revision ?? 0)) {
+  function catchUp(table: FollowedTable, from: InstanceName, report: FreshnessReport): void {
+    const own = versionOf(table);
+    const isSame = report.fingerprint === own.fingerprint;
+    if (isSame) followers[table].advance(report.revision);
+    if (isSame || report.revision <= own.revision) {
       behindSince[table] = undefined;
       return;
     }
@@ -356,6 +372,7 @@
   return {
     respondWithCopy: createCopyResponder({
       copy: (table) => followers[table].copy(),
+      fingerprint: (table) => fingerprints[table],
       ageMilliseconds: freshnessAgeMilliseconds,
     }),
     start() {
@@ -366,7 +383,7 @@
       const reports: Record<string, FreshnessReport> = {};
       for (const table of TABLES) {
         const ageMilliseconds = Math.round(freshnessAgeMilliseconds(table));
-        reports[table] = { revision: changedAt[table], ageMilliseconds };
+        reports[table] = { ...versionOf(table), ageMilliseconds };
       }
       return reports;
     },
@@ -377,7 +394,7 @@
         const isRecent = report.ageMilliseconds < OUTAGE_MILLISECONDS;
         if (table === FollowedTable.Servers && isRecent) onServersConfirmed();
         watches[table].onReport(from.instanceId, report);
-        catchUp(table, from, report.revision);
+        catchUp(table, from, report);
       }
     },
     isOutdated: () => freshnessAgeMilliseconds(FollowedTable.Operators) > OUTDATED_MILLISECONDS,
--- a/packages/direct-entry/src/played-knowledge.ts
+++ b/packages/direct-entry/src/played-knowledge.ts
@@ -8,7 +8,7 @@
 import type { Catalog, Feed, RowList, Store, StoreRow } from '@lapisbridge/catalog';
 import { playFleet } from '@lapisbridge/fleet';
 import type { InstanceName, PlayedEntry, PlayedFleet, ReadingRole } from '@lapisbridge/fleet';
-import { numberOf, parseObject } from '@lapisbridge/json-call';
+import { numberOf, parseObject, textOf } from '@lapisbridge/json-call';
 import { createRandom } from '@lapisbridge/kernel';
 import { createSilentLogger } from '@lapisbridge/logger';
 import { vi } from 'vitest';
@@ -194,7 +194,11 @@
     const body = parseObject(Buffer.from(text)) ?? {};
     const list = decodeCopy(body, table, '');
     if (list === undefined) return undefined;
-    return { list, ageMilliseconds: numberOf(body, 'ageMilliseconds') ?? Infinity };
+    return {
+      list,
+      ageMilliseconds: numberOf(body, 'ageMilliseconds') ?? Infinity,
+      fingerprint: textOf(body, 'fingerprint') ?? '',
+    };
   }
 
   function fetchOf(name: InstanceName, host: string, table: FollowedTable, since: number) {
