Date confirmations of the store by its own clock

What callers of a large fleet could meet: a confirmed change of configuration, a revoked key among them, was not in force within 4 s at entries that the store answers, while it turned away the few entries that read for all.

Cause: an entry dated a report of another by its arrival, and passed on the youngest age that it had heard, also back to where it came from. Each message made a confirmation younger by its time on the way, and reports go round some 125 times before a copy counts as old: entries confirmed to each other a copy that the store had not. With messages of 20 ms half of the time passed unseen; in a play a message takes a millisecond, under processor load more.

The store's answers carry its steady clock. Entries pass on that moment, which nothing makes younger, and reckon its age from the shortest way on which they have seen such moments, so that answers read late, datagrams that waited and rounds among entries all show their true age. The test's own store now tells its time, as the store's protocol says; one that does not is an error, since its answers could not be dated.

--- a/packages/catalog/src/catalog.test.ts
+++ b/packages/catalog/src/catalog.test.ts
@@ -3,6 +3,7 @@
 import { createCatalog } from './catalog.js';
 import { followTable } from './follow-table.js';
 import { LAPSE_MILLISECONDS, retainLapsed } from './retain-lapsed.js';
+import { createStoreClock } from './store-clock.js';
 import { FeedKind } from './store.js';
 import type { Feed, RowList, Store, StoreRow } from './store.js';
 import { decodeCopy, encodeCopy } from './table-copy.js';
@@ -82,16 +83,20 @@
   });
 });
 
+type FeedScript =
+  { readonly kind: FeedKind.HistoryGone } | ({ readonly kind: FeedKind.Changes } & RowList);
+
 const noAnswer = (): void => undefined;
 
 /** A store that gives prepared answers, one after the other. */
-function scripted(lists: RowList[], feeds: (Feed | Error)[]): Store {
+function scripted(lists: RowList[], feeds: (FeedScript | Error)[]): Store {
   return {
-    list: async () => lists.shift() ?? { rows: [], revision: 0 },
+    list: async () => ({ ...(lists.shift() ?? { rows: [], revision: 0 }), givenAt: 0 }),
     async feed() {
       const next = feeds.shift();
       if (next instanceof Error) throw next;
-      return next ?? new Promise<Feed>(noAnswer);
+      if (next === undefined) return new Promise<Feed>(noAnswer);
+      return next.kind === FeedKind.Changes ? { ...next, givenAt: 0 } : next;
     },
     write: async () => {
       throw new Error('not used');
@@ -99,7 +104,7 @@
   };
 }
 
-async function follow(lists: RowList[], feeds: (Feed | Error)[]): Promise<string[]> {
+async function follow(lists: RowList[], feeds: (FeedScript | Error)[]): Promise<string[]> {
   const seen: string[] = [];
   let finished: () => void = () => undefined;
   const isFinished = new Promise<void>((resolve) => {
@@ -114,7 +119,7 @@
     longestRetryMilliseconds: () => 800,
     delegatedMilliseconds: () => 0,
     random: () => 0,
-    now: () => 0,
+    clock: createStoreClock(() => 0),
     onRows(rows, revision) {
       seen.push(`${revision}:${[...rows.keys()].join(',')}`);
     },
--- a/packages/catalog/src/follow-table.test.ts
+++ b/packages/catalog/src/follow-table.test.ts
@@ -2,10 +2,10 @@
 
 import { followTable } from './follow-table.js';
 import type { TableFollower } from './follow-table.js';
+import { createStoreClock } from './store-clock.js';
+import type { StoreClock } from './store-clock.js';
 import { FeedKind } from './store.js';
-import type { Feed, Store, StoreRow } from './store.js';
-
-const WAIT_MILLISECONDS = 1000;
+import type { Feed, RowList, Store, StoreRow } from './store.js';
 
 function row(key: string, revision: number): StoreRow {
   return { table: 'table', part: '', key, value: Buffer.from(key), revision };
@@ -14,14 +14,18 @@
 /** A follower with a first copy of revision 1, whose calls for changes are answered by hand. */
 async function startFollowing(): Promise<{
   readonly follower: TableFollower;
-  readonly clock: { now: number };
+  /** Of the process; the store's own is the same in these tests. */
+  readonly time: { now: number };
+  readonly clock: StoreClock;
   readonly keys: () => string[];
-  answer(feed: Feed): Promise<void>;
+  /** Answers the call for changes as of a moment. */
+  answer(list: RowList, givenAt: number): Promise<void>;
 }> {
-  const clock = { now: 0 };
+  const time = { now: 0 };
+  const clock = createStoreClock(() => time.now);
   const calls: ((feed: Feed) => void)[] = [];
   const store: Store = {
-    list: async () => ({ rows: [row('first', 1)], revision: 1 }),
+    list: async () => ({ rows: [row('first', 1)], revision: 1, givenAt: time.now }),
     feed: () =>
       new Promise((resolve) => {
         calls.push(resolve);
@@ -34,12 +38,12 @@
     store,
     table: 'table',
     part: '',
-    waitMilliseconds: () => WAIT_MILLISECONDS,
+    waitMilliseconds: () => 1000,
     pauseMilliseconds: () => 0,
     longestRetryMilliseconds: () => 800,
     delegatedMilliseconds: () => 0,
     random: () => 0,
-    now: () => clock.now,
+    clock,
     onRows: () => undefined,
     onStoreResult: () => undefined,
   });
@@ -47,10 +51,11 @@
   await vi.waitFor(() => expect(calls).toHaveLength(1));
   return {
     follower,
+    time,
     clock,
     keys: () => [...(follower.copy()?.rows.keys() ?? [])],
-    async answer(feed) {
-      calls.shift()?.(feed);
+    async answer(list, givenAt) {
+      calls.shift()?.({ kind: FeedKind.Changes, ...list, givenAt });
       await vi.waitFor(() => expect(calls).toHaveLength(1));
       follower.stop();
     },
@@ -62,16 +67,25 @@
     // Guards against a confirmed change that an entry drops and then takes for known.
     const { follower, keys, answer } = await startFollowing();
     follower.adopt({ rows: [row('first', 1), row('second', 2)], revision: 2 });
-    const rows = [row('second', 2), row('third', 3)];
-    await answer({ kind: FeedKind.Changes, rows, revision: 3 });
+    await answer({ rows: [row('second', 2), row('third', 3)], revision: 3 }, 0);
     expect(keys()).toEqual(['first', 'second', 'third']);
   });
 
   it('does not confirm a copy that is newer than the answer', async () => {
-    const { follower, clock, answer } = await startFollowing();
+    const { follower, time, answer } = await startFollowing();
     follower.adopt({ rows: [row('first', 1), row('third', 3)], revision: 3 });
-    clock.now += 500;
-    await answer({ kind: FeedKind.Changes, rows: [row('second', 2)], revision: 2 });
-    expect(follower.millisecondsSinceResponse()).toBe(500);
+    time.now = 500;
+    await answer({ rows: [row('second', 2)], revision: 2 }, 400);
+    expect(follower.confirmedAt()).toBe(0);
+  });
+});
+
+describe('an answer of the store that is read late', () => {
+  it('is as old as it was when the store gave it', async () => {
+    // Guards against an entry that stood still and then vouches for a copy that is out of date.
+    const { follower, time, clock, answer } = await startFollowing();
+    time.now = 5000;
+    await answer({ rows: [], revision: 1 }, 1000);
+    expect(clock.ageMilliseconds(follower.confirmedAt() ?? NaN)).toBe(4000);
   });
 });
--- a/packages/catalog/src/follow-table.ts
+++ b/packages/catalog/src/follow-table.ts
@@ -5,6 +5,7 @@
  */
 import { FeedKind } from './store.js';
 import type { RowList, Store, StoreRow } from './store.js';
+import type { StoreClock } from './store-clock.js';
 
 export interface FollowOptions {
   readonly store: Store;
@@ -19,7 +20,8 @@
   readonly random: () => number;
   /** Milliseconds for which other instances read the table for this one; 0 when it has to itself. */
   delegatedMilliseconds(): number;
-  now(): number;
+  /** Told of each answer of the store. */
+  readonly clock: StoreClock;
   /** All rows, as of a revision, whenever something changed. */
   onRows(rows: ReadonlyMap<string, StoreRow>, revision: number): void;
   /** Called after each call. */
@@ -35,8 +37,8 @@
   adopt(list: RowList): boolean;
   /** Takes note that another has the same rows as of a revision. */
   advance(revision: number): void;
-  /** Milliseconds since the store confirmed the copy in an answer to this instance. */
-  millisecondsSinceResponse(): number;
+  /** Moment of the store's clock at which it confirmed the copy to this instance. */
+  confirmedAt(): number | undefined;
   /** Whether the last call got no usable answer. */
   isFailing(): boolean;
 }
@@ -53,12 +55,18 @@
   let isWhole = false;
   let stopped = false;
   let failures = 0;
-  let heardAt = -Infinity;
+  let confirmedAt: number | undefined;
   let timer: NodeJS.Timeout | undefined;
 
+  function confirm(givenAt: number): void {
+    options.clock.observe(givenAt);
+    confirmedAt = Math.max(confirmedAt ?? givenAt, givenAt);
+  }
+
   async function readWhole(): Promise<void> {
     const list = await store.list(table, part);
     if (list.revision < revision) throw new Error('the store answers from behind');
+    confirm(list.givenAt);
     replace(list);
   }
 
@@ -70,15 +78,14 @@
     options.onRows(rows, revision);
   }
 
-  /** False where another instance's copy came meanwhile that is newer than the answer. */
-  async function readChanges(): Promise<boolean> {
+  async function readChanges(): Promise<void> {
     const askedFrom = revision;
     const feed = await store.feed(table, askedFrom, options.waitMilliseconds());
     switch (feed.kind) {
       case FeedKind.HistoryGone:
         isWhole = false;
         await readWhole();
-        return true;
+        return;
       case FeedKind.Changes:
         break;
       default: {
@@ -87,9 +94,11 @@
       }
     }
     if (feed.revision < revision) {
-      if (revision > askedFrom) return false;
+      // Another instance's copy came meanwhile, and is newer than this answer.
+      if (revision > askedFrom) return;
       throw new Error('the store answers from behind');
     }
+    confirm(feed.givenAt);
     let changed = false;
     for (const row of feed.rows) {
       if (row.part !== part) continue;
@@ -99,7 +108,6 @@
     }
     revision = feed.revision;
     if (changed) options.onRows(rows, revision);
-    return true;
   }
 
   async function step(): Promise<void> {
@@ -111,11 +119,9 @@
     }
     let pause = options.pauseMilliseconds();
     try {
-      let isConfirmed = true;
-      if (isWhole) isConfirmed = await readChanges();
+      if (isWhole) await readChanges();
       else await readWhole();
       failures = 0;
-      if (isConfirmed) heardAt = options.now();
       options.onStoreResult(true, '');
     } catch (thrown) {
       options.onStoreResult(false, thrown instanceof Error ? thrown.message : String(thrown));
@@ -150,7 +156,7 @@
     advance(to) {
       if (isWhole) revision = Math.max(revision, to);
     },
-    millisecondsSinceResponse: () => options.now() - heardAt,
+    confirmedAt: () => confirmedAt,
     isFailing: () => failures > 0,
   };
 }
--- a/packages/catalog/src/freshness-watch.test.ts
+++ b/packages/catalog/src/freshness-watch.test.ts
@@ -1,60 +1,103 @@
 import { describe, expect, it } from 'vitest';
 
 import { createFreshnessWatch } from './freshness-watch.js';
+import type { CopyVersion, FreshnessReport } from './freshness-watch.js';
+import { createStoreClock } from './store-clock.js';
 
-describe('a copy of a table', () => {
-  const clock = { now: 0 };
-  const older = { revision: 5, fingerprint: 'older' };
-  const newer = { revision: 6, fingerprint: 'newer' };
-  const watch = () => createFreshnessWatch(() => clock.now);
+const OLDER: CopyVersion = { revision: 5, fingerprint: 'older' };
+const NEWER: CopyVersion = { revision: 6, fingerprint: 'newer' };
+
+/** One entry's watch, at a time that tests set; clocks of entries and of the store are the same. */
+function startWatch(time: { now: number }) {
+  const clock = createStoreClock(() => time.now);
+  const watch = createFreshnessWatch(() => time.now, clock);
+  const ageOf = (copy: CopyVersion): number => {
+    const confirmedAt = watch.confirmedAt(copy);
+    return confirmedAt === undefined ? Infinity : clock.ageMilliseconds(confirmedAt);
+  };
+  return {
+    ...watch,
+    ageOf,
+    report(copy: CopyVersion): FreshnessReport {
+      const ageMilliseconds = ageOf(copy);
+      return { ...copy, confirmedAt: watch.confirmedAt(copy) ?? NaN, ageMilliseconds };
+    },
+  };
+}
+
+function reportOf(copy: CopyVersion, confirmedAt: number, ageMilliseconds = 0): FreshnessReport {
+  return { ...copy, confirmedAt, ageMilliseconds };
+}
 
+describe('a copy of a table', () => {
   it('is confirmed by the report of a reader, until that grows old', () => {
-    const readers = watch();
-    expect(readers.freshnessAgeMilliseconds(older)).toBe(Infinity);
-    readers.onReport('a', { ...older, ageMilliseconds: 0 });
-    clock.now += 300;
-    expect(readers.freshnessAgeMilliseconds(older)).toBe(300);
+    const time = { now: 0 };
+    const watch = startWatch(time);
+    expect(watch.ageOf(OLDER)).toBe(Infinity);
+    watch.onReport('a', reportOf(OLDER, 0));
+    time.now += 300;
+    expect(watch.ageOf(OLDER)).toBe(300);
   });
 
   it('is no fresher than the store’s own answer, however often it is passed on', () => {
     // Guards against sending work to a server that left while the store refused every reader.
-    const [relay, follower] = [watch(), watch()];
-    relay.onReport('reader', { ...older, ageMilliseconds: 700 });
-    clock.now += 400;
-    const ageMilliseconds = relay.freshnessAgeMilliseconds(older);
-    follower.onReport('relay', { ...older, ageMilliseconds });
-    clock.now += 200;
-    follower.onReport('relay', { ...older, ageMilliseconds: ageMilliseconds + 200 });
-    expect(follower.freshnessAgeMilliseconds(older)).toBe(1300);
+    const time = { now: 0 };
+    const [relay, follower] = [startWatch(time), startWatch(time)];
+    relay.onReport('reader', reportOf(OLDER, -700, 700));
+    time.now += 400;
+    const told = relay.report(OLDER);
+    follower.onReport('relay', told);
+    time.now += 200;
+    follower.onReport('relay', relay.report(OLDER));
+    expect(follower.ageOf(OLDER)).toBe(1300);
+  });
+
+  it('grows old where entries confirm it to each other, however long their messages take', () => {
+    // Guards against entries that keep a copy fresh although the store has answered none of them.
+    const time = { now: 0 };
+    const [left, right] = [startWatch(time), startWatch(time)];
+    left.onReport('reader', reportOf(OLDER, 0));
+    for (let round = 0; round < 40; round += 1) {
+      const toRight = left.report(OLDER);
+      time.now += 100;
+      right.onReport('left', toRight);
+      const toLeft = right.report(OLDER);
+      time.now += 100;
+      left.onReport('right', toLeft);
+    }
+    // The first message took a tenth of a second, which the second entry cannot know.
+    expect(left.ageOf(OLDER)).toBe(8000);
+    expect(right.ageOf(OLDER)).toBe(7900);
   });
 
   it('is not confirmed while a reader has a newer one', () => {
-    const readers = watch();
-    readers.onReport('a', { ...older, ageMilliseconds: 0 });
-    readers.onReport('b', { ...newer, ageMilliseconds: 0 });
-    expect(readers.freshnessAgeMilliseconds(older)).toBe(Infinity);
-    expect(readers.freshnessAgeMilliseconds(newer)).toBe(0);
+    const watch = startWatch({ now: 0 });
+    watch.onReport('a', reportOf(OLDER, 0));
+    watch.onReport('b', reportOf(NEWER, 0));
+    expect(watch.ageOf(OLDER)).toBe(Infinity);
+    expect(watch.ageOf(NEWER)).toBe(0);
   });
 
   it('is confirmed again once a reader with a newer one has been gone for long', () => {
     // Guards against reading the store for ever because a dead entry once reported more.
-    const readers = watch();
-    readers.onReport('b', { ...newer, ageMilliseconds: 0 });
-    clock.now += 20_000;
-    readers.onReport('a', { ...older, ageMilliseconds: 0 });
-    expect(readers.freshnessAgeMilliseconds(older)).toBe(0);
+    const time = { now: 0 };
+    const watch = startWatch(time);
+    watch.onReport('b', reportOf(NEWER, 0));
+    time.now += 20_000;
+    watch.onReport('a', reportOf(OLDER, time.now));
+    expect(watch.ageOf(OLDER)).toBe(0);
   });
 
   it('is confirmed by a copy of a later revision with the same content', () => {
     // Guards against a fleet that fetches all tables anew whenever an entry starts.
-    const readers = watch();
-    readers.onReport('started', { ...older, revision: 9, ageMilliseconds: 0 });
-    expect(readers.freshnessAgeMilliseconds(older)).toBe(0);
+    const watch = startWatch({ now: 0 });
+    watch.onReport('started', reportOf({ ...OLDER, revision: 9 }, 0));
+    expect(watch.ageOf(OLDER)).toBe(0);
   });
 
   it('is not confirmed by an older one', () => {
-    const readers = watch();
-    readers.onReport('a', { ...older, ageMilliseconds: 0 });
-    expect(readers.freshnessAgeMilliseconds(newer)).toBe(Infinity);
+    const watch = startWatch({ now: 0 });
+    watch.onReport('a', reportOf(OLDER, 0));
+    expect(watch.ageOf(NEWER)).toBe(Infinity);
   });
 });
--- a/packages/catalog/src/freshness-watch.ts
+++ b/packages/catalog/src/freshness-watch.ts
@@ -1,11 +1,13 @@
 /**
  * How fresh an instance's copy of a table is when others follow the table for it. A call to the
- * store costs, whoever makes it, so few entries read and all report how long ago the store
- * confirmed their copy; reports are passed on with their age, so that a chain of entries cannot
- * confirm a copy that the store has not.
+ * store costs, whoever makes it, so few entries read and all report when the store confirmed
+ * their copy. They pass on the store's own time, since entries that dated reports by their arrival
+ * would confirm to each other a copy that the store has not.
  */
 import { isObject, numberOf, textOf } from '@lapisbridge/json-call';
 
+import type { StoreClock } from './store-clock.js';
+
 /** A copy of a table, as entries compare theirs. */
 export interface CopyVersion {
   /** Revision as of which the copy is whole. */
@@ -19,7 +21,9 @@
 
 /** What an entry reports of its copy of a table. */
 export interface FreshnessReport extends CopyVersion {
-  /** Milliseconds since the store confirmed that nothing newer exists. */
+  /** When the store confirmed that nothing newer exists: milliseconds of its clock. */
+  readonly confirmedAt: number;
+  /** Milliseconds since then, at least. */
   readonly ageMilliseconds: number;
 }
 
@@ -28,37 +32,39 @@
   if (!isObject(value)) return undefined;
   const revision = numberOf(value, 'revision');
   const fingerprint = textOf(value, 'fingerprint');
+  const confirmedAt = numberOf(value, 'confirmedAt');
   const ageMilliseconds = numberOf(value, 'ageMilliseconds');
-  if (revision === undefined || fingerprint === undefined || ageMilliseconds === undefined) {
-    return undefined;
-  }
-  return { revision, fingerprint, ageMilliseconds: Math.max(0, ageMilliseconds) };
+  if (revision === undefined || fingerprint === undefined) return undefined;
+  if (confirmedAt === undefined || ageMilliseconds === undefined) return undefined;
+  return { revision, fingerprint, confirmedAt, ageMilliseconds: Math.max(0, ageMilliseconds) };
 }
 
 export interface Confirmation {
   /** Instance id of the entry that reported it. */
   readonly entry: string;
-  readonly ageMilliseconds: number;
+  readonly confirmedAt: number;
 }
 
 export interface FreshnessWatch {
   /** Takes the report of another entry. */
   onReport(entry: string, report: FreshnessReport): void;
-  /** Milliseconds since the store confirmed to anyone that this copy is the newest. */
-  freshnessAgeMilliseconds(copy: CopyVersion): number;
+  /**
+   * When the store confirmed to anyone that this copy is the newest, by its clock; undefined
+   * where that is not known, or another entry has a newer one.
+   */
+  confirmedAt(copy: CopyVersion): number | undefined;
   /** The newest confirmation of any copy by the store; undefined while there is none. */
   latestConfirmation(): Confirmation | undefined;
 }
 
-interface HeardReport extends CopyVersion {
-  readonly confirmedAt: number;
+interface HeardReport extends FreshnessReport {
   readonly heardAt: number;
 }
 
 /** Reports of entries that have been gone for longer are dropped. */
 const FORGET_MILLISECONDS = 10_000;
 
-export function createFreshnessWatch(now: () => number): FreshnessWatch {
+export function createFreshnessWatch(now: () => number, clock: StoreClock): FreshnessWatch {
   const reports = new Map<string, HeardReport>();
 
   function recent(): ReadonlyMap<string, HeardReport> {
@@ -68,25 +74,23 @@
   }
 
   return {
-    onReport(entry, { revision, fingerprint, ageMilliseconds }) {
-      const confirmedAt = now() - ageMilliseconds;
-      reports.set(entry, { revision, fingerprint, confirmedAt, heardAt: now() });
+    onReport(entry, report) {
+      clock.observe(report.confirmedAt, report.ageMilliseconds);
+      reports.set(entry, { ...report, heardAt: now() });
     },
-    freshnessAgeMilliseconds({ revision, fingerprint }) {
-      let latest = -Infinity;
+    confirmedAt({ revision, fingerprint }) {
+      let latest: number | undefined;
       for (const report of recent().values()) {
-        if (report.fingerprint === fingerprint) latest = Math.max(latest, report.confirmedAt);
-        // Unconfirmed until the newer copy is fetched.
-        else if (report.revision > revision) return Infinity;
+        if (report.fingerprint === fingerprint) {
+          latest = Math.max(latest ?? report.confirmedAt, report.confirmedAt);
+        } else if (report.revision > revision) return undefined;
       }
-      return now() - latest;
+      return latest;
     },
     latestConfirmation() {
       let latest: Confirmation | undefined;
       for (const [entry, { confirmedAt }] of recent()) {
-        const ageMilliseconds = now() - confirmedAt;
-        if (ageMilliseconds < (latest?.ageMilliseconds ?? Infinity))
-          latest = { entry, ageMilliseconds };
+        if (confirmedAt > (latest?.confirmedAt ?? -Infinity)) latest = { entry, confirmedAt };
       }
       return latest;
     },
--- a/packages/catalog/src/index.ts
+++ b/packages/catalog/src/index.ts
@@ -21,10 +21,20 @@
 export { followTable } from './follow-table.js';
 export type { FollowOptions, TableFollower } from './follow-table.js';
 export { FeedKind, TransactionKind } from './store.js';
-export type { Feed, RowList, RowWrite, Store, StoreRow, TransactionResult } from './store.js';
+export type {
+  Feed,
+  RowList,
+  RowWrite,
+  Store,
+  StoreAnswer,
+  StoreRow,
+  TransactionResult,
+} from './store.js';
 export { dropReplaced } from './drop-replaced.js';
 export { LAPSE_MILLISECONDS, retainLapsed } from './retain-lapsed.js';
 export type { LapseInput } from './retain-lapsed.js';
+export { createStoreClock } from './store-clock.js';
+export type { StoreClock } from './store-clock.js';
 export { fingerprintOf } from './fingerprint.js';
 export { createFreshnessWatch, decodeFreshnessReport } from './freshness-watch.js';
 export type {
--- a/packages/catalog/src/store.ts
+++ b/packages/catalog/src/store.ts
@@ -17,6 +17,12 @@
   readonly revision: number;
 }
 
+/** Rows as the store gave them. */
+export interface StoreAnswer extends RowList {
+  /** When it did: milliseconds of its own steady clock. */
+  readonly givenAt: number;
+}
+
 export enum FeedKind {
   Changes = 'changes',
   /** The store no longer has the changes asked for: all must be read anew. */
@@ -24,7 +30,7 @@
 }
 
 export type Feed =
-  ({ readonly kind: FeedKind.Changes } & RowList) | { readonly kind: FeedKind.HistoryGone };
+  ({ readonly kind: FeedKind.Changes } & StoreAnswer) | { readonly kind: FeedKind.HistoryGone };
 
 export enum TransactionKind {
   Applied = 'applied',
@@ -49,7 +55,7 @@
 
 /** Rejects with an error when a call gets no usable answer. */
 export interface Store {
-  list(table: string, part: string): Promise<RowList>;
+  list(table: string, part: string): Promise<StoreAnswer>;
   feed(table: string, since: number, waitMilliseconds: number): Promise<Feed>;
   write(table: string, part: string, writes: readonly RowWrite[]): Promise<TransactionResult>;
 }
--- a/packages/direct-entry/src/copy-exchange.ts
+++ b/packages/direct-entry/src/copy-exchange.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { decodeCopy, encodeCopy } from '@lapisbridge/catalog';
-import type { RowList, StoreRow } from '@lapisbridge/catalog';
+import type { FreshnessReport, RowList, StoreRow } from '@lapisbridge/catalog';
 import { callJson, numberOf, textOf } from '@lapisbridge/json-call';
 
 export enum FollowedTable {
@@ -24,7 +24,9 @@
   readonly list: RowList;
   /** Of the other entry's copy, newer or not. */
   readonly fingerprint: string;
-  /** Milliseconds since the store confirmed the other entry's copy; infinite where it did not. */
+  /** When the store confirmed that copy, by its clock; undefined where it did not. */
+  readonly confirmedAt: number | undefined;
+  /** Milliseconds since then, at least. */
   readonly ageMilliseconds: number;
 }
 
@@ -52,15 +54,15 @@
   return {
     list,
     fingerprint: textOf(answer.body, 'fingerprint') ?? '',
-    ageMilliseconds: numberOf(answer.body, 'ageMilliseconds') ?? Infinity,
+    confirmedAt: numberOf(answer.body, 'confirmedAt'),
+    ageMilliseconds: numberOf(answer.body, 'ageMilliseconds') ?? 0,
   };
 }
 
 export interface CopyServerOptions {
   copy(table: FollowedTable): TableCopy | undefined;
-  fingerprint(table: FollowedTable): string;
-  /** Milliseconds since the store confirmed the copy; infinite where it did not. */
-  ageMilliseconds(table: FollowedTable): number;
+  /** What this entry reports of its copy; undefined where the store has not confirmed it. */
+  freshness(table: FollowedTable): FreshnessReport | undefined;
 }
 
 interface EncodedCopy {
@@ -98,11 +100,9 @@
     const isNewer = copy.revision > Number(url.searchParams.get('since') ?? 0);
     const rows = isNewer ? encode(table, copy) : '[]';
     const revision = isNewer ? copy.revision : 0;
-    const ageMilliseconds = JSON.stringify(options.ageMilliseconds(table));
-    const fingerprint = JSON.stringify(options.fingerprint(table));
-    const head = `"revision":${revision},"fingerprint":${fingerprint}`;
+    const head = JSON.stringify({ ...options.freshness(table), revision });
     response.writeHead(200, { 'content-type': 'application/json' });
-    response.end(`{${head},"ageMilliseconds":${ageMilliseconds},"rows":${rows}}`);
+    response.end(`${head.slice(0, -1)},"rows":${rows}}`);
     return true;
   };
 }
--- a/packages/direct-entry/src/knowledge.ts
+++ b/packages/direct-entry/src/knowledge.ts
@@ -5,6 +5,7 @@
  */
 import {
   createFreshnessWatch,
+  createStoreClock,
   decodeFreshnessReport,
   dropReplaced,
   fingerprintOf,
@@ -111,6 +112,7 @@
 
 export function createKnowledge(options: KnowledgeOptions): Knowledge {
   const { logger, random, tables, catalog, now } = options;
+  const clock = createStoreClock(now);
   const asking = new Set<FollowedTable>();
   let isStoreReachable = true;
   let returnedAt = -Infinity;
@@ -131,8 +133,8 @@
   let fetchLoggedAt = -Infinity;
   let failedFetches = 0;
   const watches: Readonly<Record<FollowedTable, FreshnessWatch>> = {
-    [FollowedTable.Operators]: createFreshnessWatch(now),
-    [FollowedTable.Servers]: createFreshnessWatch(now),
+    [FollowedTable.Operators]: createFreshnessWatch(now, clock),
+    [FollowedTable.Servers]: createFreshnessWatch(now, clock),
   };
 
   function pace(): ReadingPace {
@@ -153,11 +155,8 @@
 
   /** To be called before a new confirmation of the servers' table is noted. */
   function onServersConfirmed(): void {
-    const unconfirmedFor = Math.min(
-      now() - serversTakenAt,
-      watches[FollowedTable.Servers].latestConfirmation()?.ageMilliseconds ?? Infinity,
-    );
-    if (unconfirmedFor <= OUTAGE_MILLISECONDS) return;
+    const toldFor = ageOf(watches[FollowedTable.Servers].latestConfirmation()?.confirmedAt);
+    if (Math.min(now() - serversTakenAt, toldFor) <= OUTAGE_MILLISECONDS) return;
     returnedAt = now();
     setTimeout(dropLapsed, LAPSE_MILLISECONDS);
   }
@@ -201,14 +200,30 @@
     return { revision, fingerprint: fingerprints[table] };
   }
 
-  /** Milliseconds since the store confirmed the copy, to this entry or to another one. */
-  function freshnessAgeMilliseconds(table: FollowedTable): number {
+  /** When the store confirmed the copy to this entry or to another one, by its clock. */
+  function confirmedAtOf(table: FollowedTable): number | undefined {
     const version = versionOf(table);
-    if (version.revision === 0) return Infinity;
-    return Math.min(
-      followers[table].millisecondsSinceResponse(),
-      watches[table].freshnessAgeMilliseconds(version),
-    );
+    if (version.revision === 0) return undefined;
+    const toSelf = followers[table].confirmedAt();
+    const toOthers = watches[table].confirmedAt(version);
+    if (toSelf === undefined || toOthers === undefined) return toSelf ?? toOthers;
+    return Math.max(toSelf, toOthers);
+  }
+
+  /** Milliseconds since a moment of the store's clock; infinite where there is none. */
+  function ageOf(moment: number | undefined): number {
+    return moment === undefined ? Infinity : clock.ageMilliseconds(moment);
+  }
+
+  function freshnessAgeMilliseconds(table: FollowedTable): number {
+    return ageOf(confirmedAtOf(table));
+  }
+
+  /** What this entry reports of its copy; undefined where the store has not confirmed it. */
+  function freshnessOf(table: FollowedTable): FreshnessReport | undefined {
+    const confirmedAt = confirmedAtOf(table);
+    if (confirmedAt === undefined) return undefined;
+    return { ...versionOf(table), confirmedAt, ageMilliseconds: Math.floor(ageOf(confirmedAt)) };
   }
 
   function limitOf(table: FollowedTable): number {
@@ -244,7 +259,7 @@
       table,
       role: options.role(),
       age: wholeOf(own.ageMilliseconds),
-      ownAge: wholeOf(followers[table].millisecondsSinceResponse()),
+      ownAge: wholeOf(ageOf(followers[table].confirmedAt())),
       confirmedBy: watches[table].latestConfirmation()?.entry,
     });
     return delegated;
@@ -262,7 +277,7 @@
       : DELEGATE_RETRY_MILLISECONDS;
   }
 
-  const shared = { store: options.store, part: '', random, now, longestRetryMilliseconds };
+  const shared = { store: options.store, part: '', random, clock, longestRetryMilliseconds };
   const followers: Readonly<Record<FollowedTable, TableFollower>> = {
     [FollowedTable.Operators]: followTable({
       ...shared,
@@ -301,13 +316,15 @@
     try {
       const fetched = await options.fetchCopy(host, table, since);
       if (fetched === undefined) return;
-      const { list, fingerprint, ageMilliseconds } = fetched;
+      const { list, fingerprint, confirmedAt, ageMilliseconds } = fetched;
       ownReading[table].ageMilliseconds = freshnessAgeMilliseconds(table);
       copiedFrom = host;
       const isAdopted = followers[table].adopt(list);
       copiedFrom = undefined;
-      const { revision } = list;
-      watches[table].onReport(`copy of ${host}`, { revision, fingerprint, ageMilliseconds });
+      if (confirmedAt !== undefined) {
+        const report = { revision: list.revision, fingerprint, confirmedAt, ageMilliseconds };
+        watches[table].onReport(`copy of ${host}`, report);
+      }
       if (isAdopted) {
         behindSince[table] = undefined;
         logger.info('copy taken from a peer', {
@@ -372,8 +389,7 @@
   return {
     respondWithCopy: createCopyResponder({
       copy: (table) => followers[table].copy(),
-      fingerprint: (table) => fingerprints[table],
-      ageMilliseconds: freshnessAgeMilliseconds,
+      freshness: freshnessOf,
     }),
     start() {
       for (const follower of Object.values(followers)) follower.start();
@@ -382,8 +398,8 @@
     freshness() {
       const reports: Record<string, FreshnessReport> = {};
       for (const table of TABLES) {
-        const ageMilliseconds = Math.round(freshnessAgeMilliseconds(table));
-        reports[table] = { ...versionOf(table), ageMilliseconds };
+        const report = freshnessOf(table);
+        if (report !== undefined) reports[table] = report;
       }
       return reports;
     },
@@ -391,7 +407,8 @@
       for (const table of TABLES) {
         const report = decodeFreshnessReport(state[table]);
         if (report === undefined) continue;
-        const isRecent = report.ageMilliseconds < OUTAGE_MILLISECONDS;
+        clock.observe(report.confirmedAt, report.ageMilliseconds);
+        const isRecent = ageOf(report.confirmedAt) < OUTAGE_MILLISECONDS;
         if (table === FollowedTable.Servers && isRecent) onServersConfirmed();
         watches[table].onReport(from.instanceId, report);
         catchUp(table, from, report);
--- a/packages/direct-entry/src/played-knowledge.ts
+++ b/packages/direct-entry/src/played-knowledge.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { createCatalog, decodeCopy, FeedKind, TransactionKind } from '@lapisbridge/catalog';
-import type { Catalog, Feed, RowList, Store, StoreRow } from '@lapisbridge/catalog';
+import type { Catalog, Feed, Store, StoreAnswer, StoreRow } from '@lapisbridge/catalog';
 import { playFleet } from '@lapisbridge/fleet';
 import type { InstanceName, PlayedEntry, PlayedFleet, ReadingRole } from '@lapisbridge/fleet';
 import { numberOf, parseObject, textOf } from '@lapisbridge/json-call';
@@ -153,10 +153,10 @@
 
   function storeOf(instanceId: string): Store {
     return {
-      list: (table): Promise<RowList> =>
+      list: (table): Promise<StoreAnswer> =>
         callOf(instanceId, STORE_MILLISECONDS, async () => {
           await reachStore(instanceId);
-          const list = { rows: rowsOf(table), revision };
+          const list = { rows: rowsOf(table), revision, givenAt: fleet.now() };
           await sleep(STORE_HOP_MILLISECONDS);
           return list;
         }),
@@ -167,7 +167,7 @@
           if (!isFollowed) await sleep(wait);
           else if (revision === since) await waitForChange(wait);
           const rows = revision === since ? [] : rowsOf(table);
-          const feed: Feed = { kind: FeedKind.Changes, rows, revision };
+          const feed: Feed = { kind: FeedKind.Changes, rows, revision, givenAt: fleet.now() };
           await sleep(STORE_HOP_MILLISECONDS);
           return feed;
         }),
@@ -196,7 +196,8 @@
     if (list === undefined) return undefined;
     return {
       list,
-      ageMilliseconds: numberOf(body, 'ageMilliseconds') ?? Infinity,
+      confirmedAt: numberOf(body, 'confirmedAt'),
+      ageMilliseconds: numberOf(body, 'ageMilliseconds') ?? 0,
       fingerprint: textOf(body, 'fingerprint') ?? '',
     };
   }
