--- a/packages/forwarding/src/caller-listener.ts
+++ b/packages/forwarding/src/caller-listener.ts
@@ -124,8 +124,8 @@
     const answer = createCallerAnswer(response);
     const arrivedAt = context.now();
     const request = context.protocol.decodeRequest(incoming);
-    const { configuration } = context.catalog.operators();
-    const maximumBody = configuration?.limits.maximumBodyBytes ?? DEFAULT_BODY_BYTES;
+    const { limits } = context.catalog.operators().configuration ?? {};
+    const maximumBody = limits?.maximumBodyBytes ?? DEFAULT_BODY_BYTES;
     const body = await readBody(incoming, maximumBody);
     if (answer.isOver) return;
     if (body === undefined) {
@@ -133,6 +133,8 @@
       answerOwn(answer, request, TOO_LARGE, `body over ${maximumBody} bytes`);
       return;
     }
+    // A newer one may have come into force while the body was read.
+    const { configuration } = context.catalog.operators();
     const admission = planAdmission({
       configuration,
       isOutdated: options.isOutdated(),
