--- a/packages/forwarding/src/accept-request.ts
+++ b/packages/forwarding/src/accept-request.ts
@@ -6,6 +6,7 @@
 import type { ClientAccount, Configuration, Route } from '@lapisbridge/catalog';
 
 import type { CallerRequest } from './caller-protocol.js';
+import { planReplyMargin } from './reply-margin.js';
 
 export enum AdmissionKind {
   Accepted = 'accepted',
@@ -42,6 +43,13 @@
   readonly share: number;
 }
 
+/** Milliseconds after which the caller is answered in any case. */
+function planTimeout(route: Route, patienceMilliseconds: number | undefined): number {
+  if (patienceMilliseconds === undefined) return route.timeoutMilliseconds;
+  const latest = patienceMilliseconds - planReplyMargin(patienceMilliseconds);
+  return Math.min(route.timeoutMilliseconds, latest);
+}
+
 export function planAdmission(input: AdmissionInput): Admission {
   const { configuration, request, isOutdated } = input;
   if (configuration === undefined) return { kind: AdmissionKind.NotKnown };
@@ -65,9 +73,6 @@
     route,
     service: pickService(route, input.share),
     account: access.account,
-    timeoutMilliseconds: Math.min(
-      route.timeoutMilliseconds,
-      request.patienceMilliseconds ?? route.timeoutMilliseconds,
-    ),
+    timeoutMilliseconds: planTimeout(route, request.patienceMilliseconds),
   };
 }
