End a stream without an event before its caller leaves

Callers leave a stream after a pause of two seconds.

Cause: the bound of an attempt was the caller's deadline of 8 s and the end of a wait was left to the caller's close, which cannot reach a server whose machine has stopped. Now each stream is ended 100 ms before its caller's patience: told when to come back if it has not run, failed if it may have, broken off visibly if it had begun, so that its caller can resume it. A caller that does not take more is not counted as waiting.

--- a/packages/forwarding/src/plan-wait.ts
+++ b/packages/forwarding/src/plan-wait.ts
@@ -6,6 +6,8 @@
  */
 import type { Route } from '@lapisbridge/catalog';
 
+import { planReplyMargin } from './reply-margin.js';
+
 /** Callers leave a stream after the longest of a time, some objectives and some pauses. */
 const PATIENCE_MILLISECONDS = 2000;
 const PATIENCE_OBJECTIVES = 4;
@@ -31,6 +33,15 @@
   );
 }
 
+/**
+ * Longest time without an event after which a stream is ended, in milliseconds. Its caller would
+ * leave next, and a request that lies at a server which has stopped then runs for nobody.
+ */
+export function planEventTimeout(route: Route): number {
+  const patience = callerPatience(route);
+  return patience - planReplyMargin(patience);
+}
+
 /**
  * Longest wait of a caller at its first try for a server's cold-start share, in milliseconds. One
  * that waits longer gets its first event late, and may as well come back when there is room.
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -16,6 +16,7 @@
 import { fail, refuse } from './own-answer.js';
 import { canOffer } from './plan-offer.js';
 import { planRefusalCause, RefusalCause } from './plan-retry-after.js';
+import { planEventTimeout } from './plan-wait.js';
 import { roundedOrNone } from './rounded-or-none.js';
 import { DelayKind, REFUSAL_OF, waitOut } from './stream-delay.js';
 import type { Delay } from './stream-delay.js';
@@ -45,7 +46,8 @@
 interface StreamState {
   /** Sends refused since the server's group stood still: they say nothing of the service's load. */
   groupRefusals: number;
-  isExpired: boolean;
+  /** Why its time is up; undefined while it is not. */
+  timeout: RefusalCause | undefined;
   /** Taken from a server that gave no sign of life, before its first event. */
   isMoved: boolean;
   current: StreamAttempt | undefined;
@@ -106,7 +108,7 @@
   const record = createStreamRecord(context, accepted);
   const state: StreamState = {
     groupRefusals: 0,
-    isExpired: false,
+    timeout: undefined,
     isMoved: false,
     current: undefined,
   };
@@ -132,7 +134,7 @@
 
   /** Starts one more attempt, or says why none can be started. */
   function startNext(): Start {
-    if (state.isExpired) return { kind: StartKind.None, cause: RefusalCause.Expired };
+    if (state.timeout !== undefined) return { kind: StartKind.None, cause: state.timeout };
     if (progress.sends - state.groupRefusals >= MAXIMUM_SENDS) {
       return { kind: StartKind.None, cause: RefusalCause.Full };
     }
@@ -204,21 +206,31 @@
     const reason = progress.outcomes.map(describeOutcome).join('; ') || cause;
     const proof = answer.hasBegun ? undefined : proveNotRun(progress.outcomes, reason);
     if (proof === undefined) {
-      fail(context, accepted, reason, state.isExpired);
+      fail(context, accepted, reason, state.timeout !== undefined);
       return;
     }
     const likelyCause = planRefusalCause(cause, hasGroupStopped());
     refuse(context, accepted, likelyCause, proof, likelyOf(likelyCause, delay));
   }
 
+  function timeOut(cause: RefusalCause, reason: string): void {
+    state.timeout = cause;
+    state.current?.cancel(reason);
+  }
+
+  function watchPauses(): void {
+    const left = planEventTimeout(route) - record.idleMilliseconds();
+    if (left > 0) eventTimeout = setTimeout(watchPauses, left);
+    else timeOut(RefusalCause.Crowded, 'no event before its caller leaves');
+  }
+
   answer.onGone(() => state.current?.cancel('caller gone'));
   const expiry = setTimeout(
-    () => {
-      state.isExpired = true;
-      state.current?.cancel('time is up');
-    },
+    () => timeOut(RefusalCause.Expired, 'time is up'),
     remainingOf(context, accepted),
   );
+  let eventTimeout: NodeJS.Timeout | undefined;
+  watchPauses();
   try {
     for (;;) {
       if (answer.isOver) return;
@@ -227,7 +239,7 @@
         const { delay } = start;
         const waited = { idleMilliseconds: record.idleMilliseconds(), isMoved: state.isMoved };
         const isOver = !(await waitOut(context, accepted, delay, waited));
-        if (isOver || state.isExpired) {
+        if (isOver || state.timeout !== undefined) {
           conclude(REFUSAL_OF[delay.kind], delay);
           return;
         }
@@ -275,8 +287,8 @@
           }
           break;
         case StreamEndKind.Broken:
-          if (state.isExpired || !mayContinue()) {
-            conclude(RefusalCause.Expired);
+          if (state.timeout !== undefined || !mayContinue()) {
+            conclude(state.timeout ?? RefusalCause.Expired);
             return;
           }
           break;
@@ -288,5 +300,6 @@
     }
   } finally {
     clearTimeout(expiry);
+    clearTimeout(eventTimeout);
   }
 }
--- a/packages/forwarding/src/stream-record.ts
+++ b/packages/forwarding/src/stream-record.ts
@@ -13,7 +13,10 @@
 export interface StreamRecord {
   /** Passes events on to the caller and takes note of them. */
   readonly sink: StreamSink;
-  /** Milliseconds since the request arrived, or since its caller's last event. */
+  /**
+   * Milliseconds since the request arrived, or since its caller's last event; 0 while the caller
+   * does not take more.
+   */
   idleMilliseconds(): number;
   /** Whether first event and pauses were as callers hope for. */
   isOnTime(): boolean;
@@ -27,7 +30,8 @@
 ): StreamRecord {
   const { answer, route, request, arrivedAt } = accepted;
   let { lastEventId } = request;
-  let lastEventAt = context.now();
+  let lastEventAt = arrivedAt;
+  let isBackedUp = false;
   let firstEventMilliseconds: number | undefined;
   let longestPauseMilliseconds = 0;
 
@@ -49,11 +53,18 @@
       onEvent(head: AnswerHead, event: StreamEvent) {
         noteEvent(head);
         lastEventId = event.id ?? lastEventId;
-        return answer.write(event.bytes);
+        isBackedUp = !answer.write(event.bytes);
+        return !isBackedUp;
+      },
+      onDrain(listener) {
+        answer.onDrain(() => {
+          isBackedUp = false;
+          lastEventAt = context.now();
+          listener();
+        });
       },
-      onDrain: (listener) => answer.onDrain(listener),
     },
-    idleMilliseconds: () => context.now() - lastEventAt,
+    idleMilliseconds: () => (isBackedUp ? 0 : context.now() - lastEventAt),
     isOnTime: () =>
       firstEventMilliseconds !== undefined &&
       firstEventMilliseconds <= route.objectiveMilliseconds &&
