Use a connection that was made while the process stood still

A caller was refused as 'full' with a server free: an entry that stalled for 0.3 s while it connected ran its connect timer before it read that the connection had been made. Seen once, at a load of 21, in rate-limit.test.ts ('idempotent requests', 503 instead of 200); traced with a stall of 350 ms, which refuses the request every time ('no connection in time'), one of 100 ms does not. Of the class of CONFIG and GONE: a bound that is measured by when word arrives.

The timer now gives way to events that are already there. stalled-process.test.ts failed before.

--- a/packages/forwarding/src/exchange.ts
+++ b/packages/forwarding/src/exchange.ts
@@ -136,7 +136,12 @@
     queueMicrotask(() => fail(String(thrown)));
     return { cancel: () => undefined, pause: () => undefined, resume: () => undefined };
   }
-  connectTimer = setTimeout(() => fail('no connection in time'), options.connectMilliseconds);
+  connectTimer = setTimeout(() => {
+    // After a stall timers run first; the connection may have been made meanwhile.
+    setImmediate(() => {
+      if (!connected) fail('no connection in time');
+    });
+  }, options.connectMilliseconds);
   request.on('socket', onSocket);
   request.on('response', onAnswer);
   request.on('error', (error) => fail(error.message));
