--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -4,8 +4,7 @@
  * broken off visibly, so that the caller never takes a part for the whole.
  */
 import type { BackendServer } from '@lapisbridge/catalog';
-import { ServerChoiceKind } from '@lapisbridge/routing';
-import type { ServerChoice, ServerView } from '@lapisbridge/routing';
+import type { ServerView } from '@lapisbridge/routing';
 
 import { chooseServer } from './choose-server.js';
 import { remainingOf, startProgress } from './forward-context.js';
@@ -18,7 +17,7 @@
 import { planRefusalCause, RefusalCause } from './plan-retry-after.js';
 import { planEventTimeout } from './plan-wait.js';
 import { roundedOrNone } from './rounded-or-none.js';
-import { DelayKind, REFUSAL_OF, waitOut } from './stream-delay.js';
+import { DelayKind, delayOf, REFUSAL_OF, waitOut } from './stream-delay.js';
 import type { Delay } from './stream-delay.js';
 import { startStreamAttempt, StreamEndKind } from './stream-attempt.js';
 import type { StreamAttempt, StreamEnd } from './stream-attempt.js';
@@ -70,34 +69,6 @@
   }
 }
 
-/** What keeps a stream from being sent now; undefined where a server was chosen or none is left. */
-function delayOf(context: ForwardContext, choice: ServerChoice): Delay | undefined {
-  switch (choice.kind) {
-    case ServerChoiceKind.AllBroken: {
-      const { brokenForMilliseconds } = choice;
-      return {
-        kind: DelayKind.GroupBroken,
-        brokenForMilliseconds,
-        chanceOfReturn: (within) =>
-          context.groupHealth.chanceOfReturn(brokenForMilliseconds, within),
-      };
-    }
-    case ServerChoiceKind.AllCrowded:
-      return { kind: DelayKind.Crowded };
-    case ServerChoiceKind.AllLimited:
-      return { kind: DelayKind.Limited, roomInMilliseconds: choice.roomInMilliseconds };
-    case ServerChoiceKind.AllBackingOff:
-      return { kind: DelayKind.BackingOff, roomInMilliseconds: choice.backoffMilliseconds };
-    case ServerChoiceKind.Chosen:
-    case ServerChoiceKind.NoneLeft:
-      return undefined;
-    default: {
-      const unreachable: never = choice;
-      return unreachable;
-    }
-  }
-}
-
 /** Serves one stream to its end. */
 export async function serveStream(
   context: ForwardContext,
--- a/packages/forwarding/src/stream-delay.ts
+++ b/packages/forwarding/src/stream-delay.ts
@@ -2,6 +2,8 @@
  * What keeps a stream from being sent to a server just now, and how long it is kept for that.
  */
 import { sleep } from '@lapisbridge/kernel';
+import { ServerChoiceKind } from '@lapisbridge/routing';
+import type { ServerChoice } from '@lapisbridge/routing';
 
 import { remainingOf } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
@@ -31,6 +33,34 @@
   | { readonly kind: DelayKind.Limited; readonly roomInMilliseconds: number }
   | { readonly kind: DelayKind.BackingOff; readonly roomInMilliseconds: number };
 
+/** What keeps a stream from being sent now; undefined where a server was chosen or none is left. */
+export function delayOf(context: ForwardContext, choice: ServerChoice): Delay | undefined {
+  switch (choice.kind) {
+    case ServerChoiceKind.AllBroken: {
+      const { brokenForMilliseconds } = choice;
+      return {
+        kind: DelayKind.GroupBroken,
+        brokenForMilliseconds,
+        chanceOfReturn: (within) =>
+          context.groupHealth.chanceOfReturn(brokenForMilliseconds, within),
+      };
+    }
+    case ServerChoiceKind.AllCrowded:
+      return { kind: DelayKind.Crowded };
+    case ServerChoiceKind.AllLimited:
+      return { kind: DelayKind.Limited, roomInMilliseconds: choice.roomInMilliseconds };
+    case ServerChoiceKind.AllBackingOff:
+      return { kind: DelayKind.BackingOff, roomInMilliseconds: choice.backoffMilliseconds };
+    case ServerChoiceKind.Chosen:
+    case ServerChoiceKind.NoneLeft:
+      return undefined;
+    default: {
+      const unreachable: never = choice;
+      return unreachable;
+    }
+  }
+}
+
 /** Why a caller is refused whose stream is not kept any longer. */
 export const REFUSAL_OF: Readonly<Record<DelayKind, RefusalCause>> = {
   [DelayKind.GroupBroken]: RefusalCause.GroupBroken,
