Keep to a newer copy that is known of until it is there

A report of another entry with the same or an older copy made an entry forget that a third one had a newer one, so the wait before it reads for itself began anew with each digest. Only a copy taken over, or an answer of the store, ends it now.

--- /dev/null
+++ b/packages/direct-entry/src/copy-freshness.ts
@@ -0,0 +1,84 @@
+/**
+ * How fresh an entry's copies of the store's tables are: what the store has confirmed to the entry
+ * itself and to others, and what the entry reports of it.
+ */
+import { createFreshnessWatch, createStoreClock } from '@lapisbridge/catalog';
+import type {
+  Confirmation,
+  CopyVersion,
+  FreshnessReport,
+  FreshnessWatch,
+  StoreClock,
+  TableFollower,
+} from '@lapisbridge/catalog';
+
+import { FollowedTable } from './copy-exchange.js';
+
+export interface CopyFreshness {
+  /** Of the store; told of each answer. */
+  readonly clock: StoreClock;
+  versionOf(table: FollowedTable): CopyVersion;
+  /** Takes the fingerprint of a copy that was taken over; false where it is the same as before. */
+  replaceFingerprint(table: FollowedTable, fingerprint: string): boolean;
+  /** Takes the report of another entry. */
+  onReport(table: FollowedTable, entry: string, report: FreshnessReport): void;
+  /** Milliseconds since a moment of the store's clock; infinite where there is none. */
+  ageOf(moment: number | undefined): number;
+  /** Milliseconds since the store confirmed the copy to anyone; infinite where it has not. */
+  ageMilliseconds(table: FollowedTable): number;
+  /** What this entry reports of its copy; undefined where the store has not confirmed it. */
+  reportOf(table: FollowedTable): FreshnessReport | undefined;
+  /** The newest confirmation of any copy that others have reported. */
+  latestConfirmation(table: FollowedTable): Confirmation | undefined;
+}
+
+export function createCopyFreshness(
+  now: () => number,
+  follower: (table: FollowedTable) => TableFollower,
+): CopyFreshness {
+  const clock = createStoreClock(now);
+  /** Empty before the first copy. */
+  const fingerprints = { [FollowedTable.Operators]: '', [FollowedTable.Servers]: '' };
+  const watches: Readonly<Record<FollowedTable, FreshnessWatch>> = {
+    [FollowedTable.Operators]: createFreshnessWatch(now, clock),
+    [FollowedTable.Servers]: createFreshnessWatch(now, clock),
+  };
+
+  /** Revision 0 before the first copy. */
+  function versionOf(table: FollowedTable): CopyVersion {
+    const revision = follower(table).copy()?.revision ?? 0;
+    return { revision, fingerprint: fingerprints[table] };
+  }
+
+  function confirmedAtOf(table: FollowedTable): number | undefined {
+    const version = versionOf(table);
+    if (version.revision === 0) return undefined;
+    const toSelf = follower(table).confirmedAt();
+    const toOthers = watches[table].confirmedAt(version);
+    if (toSelf === undefined || toOthers === undefined) return toSelf ?? toOthers;
+    return Math.max(toSelf, toOthers);
+  }
+
+  function ageOf(moment: number | undefined): number {
+    return moment === undefined ? Infinity : clock.ageMilliseconds(moment);
+  }
+
+  return {
+    clock,
+    versionOf,
+    replaceFingerprint(table, fingerprint) {
+      if (fingerprint === fingerprints[table]) return false;
+      fingerprints[table] = fingerprint;
+      return true;
+    },
+    onReport: (table, entry, report) => watches[table].onReport(entry, report),
+    ageOf,
+    ageMilliseconds: (table) => ageOf(confirmedAtOf(table)),
+    reportOf(table) {
+      const confirmedAt = confirmedAtOf(table);
+      if (confirmedAt === undefined) return undefined;
+      return { ...versionOf(table), confirmedAt, ageMilliseconds: Math.floor(ageOf(confirmedAt)) };
+    },
+    latestConfirmation: (table) => watches[table].latestConfirmation(),
+  };
+}
--- a/packages/direct-entry/src/knowledge.ts
+++ b/packages/direct-entry/src/knowledge.ts
@@ -4,8 +4,6 @@
  * operators, so a removed key or a new route may be known to others only.
  */
 import {
-  createFreshnessWatch,
-  createStoreClock,
   decodeFreshnessReport,
   dropReplaced,
   fingerprintOf,
@@ -15,9 +13,7 @@
 } from '@lapisbridge/catalog';
 import type {
   Catalog,
-  CopyVersion,
   FreshnessReport,
-  FreshnessWatch,
   ServerList,
   Store,
   TableFollower,
@@ -31,6 +27,7 @@
 import type { TableAdapter, TableRows } from './adapters.js';
 import { createCopyResponder, FollowedTable } from './copy-exchange.js';
 import type { CopyResponder, FetchedCopy } from './copy-exchange.js';
+import { createCopyFreshness } from './copy-freshness.js';
 import { planReading, SERVERS_WAIT_MILLISECONDS } from './plan-reading.js';
 import type { OrderBounds, ReadingPace } from './plan-reading.js';
 
@@ -112,13 +109,12 @@
 
 export function createKnowledge(options: KnowledgeOptions): Knowledge {
   const { logger, random, tables, catalog, now } = options;
-  const clock = createStoreClock(now);
+  const freshness = createCopyFreshness(now, (table) => followers[table]);
+  const { ageOf, clock, versionOf } = freshness;
   const asking = new Set<FollowedTable>();
   let isStoreReachable = true;
   let returnedAt = -Infinity;
   let serversTakenAt = now();
-  /** Of this entry's copies; empty before the first. */
-  const fingerprints = { [FollowedTable.Operators]: '', [FollowedTable.Servers]: '' };
   /** Since when another entry has had a newer copy; undefined while none has. */
   const behindSince: Record<FollowedTable, number | undefined> = {
     [FollowedTable.Operators]: undefined,
@@ -132,10 +128,6 @@
   let copiedFrom: string | undefined;
   let fetchLoggedAt = -Infinity;
   let failedFetches = 0;
-  const watches: Readonly<Record<FollowedTable, FreshnessWatch>> = {
-    [FollowedTable.Operators]: createFreshnessWatch(now, clock),
-    [FollowedTable.Servers]: createFreshnessWatch(now, clock),
-  };
 
   function pace(): ReadingPace {
     return planReading({
@@ -155,7 +147,7 @@
 
   /** To be called before a new confirmation of the servers' table is noted. */
   function onServersConfirmed(): void {
-    const toldFor = ageOf(watches[FollowedTable.Servers].latestConfirmation()?.confirmedAt);
+    const toldFor = ageOf(freshness.latestConfirmation(FollowedTable.Servers)?.confirmedAt);
     if (Math.min(now() - serversTakenAt, toldFor) <= OUTAGE_MILLISECONDS) return;
     returnedAt = now();
     setTimeout(dropLapsed, LAPSE_MILLISECONDS);
@@ -172,17 +164,14 @@
     });
     catalog.replaceServers({ revision, servers });
     const fingerprint = fingerprintOfServers(listed);
-    if (fingerprint === fingerprints[FollowedTable.Servers]) return;
-    fingerprints[FollowedTable.Servers] = fingerprint;
-    options.onNews();
+    if (freshness.replaceFingerprint(FollowedTable.Servers, fingerprint)) options.onNews();
   }
 
   function takeOperators(rows: TableRows, revision: number): void {
     const orders = tables.decodeOperators(rows, revision);
     catalog.replaceOperators(orders);
     const fingerprint = fingerprintOfRows(rows);
-    if (fingerprint === fingerprints[FollowedTable.Operators]) return;
-    fingerprints[FollowedTable.Operators] = fingerprint;
+    if (!freshness.replaceFingerprint(FollowedTable.Operators, fingerprint)) return;
     options.onNews();
     logger.info('configuration in force', {
       version: catalog.operators().configuration?.version,
@@ -194,38 +183,6 @@
     });
   }
 
-  /** Revision 0 before the first copy. */
-  function versionOf(table: FollowedTable): CopyVersion {
-    const revision = followers[table].copy()?.revision ?? 0;
-    return { revision, fingerprint: fingerprints[table] };
-  }
-
-  /** When the store confirmed the copy to this entry or to another one, by its clock. */
-  function confirmedAtOf(table: FollowedTable): number | undefined {
-    const version = versionOf(table);
-    if (version.revision === 0) return undefined;
-    const toSelf = followers[table].confirmedAt();
-    const toOthers = watches[table].confirmedAt(version);
-    if (toSelf === undefined || toOthers === undefined) return toSelf ?? toOthers;
-    return Math.max(toSelf, toOthers);
-  }
-
-  /** Milliseconds since a moment of the store's clock; infinite where there is none. */
-  function ageOf(moment: number | undefined): number {
-    return moment === undefined ? Infinity : clock.ageMilliseconds(moment);
-  }
-
-  function freshnessAgeMilliseconds(table: FollowedTable): number {
-    return ageOf(confirmedAtOf(table));
-  }
-
-  /** What this entry reports of its copy; undefined where the store has not confirmed it. */
-  function freshnessOf(table: FollowedTable): FreshnessReport | undefined {
-    const confirmedAt = confirmedAtOf(table);
-    if (confirmedAt === undefined) return undefined;
-    return { ...versionOf(table), confirmedAt, ageMilliseconds: Math.floor(ageOf(confirmedAt)) };
-  }
-
   function limitOf(table: FollowedTable): number {
     switch (table) {
       case FollowedTable.Operators:
@@ -244,7 +201,7 @@
     if (options.role() === ReadingRole.Reader) return 0;
     const behind = behindSince[table];
     if (behind !== undefined) return Math.max(0, behind + BEHIND_MILLISECONDS - now());
-    return Math.max(0, limitOf(table) - freshnessAgeMilliseconds(table));
+    return Math.max(0, limitOf(table) - freshness.ageMilliseconds(table));
   }
 
   /** The same, when the table's follower is about to act on it. */
@@ -252,7 +209,7 @@
     const delegated = delegatedMilliseconds(table);
     const isDelegated = delegated > 0;
     const own = ownReading[table];
-    own.ageMilliseconds = freshnessAgeMilliseconds(table);
+    own.ageMilliseconds = freshness.ageMilliseconds(table);
     if (own.isReading !== isDelegated) return delegated;
     own.isReading = !isDelegated;
     logger.info(isDelegated ? 'relying on readers' : 'reading the store', {
@@ -260,7 +217,7 @@
       role: options.role(),
       age: wholeOf(own.ageMilliseconds),
       ownAge: wholeOf(ageOf(followers[table].confirmedAt())),
-      confirmedBy: watches[table].latestConfirmation()?.entry,
+      confirmedBy: freshness.latestConfirmation(table)?.entry,
     });
     return delegated;
   }
@@ -317,13 +274,13 @@
       const fetched = await options.fetchCopy(host, table, since);
       if (fetched === undefined) return;
       const { list, fingerprint, confirmedAt, ageMilliseconds } = fetched;
-      ownReading[table].ageMilliseconds = freshnessAgeMilliseconds(table);
+      ownReading[table].ageMilliseconds = freshness.ageMilliseconds(table);
       copiedFrom = host;
       const isAdopted = followers[table].adopt(list);
       copiedFrom = undefined;
       if (confirmedAt !== undefined) {
         const report = { revision: list.revision, fingerprint, confirmedAt, ageMilliseconds };
-        watches[table].onReport(`copy of ${host}`, report);
+        freshness.onReport(table, `copy of ${host}`, report);
       }
       if (isAdopted) {
         behindSince[table] = undefined;
@@ -358,10 +315,7 @@
     const own = versionOf(table);
     const isSame = report.fingerprint === own.fingerprint;
     if (isSame) followers[table].advance(report.revision);
-    if (isSame || report.revision <= own.revision) {
-      behindSince[table] = undefined;
-      return;
-    }
+    if (isSame || report.revision <= own.revision) return;
     behindSince[table] ??= now();
     const behindFor = now() - (behindSince[table] ?? 0);
     const isInZone = from.availabilityZone === options.availabilityZone;
@@ -373,7 +327,7 @@
     const { operatorsWait, serversPause } = pace();
     const usual =
       table === FollowedTable.Operators ? operatorsWait : serversPause + SERVERS_WAIT_MILLISECONDS;
-    return freshnessAgeMilliseconds(table) > usual + SILENCE_MILLISECONDS;
+    return freshness.ageMilliseconds(table) > usual + SILENCE_MILLISECONDS;
   }
 
   function askWhereSilent(): void {
@@ -389,7 +343,7 @@
   return {
     respondWithCopy: createCopyResponder({
       copy: (table) => followers[table].copy(),
-      freshness: freshnessOf,
+      freshness: freshness.reportOf,
     }),
     start() {
       for (const follower of Object.values(followers)) follower.start();
@@ -398,7 +352,7 @@
     freshness() {
       const reports: Record<string, FreshnessReport> = {};
       for (const table of TABLES) {
-        const report = freshnessOf(table);
+        const report = freshness.reportOf(table);
         if (report !== undefined) reports[table] = report;
       }
       return reports;
@@ -410,10 +364,10 @@
         clock.observe(report.confirmedAt, report.ageMilliseconds);
         const isRecent = ageOf(report.confirmedAt) < OUTAGE_MILLISECONDS;
         if (table === FollowedTable.Servers && isRecent) onServersConfirmed();
-        watches[table].onReport(from.instanceId, report);
+        freshness.onReport(table, from.instanceId, report);
         catchUp(table, from, report);
       }
     },
-    isOutdated: () => freshnessAgeMilliseconds(FollowedTable.Operators) > OUTDATED_MILLISECONDS,
+    isOutdated: () => freshness.ageMilliseconds(FollowedTable.Operators) > OUTDATED_MILLISECONDS,
   };
 }
