--- a/packages/forwarding/src/reply-margin.ts
+++ b/packages/forwarding/src/reply-margin.ts
@@ -4,7 +4,7 @@
  * server that cannot be reached just then works on for nobody. Pure.
  */
 
-const LONGEST_MARGIN_MILLISECONDS = 100;
+const LONGEST_MARGIN_MILLISECONDS = 50;
 const MARGIN_SHARE = 0.1;
 
 /** Milliseconds before the end of the caller's patience at which an answer of our own is sent. */
