Pause between calls to the store that do not wait there

An entry reads for itself by calls that do not wait, and rests as soon as one has made its copy fresh. Where the answer does not, as after a step of the store's clock, calls would have followed each other without end. Found on review of the change, not seen; the case in plan-reading.test.ts fails without the pause.

--- a/packages/direct-entry/src/knowledge.ts
+++ b/packages/direct-entry/src/knowledge.ts
@@ -241,7 +241,7 @@
       table: tables.operatorsTable,
       delegatedMilliseconds: () => decideReading(FollowedTable.Operators),
       waitMilliseconds: () => pace().operatorsWait,
-      pauseMilliseconds: () => 0,
+      pauseMilliseconds: () => pace().operatorsPause,
       onRows: takeOperators,
       onStoreResult: (succeeded, reason) =>
         onStoreResult(FollowedTable.Operators, succeeded, reason),
--- a/packages/direct-entry/src/plan-reading.ts
+++ b/packages/direct-entry/src/plan-reading.ts
@@ -16,6 +16,8 @@
 export interface ReadingPace {
   /** How long one call for changes of the operators' table waits at the store. */
   readonly operatorsWait: number;
+  /** Between two reads of the operators' table. */
+  readonly operatorsPause: number;
   /** Between two reads of the servers' table. */
   readonly serversPause: number;
   /** Ages of the newest report at which an entry reads the tables itself. */
@@ -40,6 +42,8 @@
  */
 const OWN_READING_SHARE = 0.3;
 const LONGEST_OWN_READING_MILLISECONDS = 1000;
+/** Between calls that do not wait at the store. */
+const UNWAITED_PAUSE_MILLISECONDS = 300;
 const LONGEST_WAIT_MILLISECONDS = 2500;
 const SHORTEST_WAIT_MILLISECONDS = 300;
 const SHORTEST_PAUSE_MILLISECONDS = 900;
@@ -69,6 +73,7 @@
   if (!isDelegating) {
     return {
       operatorsWait: LONGEST_WAIT_MILLISECONDS,
+      operatorsPause: 0,
       serversPause: SHORTEST_PAUSE_MILLISECONDS,
       operatorsLimit: 0,
       serversLimit: 0,
@@ -93,6 +98,7 @@
   return {
     // Only a reader waits at the store: another entry needs the confirmation that is overdue.
     operatorsWait: role === ReadingRole.Reader ? readerWait : 0,
+    operatorsPause: role === ReadingRole.Reader ? 0 : UNWAITED_PAUSE_MILLISECONDS,
     serversPause,
     operatorsLimit: Math.max(operatorsLatest - behindOthers, usualAge(readerWait)),
     serversLimit: Math.max(
