Take no confirmation for older than its call, and learn the store's clock first-hand

Ages that are too high never healed: an entry learned the way of the store's time also from ages that others had reckoned, so one wrong time passed from entry to entry and from window to window, and a clock that was set back kept the former time.

Reports carry the store's time alone, an own answer is no older than its call by the own clock, and the newest answer counts. An entry that reads the servers' table for itself does not wait at the store either. A stream's pauses are counted from its whole request again: whether callers count the time of a slow upload is not known.

--- a/packages/catalog/src/catalog.test.ts
+++ b/packages/catalog/src/catalog.test.ts
@@ -120,6 +120,7 @@
     delegatedMilliseconds: () => 0,
     random: () => 0,
     clock: createStoreClock(() => 0),
+    now: () => 0,
     onRows(rows, revision) {
       seen.push(`${revision}:${[...rows.keys()].join(',')}`);
     },
--- a/packages/catalog/src/follow-table.ts
+++ b/packages/catalog/src/follow-table.ts
@@ -22,12 +22,20 @@
   delegatedMilliseconds(): number;
   /** Told of each answer of the store. */
   readonly clock: StoreClock;
+  now(): number;
   /** All rows, as of a revision, whenever something changed. */
   onRows(rows: ReadonlyMap<string, StoreRow>, revision: number): void;
   /** Called after each call. */
   onStoreResult(succeeded: boolean, reason: string): void;
 }
 
+export interface OwnConfirmation {
+  /** When the store gave it: milliseconds of its clock. */
+  readonly givenAt: number;
+  /** When it was asked for, by the own clock: it cannot be older than that. */
+  readonly askedAt: number;
+}
+
 export interface TableFollower {
   start(): void;
   stop(): void;
@@ -37,8 +45,8 @@
   adopt(list: RowList): boolean;
   /** Takes note that another has the same rows as of a revision. */
   advance(revision: number): void;
-  /** Moment of the store's clock at which it confirmed the copy to this instance. */
-  confirmedAt(): number | undefined;
+  /** The store's last confirmation of the copy to this instance; undefined before the first. */
+  confirmation(): OwnConfirmation | undefined;
   /** Whether the last call got no usable answer. */
   isFailing(): boolean;
 }
@@ -55,18 +63,19 @@
   let isWhole = false;
   let stopped = false;
   let failures = 0;
-  let confirmedAt: number | undefined;
+  let confirmation: OwnConfirmation | undefined;
   let timer: NodeJS.Timeout | undefined;
 
-  function confirm(givenAt: number): void {
+  function confirm(givenAt: number, askedAt: number): void {
     options.clock.observe(givenAt);
-    confirmedAt = Math.max(confirmedAt ?? givenAt, givenAt);
+    confirmation = { givenAt, askedAt };
   }
 
   async function readWhole(): Promise<void> {
+    const askedAt = options.now();
     const list = await store.list(table, part);
     if (list.revision < revision) throw new Error('the store answers from behind');
-    confirm(list.givenAt);
+    confirm(list.givenAt, askedAt);
     replace(list);
   }
 
@@ -80,6 +89,7 @@
 
   async function readChanges(): Promise<void> {
     const askedFrom = revision;
+    const askedAt = options.now();
     const feed = await store.feed(table, askedFrom, options.waitMilliseconds());
     switch (feed.kind) {
       case FeedKind.HistoryGone:
@@ -98,7 +108,7 @@
       if (revision > askedFrom) return;
       throw new Error('the store answers from behind');
     }
-    confirm(feed.givenAt);
+    confirm(feed.givenAt, askedAt);
     let changed = false;
     for (const row of feed.rows) {
       if (row.part !== part) continue;
@@ -156,7 +166,7 @@
     advance(to) {
       if (isWhole) revision = Math.max(revision, to);
     },
-    confirmedAt: () => confirmedAt,
+    confirmation: () => confirmation,
     isFailing: () => failures > 0,
   };
 }
--- a/packages/catalog/src/freshness-watch.ts
+++ b/packages/catalog/src/freshness-watch.ts
@@ -23,8 +23,6 @@
 export interface FreshnessReport extends CopyVersion {
   /** When the store confirmed that nothing newer exists: milliseconds of its clock. */
   readonly confirmedAt: number;
-  /** Milliseconds since then, at least. */
-  readonly ageMilliseconds: number;
 }
 
 /** Undefined where it is no such report. */
@@ -33,10 +31,10 @@
   const revision = numberOf(value, 'revision');
   const fingerprint = textOf(value, 'fingerprint');
   const confirmedAt = numberOf(value, 'confirmedAt');
-  const ageMilliseconds = numberOf(value, 'ageMilliseconds');
-  if (revision === undefined || fingerprint === undefined) return undefined;
-  if (confirmedAt === undefined || ageMilliseconds === undefined) return undefined;
-  return { revision, fingerprint, confirmedAt, ageMilliseconds: Math.max(0, ageMilliseconds) };
+  if (revision === undefined || fingerprint === undefined || confirmedAt === undefined) {
+    return undefined;
+  }
+  return { revision, fingerprint, confirmedAt };
 }
 
 export interface Confirmation {
@@ -75,7 +73,7 @@
 
   return {
     onReport(entry, report) {
-      clock.observe(report.confirmedAt, report.ageMilliseconds);
+      clock.observe(report.confirmedAt);
       reports.set(entry, { ...report, heardAt: now() });
     },
     confirmedAt({ revision, fingerprint }) {
--- a/packages/catalog/src/store-clock.ts
+++ b/packages/catalog/src/store-clock.ts
@@ -4,8 +4,8 @@
  * looks newer each time, and instances that confirm each other's copies keep them fresh for ever.
  */
 export interface StoreClock {
-  /** Takes note of a moment of the store's clock that is at least so old, in milliseconds. */
-  observe(moment: number, leastAgeMilliseconds?: number): void;
+  /** Takes note of a moment of the store's clock that has passed. */
+  observe(moment: number): void;
   /** Milliseconds since the moment; infinite before any was observed. */
   ageMilliseconds(moment: number): number;
 }
@@ -20,13 +20,13 @@
   let windowFrom = now();
 
   return {
-    observe(moment, leastAgeMilliseconds = 0) {
+    observe(moment) {
       if (now() - windowFrom > WINDOW_MILLISECONDS) {
         formerOffset = offset;
         offset = Infinity;
         windowFrom = now();
       }
-      offset = Math.min(offset, now() - moment - leastAgeMilliseconds);
+      offset = Math.min(offset, now() - moment);
     },
     ageMilliseconds(moment) {
       const shortest = Math.min(offset, formerOffset);
--- a/packages/direct-entry/src/copy-exchange.ts
+++ b/packages/direct-entry/src/copy-exchange.ts
@@ -26,8 +26,6 @@
   readonly fingerprint: string;
   /** When the store confirmed that copy, by its clock; undefined where it did not. */
   readonly confirmedAt: number | undefined;
-  /** Milliseconds since then, at least. */
-  readonly ageMilliseconds: number;
 }
 
 const COPY_PATH = '/copy/';
@@ -55,7 +53,6 @@
     list,
     fingerprint: textOf(answer.body, 'fingerprint') ?? '',
     confirmedAt: numberOf(answer.body, 'confirmedAt'),
-    ageMilliseconds: numberOf(answer.body, 'ageMilliseconds') ?? 0,
   };
 }
 
--- a/packages/direct-entry/src/copy-freshness.ts
+++ b/packages/direct-entry/src/copy-freshness.ts
@@ -24,6 +24,8 @@
   onReport(table: FollowedTable, entry: string, report: FreshnessReport): void;
   /** Milliseconds since a moment of the store's clock; infinite where there is none. */
   ageOf(moment: number | undefined): number;
+  /** Milliseconds since the store confirmed the copy to this entry itself. */
+  ownAgeMilliseconds(table: FollowedTable): number;
   /** Milliseconds since the store confirmed the copy to anyone; infinite where it has not. */
   ageMilliseconds(table: FollowedTable): number;
   /** What this entry reports of its copy; undefined where the store has not confirmed it. */
@@ -50,19 +52,22 @@
     return { revision, fingerprint: fingerprints[table] };
   }
 
-  function confirmedAtOf(table: FollowedTable): number | undefined {
+  function toOthers(table: FollowedTable): number | undefined {
     const version = versionOf(table);
-    if (version.revision === 0) return undefined;
-    const toSelf = follower(table).confirmedAt();
-    const toOthers = watches[table].confirmedAt(version);
-    if (toSelf === undefined || toOthers === undefined) return toSelf ?? toOthers;
-    return Math.max(toSelf, toOthers);
+    return version.revision === 0 ? undefined : watches[table].confirmedAt(version);
   }
 
   function ageOf(moment: number | undefined): number {
     return moment === undefined ? Infinity : clock.ageMilliseconds(moment);
   }
 
+  function ownAgeMilliseconds(table: FollowedTable): number {
+    const own = follower(table).confirmation();
+    if (own === undefined) return Infinity;
+    // A clock that was set back, or runs at another pace, cannot make an answer older than its call.
+    return Math.min(ageOf(own.givenAt), now() - own.askedAt);
+  }
+
   return {
     clock,
     versionOf,
@@ -73,11 +78,14 @@
     },
     onReport: (table, entry, report) => watches[table].onReport(entry, report),
     ageOf,
-    ageMilliseconds: (table) => ageOf(confirmedAtOf(table)),
+    ownAgeMilliseconds,
+    ageMilliseconds: (table) => Math.min(ownAgeMilliseconds(table), ageOf(toOthers(table))),
     reportOf(table) {
-      const confirmedAt = confirmedAtOf(table);
-      if (confirmedAt === undefined) return undefined;
-      return { ...versionOf(table), confirmedAt, ageMilliseconds: Math.floor(ageOf(confirmedAt)) };
+      const own = follower(table).confirmation()?.givenAt;
+      const others = toOthers(table);
+      if (own === undefined && others === undefined) return undefined;
+      const confirmedAt = Math.max(own ?? -Infinity, others ?? -Infinity);
+      return { ...versionOf(table), confirmedAt };
     },
     latestConfirmation: (table) => watches[table].latestConfirmation(),
   };
--- a/packages/direct-entry/src/knowledge.ts
+++ b/packages/direct-entry/src/knowledge.ts
@@ -216,7 +216,7 @@
       table,
       role: options.role(),
       age: wholeOf(own.ageMilliseconds),
-      ownAge: wholeOf(ageOf(followers[table].confirmedAt())),
+      ownAge: wholeOf(freshness.ownAgeMilliseconds(table)),
       confirmedBy: freshness.latestConfirmation(table)?.entry,
     });
     return delegated;
@@ -234,7 +234,7 @@
       : DELEGATE_RETRY_MILLISECONDS;
   }
 
-  const shared = { store: options.store, part: '', random, clock, longestRetryMilliseconds };
+  const shared = { store: options.store, part: '', random, clock, now, longestRetryMilliseconds };
   const followers: Readonly<Record<FollowedTable, TableFollower>> = {
     [FollowedTable.Operators]: followTable({
       ...shared,
@@ -250,7 +250,7 @@
       ...shared,
       table: tables.serversTable,
       delegatedMilliseconds: () => decideReading(FollowedTable.Servers),
-      waitMilliseconds: () => SERVERS_WAIT_MILLISECONDS,
+      waitMilliseconds: () => pace().serversWait,
       pauseMilliseconds: () => pace().serversPause,
       onRows: takeServers,
       onStoreResult: (succeeded, reason) => onStoreResult(FollowedTable.Servers, succeeded, reason),
@@ -273,13 +273,13 @@
     try {
       const fetched = await options.fetchCopy(host, table, since);
       if (fetched === undefined) return;
-      const { list, fingerprint, confirmedAt, ageMilliseconds } = fetched;
+      const { list, fingerprint, confirmedAt } = fetched;
       ownReading[table].ageMilliseconds = freshness.ageMilliseconds(table);
       copiedFrom = host;
       const isAdopted = followers[table].adopt(list);
       copiedFrom = undefined;
       if (confirmedAt !== undefined) {
-        const report = { revision: list.revision, fingerprint, confirmedAt, ageMilliseconds };
+        const report = { revision: list.revision, fingerprint, confirmedAt };
         freshness.onReport(table, `copy of ${host}`, report);
       }
       if (isAdopted) {
@@ -361,7 +361,7 @@
       for (const table of TABLES) {
         const report = decodeFreshnessReport(state[table]);
         if (report === undefined) continue;
-        clock.observe(report.confirmedAt, report.ageMilliseconds);
+        clock.observe(report.confirmedAt);
         const isRecent = ageOf(report.confirmedAt) < OUTAGE_MILLISECONDS;
         if (table === FollowedTable.Servers && isRecent) onServersConfirmed();
         freshness.onReport(table, from.instanceId, report);
--- a/packages/direct-entry/src/plan-reading.test.ts
+++ b/packages/direct-entry/src/plan-reading.test.ts
@@ -35,6 +35,7 @@
         expect(bound - pace.serversLimit).toBeGreaterThanOrEqual(needed);
         // A call that waits at the store would confirm nothing in that time.
         expect(pace.operatorsWait).toBe(0);
+        expect(pace.serversWait).toBe(0);
         // Guards against calls without end where answers do not make a copy fresh.
         expect(pace.operatorsPause).toBeGreaterThan(100);
       }
--- a/packages/direct-entry/src/plan-reading.ts
+++ b/packages/direct-entry/src/plan-reading.ts
@@ -18,6 +18,8 @@
   readonly operatorsWait: number;
   /** Between two reads of the operators' table. */
   readonly operatorsPause: number;
+  /** How long one call for changes of the servers' table waits at the store. */
+  readonly serversWait: number;
   /** Between two reads of the servers' table. */
   readonly serversPause: number;
   /** Ages of the newest report at which an entry reads the tables itself. */
@@ -74,6 +76,7 @@
     return {
       operatorsWait: LONGEST_WAIT_MILLISECONDS,
       operatorsPause: 0,
+      serversWait: SERVERS_WAIT_MILLISECONDS,
       serversPause: SHORTEST_PAUSE_MILLISECONDS,
       operatorsLimit: 0,
       serversLimit: 0,
@@ -92,13 +95,15 @@
     SHORTEST_READER_PAUSE_MILLISECONDS,
     LONGEST_PAUSE_MILLISECONDS,
   );
+  const isReader = role === ReadingRole.Reader;
   const behindOthers =
     (HEAD_STARTS[ReadingRole.Follower] - HEAD_STARTS[role]) * HEAD_START_MILLISECONDS;
   const usualAge = (longest: number): number => longest + RELAY_MILLISECONDS;
   return {
     // Only a reader waits at the store: another entry needs the confirmation that is overdue.
-    operatorsWait: role === ReadingRole.Reader ? readerWait : 0,
-    operatorsPause: role === ReadingRole.Reader ? 0 : UNWAITED_PAUSE_MILLISECONDS,
+    operatorsWait: isReader ? readerWait : 0,
+    operatorsPause: isReader ? 0 : UNWAITED_PAUSE_MILLISECONDS,
+    serversWait: isReader ? SERVERS_WAIT_MILLISECONDS : 0,
     serversPause,
     operatorsLimit: Math.max(operatorsLatest - behindOthers, usualAge(readerWait)),
     serversLimit: Math.max(
--- a/packages/direct-entry/src/played-knowledge.ts
+++ b/packages/direct-entry/src/played-knowledge.ts
@@ -197,7 +197,6 @@
     return {
       list,
       confirmedAt: numberOf(body, 'confirmedAt'),
-      ageMilliseconds: numberOf(body, 'ageMilliseconds') ?? 0,
       fingerprint: textOf(body, 'fingerprint') ?? '',
     };
   }
--- a/packages/forwarding/src/stream-record.ts
+++ b/packages/forwarding/src/stream-record.ts
@@ -30,7 +30,7 @@
 ): StreamRecord {
   const { answer, route, request, arrivedAt } = accepted;
   let { lastEventId } = request;
-  let lastEventAt = arrivedAt;
+  let lastEventAt = context.now();
   let isBackedUp = false;
   let firstEventMilliseconds: number | undefined;
   let longestPauseMilliseconds = 0;
