Date a rank's word of its group by when it was given

The age of a relayed report was dropped: word up to 1.5 s old counted as fresh, for 1.5 s more, and opened a group again that a later refusal had closed, so that streams went to a group that stands still.

--- a/packages/direct-entry/src/start-fleet.ts
+++ b/packages/direct-entry/src/start-fleet.ts
@@ -85,7 +85,7 @@
 
   function takeLoads(loads: readonly RankLoad[]): void {
     for (const load of loads) {
-      groupHealth.reported(load);
+      groupHealth.reported(load, load.ageMilliseconds);
       for (const serverId of serversByRank.get(rankKey(load)) ?? []) {
         ledger.reported(serverId, load, load.ageMilliseconds);
         liveness.heard(serverId, load.ageMilliseconds);
--- a/packages/forwarding/src/group-health.test.ts
+++ b/packages/forwarding/src/group-health.test.ts
@@ -24,6 +24,18 @@
 }
 
 describe('a lock-step group', () => {
+  it('is not opened again by word that is older than a refusal', () => {
+    // Guards against streams that are sent to a group that stands still, on the word of a relay.
+    const { clock, health } = start();
+    const rank = { group: 'group', rank: 0, epoch: 1, isOpen: true };
+    health.reported(rank);
+    clock.now += 100;
+    health.refused(server(0, true));
+    clock.now += 20;
+    health.reported(rank, 900);
+    expect(health.brokenFor(server(0, true))).toBe(20);
+  });
+
   it('is broken for all its ranks as soon as one says so', () => {
     // A rank dies; its neighbours notice one after the other. Requests sent to those that have
     // not noticed yet would hang until their engines give up.
--- a/packages/forwarding/src/group-health.ts
+++ b/packages/forwarding/src/group-health.ts
@@ -19,8 +19,8 @@
 }
 
 export interface GroupHealth {
-  /** A rank's sidecar told this just now. */
-  reported(health: RankHealth): void;
+  /** A rank's sidecar told this so many milliseconds ago. */
+  reported(health: RankHealth, ageMilliseconds?: number): void;
   /** A backend server refused a request because its group cannot run work. */
   refused(server: BackendServer): void;
   /** For how long the server's group has stood still, in milliseconds; undefined while it runs. */
@@ -97,20 +97,23 @@
     change = nextPromise();
   }
 
-  function hear(health: RankHealth, cause: string): void {
+  function hear(health: RankHealth, cause: string, at: number): void {
     const group = groupOf(health.group);
-    group.ranks.set(health.rank, { epoch: health.epoch, isOpen: health.isOpen, at: now() });
+    const known = group.ranks.get(health.rank);
+    if (known !== undefined && known.epoch >= health.epoch && known.at > at) return;
+    group.ranks.set(health.rank, { epoch: health.epoch, isOpen: health.isOpen, at });
     note(health.group, group, cause);
   }
 
   return {
-    reported: (health) => hear(health, `rank ${health.rank} in epoch ${health.epoch}`),
+    reported: (health, ageMilliseconds = 0) =>
+      hear(health, `rank ${health.rank} in epoch ${health.epoch}`, now() - ageMilliseconds),
     refused(server) {
       const { groupRank } = server;
       if (groupRank === undefined) return;
       const known = groups.get(groupRank.group)?.ranks.get(groupRank.rank);
       const epoch = Math.max(groupRank.epoch, known?.epoch ?? 0);
-      hear({ ...groupRank, epoch, isOpen: false }, `refused by ${server.instanceId}`);
+      hear({ ...groupRank, epoch, isOpen: false }, `refused by ${server.instanceId}`, now());
     },
     brokenFor({ groupRank }) {
       if (groupRank === undefined) return undefined;
