Leave a stream that has begun to a server that is there

A stream without an event was broken off shortly before its caller would leave, also at a server that reports, where that gains nothing: the caller's close reaches such a server, its next event may still come, and a server's silence is no reason to end an answer sooner. Streams that have begun are now ended early only where they have met a server that gives no sign of life. The new case of silent-server.test.ts fails without this: the stream ends behind its third event.

--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -27,6 +27,9 @@
 /** Sends of one stream before its service is taken to be full. */
 const MAXIMUM_SENDS = 3;
 
+/** Between two looks at a stream that is overdue. */
+const RECHECK_MILLISECONDS = 20;
+
 enum StartKind {
   Started = 'started',
   Delayed = 'delayed',
@@ -50,6 +53,8 @@
   /** Taken from a server that gave no sign of life, before its first event. */
   isMoved: boolean;
   current: StreamAttempt | undefined;
+  /** Where the current attempt is, or the latest was. */
+  server: BackendServer | undefined;
 }
 
 function toOutcome(end: StreamEnd): Outcome {
@@ -82,6 +87,7 @@
     timeout: undefined,
     isMoved: false,
     current: undefined,
+    server: undefined,
   };
 
   function causeOf(): RefusalCause {
@@ -121,6 +127,7 @@
     progress.tried.add(server.instanceId);
     const attempt = startStreamAttempt(context, accepted, server, record.sink, state.isMoved);
     state.current = attempt;
+    state.server = server;
     return { kind: StartKind.Started, server, attempt };
   }
 
@@ -189,10 +196,17 @@
     state.current?.cancel(reason);
   }
 
+  /** A stream that has begun may still go on at a server that is there, up to its last moment. */
+  function mayTimeOut(): boolean {
+    if (!answer.hasBegun || state.isMoved) return true;
+    return state.server !== undefined && context.liveness.isSilent(state.server);
+  }
+
   function watchPauses(): void {
     const left = planEventTimeout(route) - record.idleMilliseconds();
-    if (left > 0) eventTimeout = setTimeout(watchPauses, left);
-    else timeOut(RefusalCause.Crowded, 'no event before its caller leaves');
+    if (left <= 0 && mayTimeOut())
+      timeOut(RefusalCause.Crowded, 'no event before its caller leaves');
+    else eventTimeout = setTimeout(watchPauses, Math.max(left, RECHECK_MILLISECONDS));
   }
 
   answer.onGone(() => state.current?.cancel('caller gone'));
--- a/packages/forwarding/src/silent-server.test.ts
+++ b/packages/forwarding/src/silent-server.test.ts
@@ -119,3 +119,14 @@
   expect(performance.now() - began).toBeLessThan(callerPatience(STREAM_ROUTE));
   expect(fixture.arrivals[0]?.instanceId).toBe('one');
 });
+
+it('leaves a stream that has begun to a server that reports, as long as its caller stays', async () => {
+  // Guards against answers that an entry breaks off although their server is there.
+  const pausing: Script = (incoming, response) => {
+    fallSilentAfter(3)(incoming, response);
+    setTimeout(() => response.end('id: 4\ndata: 4\n\n'), callerPatience(STREAM_ROUTE) + 100);
+  };
+  await start(pausing, streamEvents(EVENTS));
+  expect(await stream('pausing')).toContain('id: 4');
+  expect(fixture.arrivals).toHaveLength(1);
+});
