Start what waits at a server also when a timer fires a moment early

A request that waited for a backend server's backoff to end was refused after its whole time in the queue, with the server free: the timer of the backoff fired a moment early by the clock that the backoff is reckoned by, nothing could start yet, and nobody looked again. The timer is set anew for what is left. The new case, in which the timer fires early, failed before.

--- a/packages/sidecar/src/gate.test.ts
+++ b/packages/sidecar/src/gate.test.ts
@@ -1,5 +1,5 @@
 import { createSilentLogger } from '@lapisbridge/logger';
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 
 import { createGate, EntranceKind } from './gate.js';
 import type { Entrance, Gate } from './gate.js';
@@ -57,4 +57,24 @@
     expect((await waiting).kind).toBe(EntranceKind.Admitted);
     expect(performance.now() - suspendedAt).toBeGreaterThanOrEqual(299);
   });
+
+  it('starts what waits also when its timer fires before the backoff is over', async () => {
+    // Guards against requests that wait out their time at a server that is free again.
+    vi.useFakeTimers({ toFake: ['setTimeout'] });
+    try {
+      const gate = open();
+      const first = await enter(gate);
+      if (first.kind !== EntranceKind.Admitted) throw new Error('it was refused');
+      const waiting = enter(gate);
+      gate.suspend(100);
+      first.release();
+      vi.advanceTimersByTime(100);
+      await vi.waitUntil(() => gate.suspendedMilliseconds() === 0);
+      vi.advanceTimersByTime(101);
+      expect(gate.load().queued).toBe(0);
+      expect((await waiting).kind).toBe(EntranceKind.Admitted);
+    } finally {
+      vi.useRealTimers();
+    }
+  });
 });
--- a/packages/sidecar/src/gate.ts
+++ b/packages/sidecar/src/gate.ts
@@ -138,6 +138,13 @@
     }
   }
 
+  /** Timers may fire a moment early by the clock that the suspension is reckoned by. */
+  function startAfterSuspension(): void {
+    const left = suspendedMilliseconds();
+    if (left > 0) setTimeout(startAfterSuspension, Math.ceil(left)).unref();
+    else startWaiting();
+  }
+
   function admit({ account, tokens }: Pick<GateRequest, 'account' | 'tokens'>): Entrance {
     shares.started(account, performance.now());
     running += 1;
@@ -252,7 +259,7 @@
     },
     suspend(milliseconds) {
       suspendedUntil = Math.max(suspendedUntil, performance.now() + milliseconds);
-      setTimeout(startWaiting, Math.ceil(milliseconds)).unref();
+      setTimeout(startAfterSuspension, Math.ceil(milliseconds)).unref();
     },
     suspendedMilliseconds,
     load() {
