--- a/packages/catalog/src/follow-table.ts
+++ b/packages/catalog/src/follow-table.ts
@@ -29,6 +29,7 @@
   onStoreResult(succeeded: boolean, reason: string): void;
 }
 
+/** An answer of the store by which a copy was the newest. */
 export interface OwnConfirmation {
   /** When the store gave it: milliseconds of its clock. */
   readonly givenAt: number;
