--- a/packages/group-leader/src/index.ts
+++ b/packages/group-leader/src/index.ts
@@ -30,5 +30,5 @@
   RankTarget,
   VersionedMap,
 } from './rank-link.js';
-export { startRelayListener } from './relay-listener.js';
-export type { RelayListenerOptions } from './relay-listener.js';
+export { createRankRelay, startRelayListener } from './relay-listener.js';
+export type { RankRelay, RankRelayOptions, RelayListenerOptions } from './relay-listener.js';
--- a/packages/group-leader/src/relay-listener.ts
+++ b/packages/group-leader/src/relay-listener.ts
@@ -15,9 +15,7 @@
 import type { RankAddress, RankEngine } from './rank-link.js';
 import { RelayPath } from './relay-path.js';
 
-export interface RelayListenerOptions {
-  readonly host: string;
-  readonly port: number;
+export interface RankRelayOptions {
   readonly backendServer: RankAddress;
   readonly engine: RankEngine;
   readonly logger: Logger;
@@ -29,6 +27,19 @@
   ownFence(): number | undefined;
 }
 
+export interface RelayListenerOptions extends RankRelayOptions {
+  readonly host: string;
+  readonly port: number;
+}
+
+export interface RankRelay {
+  /**
+   * The answer to a call of a leader, to be encoded as JSON; undefined where there is no such path.
+   * Rejects when the backend server does not answer a question.
+   */
+  answer(path: string | undefined, body: Buffer): Promise<unknown>;
+}
+
 /** Longer than the pause between two rollouts mostly is. */
 const KEEP_MILLISECONDS = 30_000;
 /** The map in force, the one being prepared, and one that was given up. */
@@ -49,10 +60,8 @@
   });
 }
 
-/** Starts listening; the server is closed with the process. */
-export function startRelayListener(options: RelayListenerOptions): Server {
+export function createRankRelay(options: RankRelayOptions): RankRelay {
   const { engine, backendServer, logger } = options;
-
   const known = new Map<number, GroupMap>();
 
   function findMap(version: number): GroupMap | undefined {
@@ -66,9 +75,9 @@
     if (known.size > KNOWN_MAPS) known.delete(oldest);
   }
 
-  async function relayPrepare(incoming: IncomingMessage): Promise<unknown> {
-    const body = parseObject(await readAll(incoming));
-    const relayed = body === undefined ? undefined : decodePrepare(body, findMap);
+  async function relayPrepare(body: Buffer): Promise<unknown> {
+    const prepare = parseObject(body);
+    const relayed = prepare === undefined ? undefined : decodePrepare(prepare, findMap);
     if (relayed === undefined) return { outcome: OrderOutcome.Refused };
     const { fence, order } = relayed;
     if (!options.acceptFence(fence)) return { outcome: OrderOutcome.Fenced };
@@ -84,23 +93,31 @@
     return { outcome };
   }
 
-  async function answer(incoming: IncomingMessage): Promise<unknown> {
-    switch (incoming.url) {
-      case RelayPath.Prepare:
-        return relayPrepare(incoming);
-      case RelayPath.Report:
-        return engine.report(backendServer);
-      case RelayPath.Map:
-        return engine.map(backendServer);
-      case RelayPath.Leader:
-        return { fence: options.ownFence() };
-      default:
-        return undefined;
-    }
-  }
+  return {
+    async answer(path, body) {
+      switch (path) {
+        case RelayPath.Prepare:
+          return relayPrepare(body);
+        case RelayPath.Report:
+          return engine.report(backendServer);
+        case RelayPath.Map:
+          return engine.map(backendServer);
+        case RelayPath.Leader:
+          return { fence: options.ownFence() };
+        default:
+          return undefined;
+      }
+    },
+  };
+}
 
+/** Starts listening; the server is closed with the process. */
+export function startRelayListener(options: RelayListenerOptions): Server {
+  const { logger } = options;
+  const relay = createRankRelay(options);
   const server = createServer((incoming, response) => {
-    answer(incoming)
+    readAll(incoming)
+      .then((received) => relay.answer(incoming.url, received))
       .then((body) => {
         response.writeHead(body === undefined ? 404 : 200, { 'content-type': 'application/json' });
         response.end(body === undefined ? '' : JSON.stringify(body));
