End a hold at the rank where it stands when its leader stops

What callers saw: a leader's machine stopped just after it had held a pass. Every stream of the group paused for 1.1 to 1.3 s, until another rank had noticed, led and cleared the hold. Streams moved from the stopped machine could not begin elsewhere in that time, and their callers left or were cut.

Cause: only a leader could release a hold. So each stop under one cost the silence of the former leader, an election and two rounds of questions, part of them to the machine that stood still.

Why it works: the rank at which the hold stands is up, and can tell that nothing is armed. Leaders now arm that rank before all others and disarm it after them, and it voids its own prepared map (an odd version, which no leader uses) before it releases: an order to arm it that is on its way is refused then, and without it no other rank gets one.

--- a/packages/group-leader/src/compose-map.ts
+++ b/packages/group-leader/src/compose-map.ts
@@ -50,3 +50,24 @@
   }
   return { map: { sets }, isWhole: missing === 0 };
 }
+
+/**
+ * A valid map in which one rank holds what it does now. What the other ranks hold in it is made up:
+ * it is for voiding at that rank, and never comes into force.
+ */
+export function completeMap(
+  own: RankMap,
+  rank: number,
+  ranks: number,
+  profile: GroupProfile,
+): GroupMap {
+  const sets = own.experts.map((held) => {
+    const experts = Array.from({ length: ranks }, (_, at) => (at === rank ? [...held] : []));
+    const others = experts.filter((_, at) => at !== rank);
+    for (const [index, expert] of findUncovered([held], profile.experts).entries()) {
+      others[index % others.length]?.push(expert);
+    }
+    return { experts };
+  });
+  return { sets };
+}
--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -6,6 +6,7 @@
 import type { Logger } from '@lapisbridge/logger';
 import {
   initialRollout,
+  leaderVersion,
   OrderOutcome,
   planHoldRollout,
   RankOrderKind,
@@ -69,8 +70,6 @@
 const STOOD_STILL_MILLISECONDS = 700;
 /** Reports older than this decide nothing: the slowest answer waited for, and a little. */
 const STALE_MILLISECONDS = 800;
-/** Versions of one leader; the next leader's begin above them. */
-const VERSIONS_PER_FENCE = 1000;
 
 /** A held rank must notice soon that its leader is silent: every stream of the group waits for it. */
 function followingPause({ heldStep, size }: RankReport): number {
@@ -97,7 +96,7 @@
 
   function nextVersion(fence: number): number {
     versions += 1;
-    return fence * VERSIONS_PER_FENCE + versions;
+    return leaderVersion(fence, versions);
   }
 
   function beginLeading(fence: number): void {
--- a/packages/group-leader/src/index.ts
+++ b/packages/group-leader/src/index.ts
@@ -4,6 +4,7 @@
  */
 export { createGrowthMeter, decodeGrowth, packGrowth, unpackGrowth } from './count-growth.js';
 export type { CountGrowth, GrowthMeter, PackedGrowth } from './count-growth.js';
+export { completeMap } from './compose-map.js';
 export { createDemand } from './demand.js';
 export type { Demand } from './demand.js';
 export { firstMap } from './first-map.js';
--- /dev/null
+++ b/packages/group-sidecar/src/hold-watch.test.ts
@@ -0,0 +1,111 @@
+import { createSilentLogger } from '@lapisbridge/logger';
+import { OrderOutcome, RankOrderKind } from '@lapisbridge/placement';
+import type { GroupMap, RankOrder, RankReport } from '@lapisbridge/placement';
+import { describe, expect, it } from 'vitest';
+
+import { createHoldWatch } from './hold-watch.js';
+import type { HoldWatch } from './hold-watch.js';
+
+const PROFILE = { sets: 1, experts: 9, placesPerRank: 4, newPerRank: 1 };
+const OWN = [2, 5, 7, 8];
+const HELD: RankReport = {
+  group: 'group',
+  rank: 1,
+  size: 3,
+  epoch: 4,
+  isOpen: true,
+  step: 104,
+  activeVersion: 5004,
+  preparedVersion: 5006,
+  armed: undefined,
+  heldStep: 105,
+  pace: 1,
+  running: 1,
+  waiting: 0,
+};
+
+interface Scene {
+  readonly watch: HoldWatch;
+  readonly orders: RankOrder[];
+  report: RankReport;
+  time: number;
+  outcome: OrderOutcome;
+}
+
+function createScene(): Scene {
+  const scene: Scene = {
+    orders: [],
+    report: HELD,
+    time: 0,
+    outcome: OrderOutcome.Accepted,
+    watch: createHoldWatch({
+      engine: {
+        report: async () => scene.report,
+        counts: async () => undefined,
+        map: async () => ({ version: 5004, experts: [OWN] }),
+        async order(_, order) {
+          scene.orders.push(order);
+          if (scene.outcome === OrderOutcome.Accepted && order.kind === RankOrderKind.Prepare) {
+            scene.report = { ...scene.report, preparedVersion: order.version };
+          }
+          return scene.outcome;
+        },
+      },
+      backendServer: { host: '10.0.0.1', port: 80 },
+      logger: createSilentLogger(),
+      now: () => scene.time,
+      profile: () => PROFILE,
+    }),
+  };
+  return scene;
+}
+
+async function pass(scene: Scene, milliseconds: number): Promise<void> {
+  scene.time += milliseconds;
+  await scene.watch.onReport(scene.report);
+}
+
+describe('a hold that keeps the group', () => {
+  it('is ended with its map void, where nothing is armed', async () => {
+    const scene = createScene();
+    await pass(scene, 0);
+    expect(scene.orders).toEqual([]);
+    await pass(scene, 300);
+    const [prepare, release] = scene.orders;
+    expect(prepare).toMatchObject({ kind: RankOrderKind.Prepare, epoch: 4, version: 5007 });
+    expect(release).toEqual({ kind: RankOrderKind.Release, epoch: 4, step: 105 });
+  });
+
+  it('is not ended while the map cannot be made void', async () => {
+    const scene = createScene();
+    scene.outcome = OrderOutcome.Refused;
+    await pass(scene, 0);
+    await pass(scene, 300);
+    await pass(scene, 25);
+    const kinds = scene.orders.map(({ kind }) => kind);
+    expect(kinds).toEqual([RankOrderKind.Prepare, RankOrderKind.Prepare]);
+  });
+
+  it('is waited at anew when another one follows', async () => {
+    const scene = createScene();
+    await pass(scene, 0);
+    await pass(scene, 200);
+    scene.report = { ...HELD, step: 107, heldStep: 108 };
+    await pass(scene, 200);
+    await pass(scene, 200);
+    expect(scene.orders).toEqual([]);
+  });
+
+  it('is voided by a map that the engine takes', async () => {
+    const scene = createScene();
+    await pass(scene, 0);
+    await pass(scene, 300);
+    const [prepare] = scene.orders;
+    const map: GroupMap = prepare?.kind === RankOrderKind.Prepare ? prepare.map : { sets: [] };
+    const ranks = map.sets[0]?.experts ?? [];
+    expect(ranks).toHaveLength(3);
+    expect(ranks[1]).toEqual(OWN);
+    expect(new Set(ranks.flat()).size).toBe(PROFILE.experts);
+    for (const held of ranks) expect(held.length).toBeLessThanOrEqual(PROFILE.placesPerRank);
+  });
+});
--- /dev/null
+++ b/packages/group-sidecar/src/hold-watch.ts
@@ -0,0 +1,94 @@
+/**
+ * Ends a hold at the rank beside this sidecar that keeps the group waiting, without its leader,
+ * which may have stopped. `planHoldEnd` decides; here are the orders, the clock and the log.
+ */
+import { completeMap } from '@lapisbridge/group-leader';
+import type { GroupProfile, RankAddress, RankEngine } from '@lapisbridge/group-leader';
+import type { Logger } from '@lapisbridge/logger';
+import {
+  HoldEndKind,
+  isAtHold,
+  OrderOutcome,
+  planHoldEnd,
+  RankOrderKind,
+} from '@lapisbridge/placement';
+import type { RankOrder, RankReport } from '@lapisbridge/placement';
+
+export interface HoldWatchOptions {
+  readonly engine: RankEngine;
+  readonly backendServer: RankAddress;
+  readonly logger: Logger;
+  now(): number;
+  profile(): GroupProfile | undefined;
+}
+
+export interface HoldWatch {
+  /** Takes a fresh report of the rank, and settles when the orders it led to are answered. */
+  onReport(report: RankReport): Promise<void>;
+}
+
+export function createHoldWatch(options: HoldWatchOptions): HoldWatch {
+  const { engine, backendServer, logger, now } = options;
+  let waitingAt = '';
+  let waitingSince = 0;
+
+  function waitedMilliseconds(report: RankReport): number {
+    const hold = isAtHold(report) ? `${report.epoch}/${report.heldStep}` : '';
+    if (hold !== waitingAt) {
+      waitingAt = hold;
+      waitingSince = now();
+    }
+    return now() - waitingSince;
+  }
+
+  async function give(report: RankReport, order: RankOrder): Promise<OrderOutcome> {
+    const outcome = await engine.order(backendServer, order).catch(() => OrderOutcome.Unknown);
+    logger.decision({
+      kind: 'hold end',
+      subject: `epoch ${report.epoch}`,
+      choice: order.kind,
+      reason: outcome,
+      facts: {
+        heldStep: report.heldStep,
+        preparedVersion: report.preparedVersion,
+        milliseconds: Math.round(now() - waitingSince),
+      },
+    });
+    return outcome;
+  }
+
+  /** Replaces the prepared map by the one in force, so that the rank cannot be armed any more. */
+  async function makeVoid(report: RankReport, version: number): Promise<OrderOutcome> {
+    const { epoch, rank, size } = report;
+    const profile = options.profile();
+    const own = await engine.map(backendServer);
+    if (profile === undefined || own === undefined) return OrderOutcome.Unknown;
+    const map = completeMap(own, rank, size, profile);
+    return give(report, { kind: RankOrderKind.Prepare, epoch, version, map });
+  }
+
+  async function onReport(report: RankReport): Promise<void> {
+    const { epoch } = report;
+    const end = planHoldEnd(report, waitedMilliseconds(report));
+    switch (end.kind) {
+      case HoldEndKind.Keep:
+        return;
+      case HoldEndKind.Void: {
+        const outcome = await makeVoid(report, end.version);
+        if (outcome !== OrderOutcome.Accepted) return;
+        const voided = await engine.report(backendServer);
+        if (voided !== undefined && voided.preparedVersion === end.version) await onReport(voided);
+        return;
+      }
+      case HoldEndKind.Release:
+        await give(report, { kind: RankOrderKind.Release, epoch, step: end.step });
+        return;
+      default: {
+        const unreachable: never = end;
+        throw new Error(String(unreachable));
+      }
+    }
+  }
+
+  return { onReport };
+}
--- a/packages/group-sidecar/src/rank-member.ts
+++ b/packages/group-sidecar/src/rank-member.ts
@@ -27,6 +27,7 @@
 import type { GroupMap, RankReport } from '@lapisbridge/placement';
 import type { ProcessSettings } from '@lapisbridge/process-life';
 
+import { createHoldWatch } from './hold-watch.js';
 import { createRankObserver } from './rank-observer.js';
 
 export interface RankMemberOptions {
@@ -74,6 +75,15 @@
     // Entries send to a lost group, or reject callers of one that is back, until they hear.
     onOpenChanged: () => fleet.reportNow(),
     onGrowth,
+    onReport: (report) => holdWatch.onReport(report),
+  });
+
+  const holdWatch = createHoldWatch({
+    engine,
+    backendServer,
+    logger,
+    now,
+    profile: () => profile,
   });
 
   const link = createDatagramLink({
--- a/packages/group-sidecar/src/rank-observer.ts
+++ b/packages/group-sidecar/src/rank-observer.ts
@@ -17,6 +17,8 @@
   /** The group was lost or is back, as this rank sees it. */
   onOpenChanged(): void;
   onGrowth(growth: CountGrowth): void;
+  /** A report was read when it was due. */
+  onReport(report: RankReport): Promise<void>;
 }
 
 export interface RankObserver {
@@ -29,6 +31,8 @@
 
 /** Between two reads while the backend server does not answer, or while this sidecar leads. */
 const CLOSE_MILLISECONDS = 100;
+/** The same while a hold stands here, which must not keep the group for long. */
+const HELD_MILLISECONDS = 25;
 
 export function createRankObserver(options: RankObserverOptions): RankObserver {
   const { engine, backendServer, logger, now } = options;
@@ -59,6 +63,7 @@
   }
 
   function pauseAfter(before: RankReport | undefined): number {
+    if (own?.heldStep !== undefined) return HELD_MILLISECONDS;
     if (own === undefined || options.isLeading()) return CLOSE_MILLISECONDS;
     const { report, idleReport } = planPace(own.size);
     const isIdle = own.running + own.waiting === 0 && own.step === before?.step;
@@ -69,6 +74,7 @@
     const before = own;
     try {
       await refresh();
+      if (own !== undefined) await options.onReport(own);
       await count();
     } catch (thrown) {
       if (own !== undefined) logger.info('backend server lost', { reason: String(thrown) });
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -22,6 +22,9 @@
 export { smoothTokens } from './smooth-load.js';
 export { planGroupMap } from './plan-group-map.js';
 export type { GroupMapDecision, GroupMapPolicy } from './plan-group-map.js';
+export { isVoidingVersion, leaderVersion, voidingVersionOf } from './map-version.js';
+export { HoldEndKind, isAtHold, planHoldEnd } from './plan-hold-end.js';
+export type { HoldEnd } from './plan-hold-end.js';
 export { planHoldRollout } from './plan-hold-rollout.js';
 export { initialRollout, RolloutPhase } from './rollout-state.js';
 export type {
--- a/packages/placement/src/plan-clearing.ts
+++ b/packages/placement/src/plan-clearing.ts
@@ -31,7 +31,8 @@
  * Disarms whoever is armed and prepares a newer version elsewhere: earlier arms are then void.
  * An order to disarm may be carried out late, when somebody has finished what was armed. So
  * none is sent before a rank is seen to hold the newer version: from then on the armed version
- * cannot be finished any more, by any leader.
+ * cannot be finished any more, by any leader. A rank that holds the pass is disarmed after all
+ * others are void, since it may end its hold once it is not armed.
  */
 function planVoiding(
   reports: readonly RankReport[],
@@ -41,9 +42,12 @@
   const isBegun = reports.some(
     (report) => report.armed === undefined && report.preparedVersion === voiding.version,
   );
+  const isGuarding = ({ heldStep, armed }: RankReport): boolean =>
+    armed !== undefined && heldStep === armed.step;
+  const areOthersVoid = reports.every((report) => isGuarding(report) || isVoid(report, voiding));
   return toAll(reports, (report) => {
     if (report.armed !== undefined) {
-      return isBegun
+      return isBegun && (areOthersVoid || !isGuarding(report))
         ? { kind: RankOrderKind.Disarm, epoch, version: report.armed.version }
         : undefined;
     }
@@ -92,9 +96,12 @@
     return clearing(state, heldStep === undefined ? [] : release(reports, heldStep, epoch));
   }
   if (heldStep === undefined) {
-    // Nothing keeps the group from the pass: hold it before anything else.
+    // Nothing keeps the group from the pass: hold it before anything else, at an armed rank, since
+    // one that is not armed may end its hold.
+    const armedRanks = reports.filter((report) => isArmedFor(report, version, step));
+    const holder = armedRanks.find(({ rank }) => rank !== input.ownRank) ?? armedRanks[0];
     const order: RankOrder = { kind: RankOrderKind.Hold, epoch, step };
-    return clearing(state, [{ rank: holderOf(input), order }]);
+    return clearing(state, [{ rank: holder?.rank ?? holderOf(input), order }]);
   }
   const canFinish = reports.every(
     (report) => isArmedFor(report, version, step) || report.preparedVersion === version,
--- a/packages/placement/src/plan-hold-rollout.test.ts
+++ b/packages/placement/src/plan-hold-rollout.test.ts
@@ -3,7 +3,10 @@
 
 import { runGroupModel } from './group-model.js';
 import type { ModelResult } from './group-model.js';
+import { HoldEndKind, planHoldEnd } from './plan-hold-end.js';
+import type { HoldEnd } from './plan-hold-end.js';
 import { RankOrderKind } from './rank-report.js';
+import type { RankReport } from './rank-report.js';
 
 const RUNS = 1500;
 const RANKS = 4;
@@ -121,3 +124,65 @@
     expect(mixed).toBeGreaterThan(0);
   });
 });
+
+describe('a hold that its rank ends by itself', () => {
+  type EndHold = (report: RankReport) => HoldEnd;
+
+  const endAtOnce: EndHold = (report) => planHoldEnd(report, Infinity);
+
+  function runEnding(seed: number, endHold: EndHold, mutate?: Mutate): ModelResult {
+    return runGroupModel({
+      seed,
+      ranks: 2 + (seed % 3),
+      ticks: TICKS,
+      readsApart: true,
+      orderRounds: 1 + (seed % 5),
+      endHold,
+      ...(mutate === undefined ? {} : { mutate }),
+    });
+  }
+
+  function countMixedEnding(endHold: EndHold, mutate?: Mutate): number {
+    let mixed = 0;
+    for (let seed = 1; seed <= RUNS; seed += 1) {
+      if (runEnding(seed, endHold, mutate).mixedAt !== undefined) mixed += 1;
+    }
+    return mixed;
+  }
+
+  it('never lets a pass begin with two maps', () => {
+    // The rank does not know its leader’s orders: they may be on their way, late or doubled, and so
+    // may its own.
+    let ended = 0;
+    for (let seed = 1; seed <= RUNS; seed += 1) {
+      const result = runEnding(seed, endAtOnce);
+      expect(result.mixedAt, `seed ${seed}`).toBeUndefined();
+      expect(result.calmPasses, `seed ${seed}`).toBeGreaterThan(TICKS / 4);
+      ended += result.endedHolds;
+    }
+    expect(ended).toBeGreaterThan(RUNS);
+  });
+
+  it('mixes maps when leaders arm other ranks before that one', () => {
+    const mixed = countMixedEnding(endAtOnce, (plan, reports) => {
+      const arm = plan.orders.find(({ order }) => order.kind === RankOrderKind.Arm);
+      if (arm === undefined) return plan;
+      const orders = reports.flatMap((report) =>
+        report === undefined || report.armed !== undefined
+          ? []
+          : [{ rank: report.rank, order: arm.order }],
+      );
+      return { ...plan, orders };
+    });
+    expect(mixed).toBeGreaterThan(0);
+  });
+
+  it('mixes maps when the rank releases before its prepared map is void', () => {
+    const mixed = countMixedEnding((report) => {
+      const end = planHoldEnd(report, Infinity);
+      if (end.kind !== HoldEndKind.Void || report.heldStep === undefined) return end;
+      return { kind: HoldEndKind.Release, step: report.heldStep };
+    });
+    expect(mixed).toBeGreaterThan(0);
+  });
+});
--- a/packages/placement/src/plan-hold-rollout.ts
+++ b/packages/placement/src/plan-hold-rollout.ts
@@ -10,7 +10,9 @@
  * - a hold is released only when every rank is seen armed with one version for its pass, or
  *   when no rank can be armed any more: no rank was ever sent that order, or a newer version
  *   was prepared at every rank since, which makes every earlier order to arm void;
- * - after a release that armed nothing, that pass is never used again.
+ * - after a release that armed nothing, that pass is never used again;
+ * - a rank that holds the pass is armed before all others and disarmed after them: until it is
+ *   armed it may end the hold by itself (`planHoldEnd`).
  *
  * A leader that takes over finds holds it knows nothing of. It finishes what was armed, since
  * its predecessor armed only what all had prepared; what it cannot tell it makes void.
@@ -177,7 +179,10 @@
   const heldStep = lowestHeldStep(reports);
   const isAnyArmed = reports.some((report) => report.armed !== undefined);
   const isFree = heldStep === undefined && !isAnyArmed;
-  const state = isFree ? { ...known, isSettled: true, mayHaveArmed: false } : known;
+  // Where the hold was ended before all ranks were armed, nothing of it is left.
+  const state = isFree
+    ? { ...known, isSettled: true, mayHaveArmed: false, armsSent: false }
+    : known;
   const current = { ...input, state };
   const { target } = state;
   if (isFree && target !== undefined) {
@@ -192,6 +197,7 @@
     target !== undefined &&
     heldStep !== undefined &&
     heldStep === state.heldStep &&
+    reports.some((report) => report.heldStep === heldStep && report.rank === holderOf(input)) &&
     !state.spentSteps.has(heldStep);
   if (isOwnHold) return planArming(current, reports, target, heldStep);
   return planClearing(current, reports, heldStep);
--- a/packages/placement/src/rollout-state.ts
+++ b/packages/placement/src/rollout-state.ts
@@ -101,7 +101,15 @@
   return (input.ownRank + 1) % input.reports.length;
 }
 
-/** Orders to arm whoever is not armed yet; this leader's own rank only after all others. */
+/** A rank that holds the pass and is armed for it: it does not end its hold by itself. */
+export function isGuard(report: RankReport, version: number, step: number): boolean {
+  return report.heldStep === step && isArmedFor(report, version, step);
+}
+
+/**
+ * Orders to arm whoever is not armed yet: first a rank that holds the pass, which may end its hold
+ * until it is armed, then all others, and this leader's own rank last.
+ */
 export function planArms(
   input: RolloutInput,
   reports: readonly RankReport[],
@@ -115,6 +123,12 @@
       : { kind: RankOrderKind.Arm, epoch, version, step },
   );
   const others = orders.filter(({ rank }) => rank !== input.ownRank);
+  if (!reports.some((report) => isGuard(report, version, step))) {
+    const isHolder = ({ rank }: AddressedOrder): boolean =>
+      reports.some((report) => report.rank === rank && report.heldStep === step);
+    const holders = others.filter(isHolder);
+    return holders.length > 0 ? holders : orders.filter(isHolder);
+  }
   return others.length > 0 ? others : orders;
 }
 
