Go on from accepted orders to arm without another look

What callers saw: a leader's machine that stops after it has armed the other ranks leaves the group held until it is back, since its own rank may be armed too and only that rank can tell. Every stream of the group is lost by then.

Cause: between the answers of the other ranks and the release lay two looks at all ranks and the order to the leader's own rank, about half of the time from the hold to the release. A stop in it could not be cleared.

Why it works: an order to arm is carried out when its answer says so. With the answers of one batch the leader gives the next: the rank that holds, the others, its own, the release. Two hops are left in which a stop waits for the machine: from the moment the others are armed until the release arrives. No successor can tell an armed rank from one that is not while it is silent.

--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -10,6 +10,7 @@
   OrderOutcome,
   planHoldRollout,
   RankOrderKind,
+  reportsAfter,
   RolloutPhase,
 } from '@lapisbridge/placement';
 import type {
@@ -158,11 +159,12 @@
     state = { ...state, target: { version, map } };
   }
 
+  /** Whether all orders were accepted. */
   async function send(
     fence: number,
     orders: readonly AddressedOrder[],
     base: VersionedMap,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const targets = options.targets();
     const given: AddressedOrder[] = [];
     const calls: Promise<OrderOutcome>[] = [];
@@ -179,14 +181,17 @@
       ? await settleMost(calls, OrderOutcome.Unknown)
       : await Promise.all(calls);
     let unanswered = 0;
+    let accepted = 0;
     for (const [index, addressed] of given.entries()) {
       const outcome = outcomes[index];
+      if (outcome === OrderOutcome.Accepted) accepted += 1;
       if (outcome === OrderOutcome.Fenced) leadership.doubt();
       if (outcome !== OrderOutcome.Unknown) continue;
       unanswered += 1;
       orderPacer.unanswered(addressed);
     }
     orderLosses.note(given.length, unanswered);
+    return accepted === orders.length;
   }
 
   function noteProgress(plan: RolloutPlan): void {
@@ -250,23 +255,28 @@
     if (isOutrun && (state.target === undefined || state.armsSent)) {
       voidingVersion = nextVersion(fence);
     }
-    const plan = planHoldRollout({
-      state,
-      reports,
+    const input = {
       ownRank: own.rank,
       formerRank: leadership.formerRank(),
       passMilliseconds: passClock.milliseconds(),
       roundMilliseconds,
       orderRounds: orderLosses.rounds(own.size),
       voiding: { version: voidingVersion, map },
-    });
-    // A process that stood still since it asked may have been replaced: what it would order now
-    // could undo its successor's work. Suspended machines show only on the wall clock.
-    const age = Math.max(now() - askedAt, Math.abs(Date.now() - askedAtWall));
-    if (age > STALE_MILLISECONDS) return;
-    state = plan.state;
-    noteProgress(plan);
-    await send(fence, plan.orders, { version: own.activeVersion, map });
+    };
+    let current: readonly (RankReport | undefined)[] | undefined = reports;
+    // Another look between arming and release would only lengthen the time in which a stop of this
+    // machine leaves the group held.
+    while (current !== undefined) {
+      const plan: RolloutPlan = planHoldRollout({ ...input, state, reports: current });
+      // A process that stood still since it asked may have been replaced: what it would order now
+      // could undo its successor's work. Suspended machines show only on the wall clock.
+      const age = Math.max(now() - askedAt, Math.abs(Date.now() - askedAtWall));
+      if (age > STALE_MILLISECONDS) return;
+      state = plan.state;
+      noteProgress(plan);
+      const isAccepted = await send(fence, plan.orders, { version: own.activeVersion, map });
+      current = isAccepted ? reportsAfter(current, plan.orders) : undefined;
+    }
   }
 
   async function tick(): Promise<number> {
--- a/packages/group-sidecar/src/stopped-leader.test.ts
+++ b/packages/group-sidecar/src/stopped-leader.test.ts
@@ -108,6 +108,10 @@
   for (const delayMilliseconds of [0, 5, 10]) {
     points.push({ kind: RankOrderKind.Hold, count: 1, delayMilliseconds });
   }
+  // The first rank that is armed is the one that holds; the next ones are armed together.
+  for (const delayMilliseconds of [5, 10, 20]) {
+    points.push({ kind: RankOrderKind.Arm, count: 2, delayMilliseconds });
+  }
 
   it.each(points)('goes on: $kind $count, after $delayMilliseconds ms', async (point) => {
     const outcome = await stopLeader(point);
--- a/packages/placement/src/group-model.ts
+++ b/packages/placement/src/group-model.ts
@@ -11,7 +11,7 @@
 import { HoldEndKind } from './plan-hold-end.js';
 import type { HoldEnd } from './plan-hold-end.js';
 import { planHoldRollout } from './plan-hold-rollout.js';
-import { initialRollout, RolloutPhase } from './rollout-state.js';
+import { initialRollout, reportsAfter, RolloutPhase } from './rollout-state.js';
 import type { AddressedOrder, RolloutPlan, RolloutState } from './rollout-state.js';
 import { RankOrderKind } from './rank-report.js';
 import type { ArmedMap, GroupMap, RankOrder, RankReport } from './rank-report.js';
@@ -50,6 +50,8 @@
   readonly readsApart?: boolean;
   /** As how often lost orders are expected to go out; holds are planned further ahead for it. */
   readonly orderRounds?: number;
+  /** A leader goes on from accepted orders to arm without reading all reports anew. */
+  readonly actsOnAnswers?: boolean;
   /** How ranks end holds by themselves, each at moments of its own; they do not without it. */
   endHold?(report: RankReport): HoldEnd;
   /** Changes a plan before it is carried out; for proofs that a mechanism matters. */
@@ -111,28 +113,28 @@
   }
 
   /** Carries an order out as the engine would; a refused one changes nothing. */
-  function carryOut(rank: ModelRank, order: RankOrder): void {
-    if (order.epoch !== epoch) return;
+  function carryOut(rank: ModelRank, order: RankOrder): boolean {
+    if (order.epoch !== epoch) return false;
     switch (order.kind) {
       case RankOrderKind.Prepare:
-        if (order.version <= rank.highest || rank.armed !== undefined) return;
+        if (order.version <= rank.highest || rank.armed !== undefined) return false;
         rank.highest = order.version;
         rank.prepared = order.version;
-        return;
+        return true;
       case RankOrderKind.Arm:
-        if (rank.prepared !== order.version || order.step <= step) return;
+        if (rank.prepared !== order.version || order.step <= step) return false;
         rank.armed = { version: order.version, step: order.step };
-        return;
+        return true;
       case RankOrderKind.Disarm:
         if (rank.armed?.version === order.version) rank.armed = undefined;
-        return;
+        return true;
       case RankOrderKind.Hold:
-        if (order.step <= step || rank.held !== undefined) return;
+        if (order.step <= step || rank.held !== undefined) return false;
         rank.held = order.step;
-        return;
+        return true;
       case RankOrderKind.Release:
         if (rank.held === order.step) rank.held = undefined;
-        return;
+        return true;
       default: {
         const unreachable: never = order;
         throw new Error(String(unreachable));
@@ -140,18 +142,16 @@
     }
   }
 
-  function deliver(addressed: AddressedOrder, now: number, isCalm: boolean): void {
+  /** Whether the order was carried out at once, as its answer then says. */
+  function deliver(addressed: AddressedOrder, now: number, isCalm: boolean): boolean {
     const rank = ranks[addressed.rank];
     const chance = random();
     const delayed = { at: now + 1 + Math.floor(random() * LONGEST_DELAY), addressed };
     if (isCalm || chance >= LOST + LATE + DOUBLED) {
-      carryOut(rank, addressed.order);
-    } else if (chance >= LOST + LATE) {
-      carryOut(rank, addressed.order);
-      late.push(delayed);
-    } else if (chance >= LOST) {
-      late.push(delayed);
+      return carryOut(rank, addressed.order);
     }
+    if (chance >= LOST) late.push(delayed);
+    return chance >= LOST + LATE && carryOut(rank, addressed.order);
   }
 
   function deliverLate(now: number): void {
@@ -238,6 +238,27 @@
     return leaderVersion(leader.fence, leader.versions);
   }
 
+  function planOrders(leader: Leader, reports: readonly (RankReport | undefined)[]): RolloutPlan {
+    const planned = planHoldRollout({
+      state: leader.state,
+      reports,
+      ownRank: leader.rank,
+      formerRank: leader.formerRank,
+      passMilliseconds: 200,
+      roundMilliseconds: 30,
+      orderRounds: options.orderRounds ?? 1,
+      voiding: { version: leader.voiding, map: MAP },
+    });
+    const plan = options.mutate?.(planned, reports) ?? planned;
+    leader.state = plan.state;
+    if (plan.phase === RolloutPhase.Done) rollouts += 1;
+    const isFree = plan.phase === RolloutPhase.Idle || plan.phase === RolloutPhase.Done;
+    if (isFree && leader.state.isSettled && random() < NEW_TARGET) {
+      leader.state = { ...leader.state, target: { version: nextVersion(leader), map: MAP } };
+    }
+    return plan;
+  }
+
   /** One look of a leader; false when it ended in the middle of its orders. */
   function look(leader: Leader, now: number, isCalm: boolean): boolean {
     const hidden = !isCalm && random() < OUT_OF_SIGHT ? Math.floor(random() * size) : -1;
@@ -257,29 +278,22 @@
     if (state.target !== undefined && !state.armsSent && highest > state.target.version) {
       leader.state = { ...state, target: undefined, heldStep: undefined };
     }
-    const planned = planHoldRollout({
-      state: leader.state,
-      reports,
-      ownRank: leader.rank,
-      formerRank: leader.formerRank,
-      passMilliseconds: 200,
-      roundMilliseconds: 30,
-      orderRounds: options.orderRounds ?? 1,
-      voiding: { version: leader.voiding, map: MAP },
-    });
-    const plan = options.mutate?.(planned, reports) ?? planned;
-    leader.state = plan.state;
-    if (plan.phase === RolloutPhase.Done) rollouts += 1;
-    const isFree = plan.phase === RolloutPhase.Idle || plan.phase === RolloutPhase.Done;
-    if (isFree && leader.state.isSettled && random() < NEW_TARGET) {
-      leader.state = { ...leader.state, target: { version: nextVersion(leader), map: MAP } };
-    }
-    const endsAfter = !isCalm && random() < LEADER_ENDS ? random() * plan.orders.length : Infinity;
-    for (const [index, order] of plan.orders.entries()) {
-      if (index >= endsAfter) return false;
-      deliver(order, now, isCalm);
+    let current: readonly (RankReport | undefined)[] | undefined = reports;
+    while (current !== undefined) {
+      const plan = planOrders(leader, current);
+      const endsAfter =
+        !isCalm && random() < LEADER_ENDS ? random() * plan.orders.length : Infinity;
+      let accepted = 0;
+      for (const [index, order] of plan.orders.entries()) {
+        if (index >= endsAfter) return false;
+        if (deliver(order, now, isCalm)) accepted += 1;
+      }
+      if (endsAfter !== Infinity) return false;
+      const isAccepted = options.actsOnAnswers === true && accepted === plan.orders.length;
+      current = isAccepted ? reportsAfter(current, plan.orders) : undefined;
+      if (current !== undefined && options.readsApart === true) happenBetween(now, isCalm);
     }
-    return endsAfter === Infinity;
+    return true;
   }
 
   formAnew();
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -26,7 +26,7 @@
 export { HoldEndKind, isAtHold, planHoldEnd } from './plan-hold-end.js';
 export type { HoldEnd } from './plan-hold-end.js';
 export { planHoldRollout } from './plan-hold-rollout.js';
-export { initialRollout, RolloutPhase } from './rollout-state.js';
+export { initialRollout, reportsAfter, RolloutPhase } from './rollout-state.js';
 export type {
   AddressedOrder,
   RolloutInput,
--- a/packages/placement/src/plan-hold-rollout.test.ts
+++ b/packages/placement/src/plan-hold-rollout.test.ts
@@ -136,6 +136,7 @@
       ranks: 2 + (seed % 3),
       ticks: TICKS,
       readsApart: true,
+      actsOnAnswers: seed % 2 === 0,
       orderRounds: 1 + (seed % 5),
       endHold,
       ...(mutate === undefined ? {} : { mutate }),
--- a/packages/placement/src/rollout-state.ts
+++ b/packages/placement/src/rollout-state.ts
@@ -153,3 +153,20 @@
   }
   return lowest;
 }
+
+/**
+ * Reports as they are after these orders were accepted. Undefined where reports have to be read
+ * anew: an order to arm is carried out when it is answered, others may take effect later.
+ */
+export function reportsAfter(
+  reports: readonly (RankReport | undefined)[],
+  accepted: readonly AddressedOrder[],
+): readonly (RankReport | undefined)[] | undefined {
+  const after = [...reports];
+  for (const { rank, order } of accepted) {
+    const report = after[rank];
+    if (order.kind !== RankOrderKind.Arm || report === undefined) return undefined;
+    after[rank] = { ...report, armed: { version: order.version, step: order.step } };
+  }
+  return accepted.length === 0 ? undefined : after;
+}
