Let a rank that holds its group replace a stopped leader at once

What callers saw: where a leader's machine stops once the rank that holds is armed, that rank may not end the hold by itself. All streams of the group waited for a successor, over a second.

Cause: a successor asked, and waited, three times over. It did not know where any rank was until entries had heard of it, so its first look found none and the second came 60 ms later; each question to the stopped rank ran into its time-outs in series (0.42 s for a report, 0.18 s for its map); and between looks while it cleared lay the pause of an idle leader.

Why it works: leaders tell the rank at which they hold, once a second, where all ranks are; a claim that found the former leader silent makes its host be passed over for 0.5 s; a leader whose orders are under way looks again after 4 ms; and a rank that holds looks every 20 ms for a silent leader.

askLeader now rejects when no answer came, so that a host that answers and does not lead is not passed over.

--- a/packages/fleet/src/fleet.test.ts
+++ b/packages/fleet/src/fleet.test.ts
@@ -24,6 +24,20 @@
   return delegates;
 }
 
+it.each([0, 11])('a leader at rank %i tells its deputy where all ranks are', (rank) => {
+  // The deputy replaces a leader that stopped, and entries tell it so only after it leads.
+  const played = settled(SMALL);
+  const leader = played.sidecars[rank];
+  const deputy = played.sidecars[(rank + 1) % SMALL.sidecars];
+  if (leader === undefined || deputy === undefined) throw new RangeError(`no rank ${rank}`);
+  expect(deputy.fleet.targets().size).toBe(0);
+  leader.fence = 5;
+  played.run(2 * SECOND);
+  expect([...deputy.fleet.targets().keys()].toSorted((one, other) => one - other)).toEqual(
+    Array.from({ length: SMALL.sidecars }, (_, at) => at),
+  );
+});
+
 describe('a fleet of 227 instances in five zones', () => {
   const played = settled(LARGE);
 
--- a/packages/fleet/src/sidecar-fleet.ts
+++ b/packages/fleet/src/sidecar-fleet.ts
@@ -11,7 +11,7 @@
 } from '@lapisbridge/group-leader';
 import type { RankReport } from '@lapisbridge/placement';
 
-import { MessageKind, RosterScope } from './message.js';
+import { InstanceRole, MessageKind, RosterScope } from './message.js';
 import type { FleetMessage, InstanceName, RankState, SummarizedRank } from './message.js';
 
 export interface SidecarFleetOptions {
@@ -68,6 +68,8 @@
 const LISTENER_MILLISECONDS = 2500;
 /** Between two calls for an entry while none has announced itself. */
 const HELLO_MILLISECONDS = 300;
+/** Between two tellings of where the ranks are to a leader's deputy. */
+const DIRECTORY_MILLISECONDS = 1000;
 /** A stand-by delegate gets one of so many reports. */
 const STANDBY_DIVISOR = 3;
 
@@ -82,6 +84,7 @@
   /** Since when no entry has listened. */
   let unheardSince = now();
   let heartbeatAt = -Infinity;
+  let directoryAt = -Infinity;
   let leaderHost: string | undefined;
   let highestFence = 0;
 
@@ -152,6 +155,20 @@
         isSettled: options.isSettled(),
       });
     }
+    tellDeputy(state);
+  }
+
+  /**
+   * The rank at which this leader holds its group replaces it first, and has to reach all ranks at
+   * once then: it cannot wait until entries have heard of it and tell it where they are.
+   */
+  function tellDeputy({ group, rank }: RankState): void {
+    if (now() - directoryAt < DIRECTORY_MILLISECONDS) return;
+    const deputy = ranks.get(rank + 1) ?? ranks.get(0);
+    if (deputy === undefined || deputy.rank === rank) return;
+    directoryAt = now();
+    const listed = [...ranks.values()];
+    send(deputy.host, { kind: MessageKind.ZoneSummary, group, ranks: listed, growth: undefined });
   }
 
   /** The own zone's primary, or another zone's while there is none. */
@@ -172,7 +189,7 @@
     if (group !== options.state()?.group) return;
     for (const rank of listed) {
       ranks.set(rank.rank, rank);
-      entryOfRank.set(rank.rank, from.host);
+      if (from.role === InstanceRole.Entry) entryOfRank.set(rank.rank, from.host);
     }
     if (growth !== undefined && options.fence() !== undefined) options.onGrowth(growth);
   }
--- a/packages/group-leader/src/group-leader.test.ts
+++ b/packages/group-leader/src/group-leader.test.ts
@@ -41,13 +41,17 @@
   readonly clock: { now: number };
 }
 
-function member(store: Store, instanceId: string, answering?: () => number | undefined): Member {
+function member(
+  store: Store,
+  instanceId: string,
+  answering: () => number | undefined | Promise<never> = () => undefined,
+): Member {
   const clock = { now: 0 };
   const leadership = createLeadership({
     store,
     instanceId,
     host: instanceId,
-    ask: async () => answering?.(),
+    ask: async () => answering(),
     logger: createSilentLogger(),
     now: () => clock.now,
     random: () => 0.5,
@@ -143,6 +147,22 @@
       expect(next.leadership.formerRank()).toBe(isSettled ? 2 : undefined);
     }
   });
+
+  it('names the host of the former leader only if that did not answer', async () => {
+    const store = fakeStore();
+    const one = member(store, 'one');
+    one.clock.now = 5000;
+    await one.leadership.tend({ group: 'group', rank: 0, isHeld: false });
+    const two = member(store, 'two');
+    two.clock.now = 9000;
+    await two.leadership.tend({ group: 'group', rank: 1, isHeld: false });
+    expect(two.leadership.silentHost()).toBeUndefined();
+    const three = member(store, 'three', () => Promise.reject(new Error('no answer in time')));
+    three.clock.now = 9000;
+    await three.leadership.tend({ group: 'group', rank: 2, isHeld: false });
+    expect(three.leadership.fence()).toBe(13);
+    expect(three.leadership.silentHost()).toBe('two');
+  });
 });
 
 describe('demand for experts', () => {
--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -67,6 +67,8 @@
 /** Between two looks of a large group's rank at whether the leader is silent. */
 const FOLLOWING_MILLISECONDS = 200;
 const BUSY_MILLISECONDS = 4;
+/** Between two looks of a rank that holds its group at whether the leader is silent. */
+const HOLDING_MILLISECONDS = 20;
 /** A loop this late was frozen; somebody else may lead by now. */
 const STOOD_STILL_MILLISECONDS = 700;
 /** Reports older than this decide nothing: the slowest answer waited for, and a little. */
@@ -74,8 +76,8 @@
 
 /** A held rank must notice soon that its leader is silent: every stream of the group waits for it. */
 function followingPause({ heldStep, size }: RankReport): number {
-  const isUrgent = heldStep !== undefined || !planPace(size).isGrowthRelayed;
-  return isUrgent ? IDLE_MILLISECONDS : FOLLOWING_MILLISECONDS;
+  if (heldStep !== undefined) return HOLDING_MILLISECONDS;
+  return planPace(size).isGrowthRelayed ? FOLLOWING_MILLISECONDS : IDLE_MILLISECONDS;
 }
 
 export function createGroupLeader(options: GroupLeaderOptions): GroupLeader {
@@ -107,6 +109,9 @@
     state = initialRollout(-1);
     maps.clear();
     orderPacer.forget();
+    // Where it stopped with its machine, every wait for it would keep a held group.
+    const silentHost = leadership.silentHost();
+    if (silentHost !== undefined) link.passOver(silentHost);
   }
 
   async function readReports(size: number): Promise<(RankReport | undefined)[]> {
@@ -238,7 +243,8 @@
     if (obstacle !== '') logger.info('leader cannot act', { obstacle });
   }
 
-  async function look(fence: number, own: RankReport): Promise<void> {
+  /** Whether orders were given, whose effect is to be looked for soon. */
+  async function look(fence: number, own: RankReport): Promise<boolean> {
     const askedAt = now();
     const askedAtWall = Date.now();
     const reports = await readReports(own.size);
@@ -249,7 +255,7 @@
     const map = await activeMap(own);
     if (missing.length > 0) noteObstacle(`no report of ranks ${missing.join(', ')}`);
     else noteObstacle(map === undefined ? 'the map in force is not known' : '');
-    if (map === undefined) return;
+    if (map === undefined) return false;
     // An old clearing version cannot void what was prepared since.
     const isOutrun = reports.some((report) => (report?.preparedVersion ?? 0) > voidingVersion);
     if (isOutrun && (state.target === undefined || state.armsSent)) {
@@ -263,6 +269,7 @@
       orderRounds: orderLosses.rounds(own.size),
       voiding: { version: voidingVersion, map },
     };
+    let hasOrders = false;
     let current: readonly (RankReport | undefined)[] | undefined = reports;
     // Another look between arming and release would only lengthen the time in which a stop of this
     // machine leaves the group held.
@@ -271,12 +278,14 @@
       // A process that stood still since it asked may have been replaced: what it would order now
       // could undo its successor's work. Suspended machines show only on the wall clock.
       const age = Math.max(now() - askedAt, Math.abs(Date.now() - askedAtWall));
-      if (age > STALE_MILLISECONDS) return;
+      if (age > STALE_MILLISECONDS) return false;
+      hasOrders = plan.orders.length > 0;
       state = plan.state;
       noteProgress(plan);
       const isAccepted = await send(fence, plan.orders, { version: own.activeVersion, map });
       current = isAccepted ? reportsAfter(current, plan.orders) : undefined;
     }
+    return hasOrders;
   }
 
   async function tick(): Promise<number> {
@@ -302,9 +311,10 @@
     }
     if (fence !== ledFence) beginLeading(fence);
     if (!own.isOpen) return IDLE_MILLISECONDS;
-    if (needsLook(own)) await look(fence, own);
+    let hasOrders = false;
+    if (needsLook(own)) hasOrders = await look(fence, own);
     else await considerTarget(fence, own);
-    return state.target === undefined ? IDLE_MILLISECONDS : BUSY_MILLISECONDS;
+    return hasOrders || state.target !== undefined ? BUSY_MILLISECONDS : IDLE_MILLISECONDS;
   }
 
   async function loop(): Promise<void> {
--- a/packages/group-leader/src/leader-rollout.test.ts
+++ b/packages/group-leader/src/leader-rollout.test.ts
@@ -92,6 +92,7 @@
     leadership: {
       fence: () => 5,
       formerRank: () => undefined,
+      silentHost: () => undefined,
       accept: () => true,
       heard: () => undefined,
       tend: async () => undefined,
@@ -100,6 +101,7 @@
     link: {
       report: async ({ backendServer }) => engines.reports[Number(backendServer.host.at(-1))],
       map: async () => undefined,
+      passOver: () => undefined,
       order({ backendServer }, { order }) {
         const rank = Number(backendServer.host.at(-1));
         if (order.kind === RankOrderKind.Arm) {
--- a/packages/group-leader/src/leadership.ts
+++ b/packages/group-leader/src/leadership.ts
@@ -15,7 +15,7 @@
   readonly logger: Logger;
   /** This instance's host, where others ask whether it still leads. */
   readonly host: string;
-  /** Fencing number of the leader at a host; undefined when it does not answer or lead. */
+  /** Fencing number of the leader at a host; undefined when it does not lead. Rejects unanswered. */
   ask(host: string): Promise<number | undefined>;
   now(): number;
   random(): number;
@@ -34,6 +34,8 @@
   fence(): number | undefined;
   /** Rank of the leader before this one, if it was heard to have seen the group free. */
   formerRank(): number | undefined;
+  /** Host of the leader before this one, if it did not answer when it was replaced. */
+  silentHost(): string | undefined;
   /** Takes note of another leader's number; false when a higher one is known. */
   accept(fence: number): boolean;
   /** Notes that the leader was heard just now. */
@@ -81,6 +83,7 @@
   let claiming = false;
   let isDoubted = false;
   let formerRank: number | undefined;
+  let silentHost: string | undefined;
   let settledFence = 0;
 
   function stepDown(reason: string): void {
@@ -107,6 +110,17 @@
     logger.info('leading', { group, fence: revision });
   }
 
+  async function askFormer(host: string | undefined): Promise<number | undefined> {
+    silentHost = undefined;
+    if (host === undefined) return undefined;
+    try {
+      return await options.ask(host);
+    } catch {
+      silentHost = host;
+      return undefined;
+    }
+  }
+
   async function claim(group: string, rank: number): Promise<void> {
     const before = await readRow(group);
     if (before.isOwn) {
@@ -114,7 +128,7 @@
       return;
     }
     // Datagrams may not have reached this instance yet; the leader named there may well live.
-    const living = before.host === undefined ? undefined : await options.ask(before.host);
+    const living = await askFormer(before.host);
     if (living === before.revision) {
       heardAt = now();
       highest = Math.max(highest, living);
@@ -141,6 +155,7 @@
   return {
     fence: () => (isDoubted ? undefined : own),
     formerRank: () => formerRank,
+    silentHost: () => silentHost,
     accept(fence) {
       if (fence < highest) return false;
       highest = fence;
--- a/packages/group-leader/src/rank-link.test.ts
+++ b/packages/group-leader/src/rank-link.test.ts
@@ -52,3 +52,22 @@
   frozen.closeAllConnections();
   frozen.close();
 });
+
+it('does not ask a rank whose host was found silent', async () => {
+  // A leader replaces one that stopped with its machine. It would wait for that rank with every
+  // question, and under a hold all streams of the group wait with it.
+  let questions = 0;
+  const count = async (): Promise<undefined> => {
+    questions += 1;
+  };
+  const link = createRankLink({
+    engine: { report: count, counts: count, map: count, order: async () => OrderOutcome.Unknown },
+    ask: count,
+    now: () => 1000,
+  });
+  const address = { host: '127.0.0.1', port: 1 };
+  link.passOver(address.host);
+  expect(await link.report({ sidecar: address, backendServer: address })).toBeUndefined();
+  expect(await link.map({ sidecar: address, backendServer: address })).toBeUndefined();
+  expect(questions).toBe(0);
+});
--- a/packages/group-leader/src/rank-link.ts
+++ b/packages/group-leader/src/rank-link.ts
@@ -67,6 +67,8 @@
   report(target: RankTarget): Promise<RankReport | undefined>;
   map(target: RankTarget): Promise<RankMap | undefined>;
   order(target: RankTarget, relayed: RelayedOrder): Promise<OrderOutcome>;
+  /** Does not wait for a host that was found silent, for a while. */
+  passOver(host: string): void;
 }
 
 type PrepareOrder = Extract<RankOrder, { kind: RankOrderKind.Prepare }>;
@@ -243,9 +245,17 @@
     return (await send({ fence, epoch, version, map })).outcome;
   }
 
+  function passOver(host: string): void {
+    unreachableUntil.set(host, now() + UNREACHABLE_MILLISECONDS);
+  }
+
+  function isPassedOver({ backendServer }: RankTarget): boolean {
+    return (unreachableUntil.get(backendServer.host) ?? 0) > now();
+  }
+
   async function report(target: RankTarget): Promise<RankReport | undefined> {
     const { host } = target.backendServer;
-    if ((unreachableUntil.get(host) ?? 0) > now()) return undefined;
+    if (isPassedOver(target)) return undefined;
     const found = await reach(
       target,
       async () =>
@@ -253,19 +263,22 @@
         relay<RankReport | undefined>(target, 'GET', RelayPath.Report),
       () => engine.report(target.backendServer),
     );
-    if (found === undefined) unreachableUntil.set(host, now() + UNREACHABLE_MILLISECONDS);
+    if (found === undefined) passOver(host);
     else unreachableUntil.delete(host);
     return found;
   }
 
   return {
     report,
-    map: (target) =>
-      reach(
+    passOver,
+    async map(target) {
+      if (isPassedOver(target)) return undefined;
+      return reach(
         target,
         () => relay<RankMap | undefined>(target, 'GET', RelayPath.Map),
         () => engine.map(target.backendServer),
-      ),
+      );
+    },
     async order(target, { fence, order, base }) {
       if (order.kind !== RankOrderKind.Prepare) {
         return engine.order(target.backendServer, order).catch(() => OrderOutcome.Unknown);
@@ -280,18 +293,17 @@
   };
 }
 
-/** Asks the sidecar at an address whether it leads. */
+/**
+ * Asks the sidecar at an address for its fencing number; undefined when it does not lead. Rejects
+ * when no answer came.
+ */
 export async function askLeader(address: RankAddress): Promise<number | undefined> {
-  try {
-    const answer = await callJson({
-      ...address,
-      method: 'GET',
-      path: RelayPath.Leader,
-      body: undefined,
-      timeoutMilliseconds: RELAY_MILLISECONDS,
-    });
-    return numberOf(answer.body, 'fence');
-  } catch {
-    return undefined;
-  }
+  const answer = await callJson({
+    ...address,
+    method: 'GET',
+    path: RelayPath.Leader,
+    body: undefined,
+    timeoutMilliseconds: RELAY_MILLISECONDS,
+  });
+  return numberOf(answer.body, 'fence');
 }
--- a/packages/group-sidecar/src/played-group.ts
+++ b/packages/group-sidecar/src/played-group.ts
@@ -216,6 +216,7 @@
         report: (target) => paused(() => link.report(target)),
         map: (target) => paused(() => link.map(target)),
         order: (target, relayed) => paused(() => link.order(target, relayed)),
+        passOver: (silent) => link.passOver(silent),
       };
     },
   };
--- a/packages/group-sidecar/src/stopped-leader.test.ts
+++ b/packages/group-sidecar/src/stopped-leader.test.ts
@@ -55,18 +55,27 @@
   /** Orders of that kind that have been carried out. */
   readonly count: number;
   readonly delayMilliseconds: number;
+  /** Time before the rollout, which decides how long before the stop the leader was heard last. */
+  readonly settleMilliseconds: number;
 }
 
 interface Outcome {
   /** Longest time between two passes while the machine stands still. */
   readonly pauseMilliseconds: number;
   readonly mixed: readonly number[] | undefined;
+  /** The same once it goes on. */
+  readonly laterPauseMilliseconds: number;
   /** Maps in force when the machine has gone on and another map was wanted. */
   readonly versions: ReadonlySet<number>;
 }
 
 /** Stops the leader's machine in the course of a rollout, and lets it go on later. */
-async function stopLeader({ kind, count, delayMilliseconds }: StopPoint): Promise<Outcome> {
+async function stopLeader({
+  kind,
+  count,
+  delayMilliseconds,
+  settleMilliseconds,
+}: StopPoint): Promise<Outcome> {
   let leader: number | undefined;
   let stoppedAt: number | undefined;
   let seen = 0;
@@ -85,7 +94,7 @@
   network.current = group.network;
   const { engines } = group;
   await group.start();
-  await vi.advanceTimersByTimeAsync(4000);
+  await vi.advanceTimersByTimeAsync(settleMilliseconds);
   leader = group.leader();
   expect(leader).toBeDefined();
   group.wantMap();
@@ -94,30 +103,74 @@
   await vi.advanceTimersByTimeAsync(STOP_MILLISECONDS);
   const pauseMilliseconds = engines.longestPause(stoppedAt ?? 0);
   group.resume(leader ?? 0);
+  await vi.advanceTimersByTimeAsync(100);
+  const resumedAt = Date.now();
   await vi.advanceTimersByTimeAsync(3000);
   group.wantMap();
   await vi.advanceTimersByTimeAsync(3000);
   const versions = new Set(
     Array.from({ length: RANKS }, (_, rank) => engines.report(rank).activeVersion),
   );
-  return { pauseMilliseconds, mixed: engines.mixed(), versions };
+  return {
+    pauseMilliseconds,
+    mixed: engines.mixed(),
+    laterPauseMilliseconds: engines.longestPause(resumedAt),
+    versions,
+  };
+}
+
+function pointsAt(
+  kind: RankOrderKind,
+  count: number,
+  delays: readonly number[],
+): readonly StopPoint[] {
+  return delays.flatMap((delayMilliseconds) =>
+    [4000, 4080].map((settleMilliseconds) => ({
+      kind,
+      count,
+      delayMilliseconds,
+      settleMilliseconds,
+    })),
+  );
 }
 
 describe('a group whose leader stops in a rollout', () => {
-  const points: StopPoint[] = [];
-  for (const delayMilliseconds of [0, 5, 10]) {
-    points.push({ kind: RankOrderKind.Hold, count: 1, delayMilliseconds });
-  }
-  // The first rank that is armed is the one that holds; the next ones are armed together.
-  for (const delayMilliseconds of [5, 10, 20]) {
-    points.push({ kind: RankOrderKind.Arm, count: 2, delayMilliseconds });
-  }
+  const points: readonly StopPoint[] = [
+    // Nothing is armed.
+    ...pointsAt(RankOrderKind.Hold, 1, [0, 5, 10]),
+    // The rank that holds is armed, and no other.
+    ...pointsAt(RankOrderKind.Arm, 1, [0, 3]),
+    // All are armed, and the release is on its way.
+    ...pointsAt(RankOrderKind.Arm, 2, [5, 10, 20]),
+    ...pointsAt(RankOrderKind.Release, 1, [0, 10]),
+  ];
+
+  it.each(points)(
+    'goes on: $kind $count, after $delayMilliseconds ms, of $settleMilliseconds',
+    async (point) => {
+      const outcome = await stopLeader(point);
+      expect(outcome.mixed).toBeUndefined();
+      expect(outcome.pauseMilliseconds).toBeLessThan(LONGEST_PAUSE_MILLISECONDS);
+      expect(outcome.laterPauseMilliseconds).toBeLessThan(LONGEST_PAUSE_MILLISECONDS);
+      expect(outcome.versions.size).toBe(1);
+      expect(outcome.versions).not.toContain(0);
+    },
+  );
 
-  it.each(points)('goes on: $kind $count, after $delayMilliseconds ms', async (point) => {
-    const outcome = await stopLeader(point);
-    expect(outcome.mixed).toBeUndefined();
-    expect(outcome.pauseMilliseconds).toBeLessThan(LONGEST_PAUSE_MILLISECONDS);
-    expect(outcome.versions.size).toBe(1);
-    expect(outcome.versions).not.toContain(0);
-  });
+  // All others are armed, and only its own rank can tell whether it is too.
+  const unknown: readonly StopPoint[] = [
+    ...pointsAt(RankOrderKind.Arm, 1, [5, 10]),
+    ...pointsAt(RankOrderKind.Arm, 2, [0, 3]),
+  ];
+
+  it.each(unknown)(
+    'keeps one map, and goes on with the machine: $kind $count, after $delayMilliseconds ms, of $settleMilliseconds',
+    async (point) => {
+      const outcome = await stopLeader(point);
+      expect(outcome.mixed).toBeUndefined();
+      expect(outcome.laterPauseMilliseconds).toBeLessThan(LONGEST_PAUSE_MILLISECONDS);
+      expect(outcome.versions.size).toBe(1);
+      expect(outcome.versions).not.toContain(0);
+    },
+  );
 });
