--- a/packages/placement/src/rollout-state.ts
+++ b/packages/placement/src/rollout-state.ts
@@ -102,7 +102,7 @@
 }
 
 /** A rank that holds the pass and is armed for it: it does not end its hold by itself. */
-export function isGuard(report: RankReport, version: number, step: number): boolean {
+function isGuard(report: RankReport, version: number, step: number): boolean {
   return report.heldStep === step && isArmedFor(report, version, step);
 }
 
