--- a/packages/group-sidecar/src/played-group.ts
+++ b/packages/group-sidecar/src/played-group.ts
@@ -22,7 +22,7 @@
 import { TransactionKind } from '@lapisbridge/catalog';
 import type { Store, StoreRow } from '@lapisbridge/catalog';
 import type { JsonAnswer, JsonCall, JsonObject } from '@lapisbridge/json-call';
-import { createRandom } from '@lapisbridge/kernel';
+import { createRandom, monotonicClock } from '@lapisbridge/kernel';
 import { createSilentLogger } from '@lapisbridge/logger';
 import { OrderOutcome } from '@lapisbridge/placement';
 import type { GroupMap, RankOrder } from '@lapisbridge/placement';
@@ -125,7 +125,7 @@
 
 export function playGroup(options: PlayedGroupOptions): PlayedGroup {
   const { ranks } = options;
-  const now = (): number => Date.now();
+  const now = monotonicClock;
   const random = createRandom(options.seed);
   const first = firstMap(PROFILE, ranks);
   const engines = playEngines(ranks, first, now);
--- a/packages/group-sidecar/src/stopped-leader.test.ts
+++ b/packages/group-sidecar/src/stopped-leader.test.ts
@@ -85,7 +85,7 @@
     seen += 1;
     if (seen !== count) return;
     const stopped = leader;
-    stoppedAt = Date.now() + delayMilliseconds;
+    stoppedAt = performance.now() + delayMilliseconds;
     if (delayMilliseconds === 0) group?.stop(stopped);
     else setTimeout(() => group?.stop(stopped), delayMilliseconds);
   }
@@ -104,7 +104,7 @@
   const pauseMilliseconds = engines.longestPause(stoppedAt ?? 0);
   group.resume(leader ?? 0);
   await vi.advanceTimersByTimeAsync(100);
-  const resumedAt = Date.now();
+  const resumedAt = performance.now();
   await vi.advanceTimersByTimeAsync(3000);
   group.wantMap();
   await vi.advanceTimersByTimeAsync(3000);
