Log and count the unplanned end of a backend server with the prompt parts at stake

An entry now notes the shared prompt parts of each attempt, probes a server that lost a connection, and logs 'backend server ended' once it refuses connections or another process is listed at its address. lapisbridge_ended_servers_total counts them. No decision uses it yet.

--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -14,10 +14,12 @@
   createRetryBudgetShare,
   createServerBackoffs,
   createServerDepartures,
+  createServerEndDetector,
   createServerLoadTracker,
   createServerLiveness,
   createServerRateLimits,
   createServerStatements,
+  probeConnection,
 } from '@lapisbridge/forwarding';
 import type { ForwardContext, SendingEntries, ActiveStatement } from '@lapisbridge/forwarding';
 import type { Address } from '@lapisbridge/json-call';
@@ -94,6 +96,13 @@
   });
   const backoffs = createServerBackoffs(monotonicClock, logger);
   const departures = createServerDepartures(monotonicClock, logger);
+  const serverEnds = createServerEndDetector({
+    logger,
+    probe: probeConnection,
+    onServerEnd: () => undefined,
+    onProgress: () => undefined,
+    now: monotonicClock,
+  });
   const statements = createServerStatements({ rateLimits, backoffs, departures });
   const { fleet, start: startFleetLink } = startFleet({
     settings: () => life.settings(),
@@ -135,7 +144,7 @@
   const coldShare = createColdStartShare(sendingEntries, monotonicClock);
   catalog.onChange(() => {
     const { servers } = catalog.servers();
-    for (const tracker of [ledger, liveness, pulse, coldShare, statements]) {
+    for (const tracker of [ledger, liveness, pulse, coldShare, statements, serverEnds]) {
       tracker.keepOnly(servers);
     }
   });
@@ -156,6 +165,12 @@
     () => rateLimits.requestsSent(),
   );
 
+  metrics.gauge(
+    'lapisbridge_ended_servers_total',
+    'Backend servers that ended unplanned while they had requests of this entry.',
+    () => serverEnds.endedServers(),
+  );
+
   metrics.serverGauge(
     'lapisbridge_server_backoff_seconds',
     'Time since a backend server that backs off asked for it.',
@@ -189,6 +204,7 @@
     ),
     coldShare,
     statements,
+    serverEnds,
     arrivals: createArrivalMeter(monotonicClock),
     entries,
     pulse,
--- a/packages/forwarding/src/caller-listener.ts
+++ b/packages/forwarding/src/caller-listener.ts
@@ -182,6 +182,7 @@
           request,
           configuration: configuration as NonNullable<typeof configuration>,
           body,
+          sharedParts: [...new Set(request.promptParts.slice(0, -1))],
           arrivedAt,
           expiresAt: arrivedAt + admission.timeoutMilliseconds,
           response: callerResponse,
--- a/packages/forwarding/src/caller-protocol.ts
+++ b/packages/forwarding/src/caller-protocol.ts
@@ -22,6 +22,8 @@
   /** Id of the last event that the caller received of the stream it resumes. */
   readonly lastEventId: number | undefined;
   readonly promptTokens: number;
+  /** Ids of the parts of the prompt, in order; the last one belongs to this request alone. */
+  readonly promptParts: readonly string[];
   readonly headers: readonly string[];
 }
 
--- a/packages/forwarding/src/fixture-protocol.ts
+++ b/packages/forwarding/src/fixture-protocol.ts
@@ -18,6 +18,9 @@
         ? undefined
         : Number(incoming.headers['last-event']),
     promptTokens: 10,
+    promptParts: String(incoming.headers['prompt-parts'] ?? '')
+      .split(',')
+      .filter((part) => part !== ''),
     headers: ['Host', 'host', 'Request-Id', String(incoming.headers['request-id'])],
   }),
   encodeForwardHeaders: ({ request, server, lastEventId, bodyBytes, remainingMilliseconds }) => [
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -13,6 +13,7 @@
 import type { Outcome } from './outcome.js';
 import type { EventActivity } from './event-activity.js';
 import type { RetryBudgetShare } from './retry-budget-share.js';
+import type { ServerEndDetector } from './server-end-detector.js';
 import type { ServerLoadTracker } from './server-load-tracker.js';
 import type { ServerLiveness } from './server-liveness.js';
 import type { ServerStatements } from './server-statements.js';
@@ -25,6 +26,7 @@
   readonly retryShare: RetryBudgetShare;
   readonly coldShare: ColdStartShare;
   readonly statements: ServerStatements;
+  readonly serverEnds: ServerEndDetector;
   readonly pulse: EventActivity;
   readonly groupHealth: GroupHealth;
   readonly logger: Logger;
@@ -46,6 +48,8 @@
   readonly service: string;
   readonly account: ClientAccount | undefined;
   readonly body: Buffer;
+  /** Ids of the prompt parts that other requests may share. */
+  readonly sharedParts: readonly string[];
   readonly arrivedAt: number;
   /**
    * Latest time of a response, on the clock of `now`: at the route's timeout or shortly before the
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -15,6 +15,7 @@
 import { createCallerListener } from './caller-listener.js';
 import { createColdStartShare } from './cold-start-share.js';
 import type { ForwardContext } from './forward-context.js';
+import { probeConnection } from './connection-probe.js';
 import { fixtureProtocol } from './fixture-protocol.js';
 import { createGroupHealth } from './group-health.js';
 import type { GroupHealth } from './group-health.js';
@@ -24,6 +25,7 @@
 import type { SendingEntries } from './sender-rank.js';
 import { createServerBackoffs } from './server-backoffs.js';
 import { createServerDepartures } from './server-departures.js';
+import { createServerEndDetector } from './server-end-detector.js';
 import { createServerLoadTracker } from './server-load-tracker.js';
 import { createServerLiveness } from './server-liveness.js';
 import type { ServerLiveness } from './server-liveness.js';
@@ -207,6 +209,13 @@
       backoffs: createServerBackoffs(now, logger),
       departures: createServerDepartures(now, logger),
     }),
+    serverEnds: createServerEndDetector({
+      logger,
+      probe: probeConnection,
+      onServerEnd: () => undefined,
+      onProgress: () => undefined,
+      now,
+    }),
     arrivals: createArrivalMeter(now),
     entries: () => 1,
     pulse: { ...createEventActivity(now), isStalled: () => isStuck.value },
--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -80,6 +80,7 @@
   const { ledger, liveness, protocol } = context;
   const { request, requestId } = accepted;
   const startedAt = context.now();
+  const watched = context.serverEnds.watch(server, accepted.sharedParts);
   let head: ResponseHead | undefined;
   const chunks: Buffer[] = [];
   let responseBytes = 0;
@@ -123,6 +124,8 @@
             ? classifyCancelled()
             : classifyOutcome(attemptOutcome, ledger.hasFreeSlot(server));
           ledger.recordEnd(server.instanceId, verdict, 0, wasAnswered);
+          if (wasAnswered) watched.onProgress();
+          watched.onEnd(end.kind === ExchangeEndKind.Incomplete);
           resolve(attemptOutcome);
         },
       },
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -65,6 +65,9 @@
   return id === lastEventId + 1 ? EventOrder.Next : EventOrder.Gap;
 }
 
+/** A server may end while it writes the first event. */
+const EVENTS_OF_PROGRESS = 2;
+
 /** Largest error body that is buffered to be forwarded as a whole. */
 const MAXIMUM_ERROR_BODY_BYTES = 1024 * 1024;
 
@@ -79,12 +82,13 @@
   const { request, requestId } = accepted;
   const { promptTokens } = request;
   const startedAt = context.now();
+  const watched = context.serverEnds.watch(server, accepted.sharedParts);
   const splitter = createEventSplitter();
   const errorBody: Buffer[] = [];
   let errorBodyBytes = 0;
   let head: ResponseHead | undefined;
   let fault: string | undefined;
-  let hasFirstEvent = false;
+  let eventCount = 0;
   let exchange: Exchange | undefined;
 
   function abandon(reason: string): void {
@@ -107,8 +111,9 @@
       default:
         return;
     }
-    if (!hasFirstEvent) {
-      hasFirstEvent = true;
+    eventCount += 1;
+    if (eventCount === EVENTS_OF_PROGRESS) watched.onProgress();
+    if (eventCount === 1) {
       ledger.recordAnswer(server.instanceId, context.now() - startedAt, promptTokens);
     }
     if (!sink.onEvent(streamHead, event)) {
@@ -159,7 +164,7 @@
     }
     if (splitter.hasPartialEvent())
       return { kind: StreamEndKind.Incomplete, reason: 'stream ended within an event' };
-    if (!hasFirstEvent)
+    if (eventCount === 0)
       return { kind: StreamEndKind.Incomplete, reason: 'stream ended without an event' };
     return { kind: StreamEndKind.Complete };
   }
@@ -169,7 +174,7 @@
     if (exchangeEnd.kind !== ExchangeEndKind.Cancelled || fault !== undefined)
       return Verdict.Failing;
     if (liveness.isSilent(server)) return Verdict.Failing;
-    return hasFirstEvent ? Verdict.Healthy : Verdict.Inconclusive;
+    return eventCount > 0 ? Verdict.Healthy : Verdict.Inconclusive;
   }
 
   function classifyEnd(end: StreamEnd, exchangeEnd: ExchangeEnd): Verdict {
@@ -212,7 +217,9 @@
           const isCancelled = exchangeEnd.kind === ExchangeEndKind.Cancelled;
           if (isCancelled && head === undefined) context.metrics.countUnansweredSend();
           const verdict = classifyEnd(streamEnd, exchangeEnd);
-          ledger.recordEnd(server.instanceId, verdict, promptTokens, hasFirstEvent);
+          ledger.recordEnd(server.instanceId, verdict, promptTokens, eventCount > 0);
+          if (streamEnd.kind === StreamEndKind.Complete) watched.onProgress();
+          watched.onEnd(exchangeEnd.kind === ExchangeEndKind.Incomplete);
           resolve(streamEnd);
         },
       },
