--- a/packages/history/src/checkers.test.ts
+++ b/packages/history/src/checkers.test.ts
@@ -16,6 +16,19 @@
   instanceId: 'a',
   request: 'r',
 };
+const crashingArrival: HistoryEvent = {
+  kind: EventKind.CrashingArrival,
+  instanceId: 'a',
+  part: 'p',
+};
+const soundShare = {
+  kind: EventKind.SoundShare,
+  part: 'p',
+  servedBefore: 20,
+  sentBefore: 20,
+  servedDuring: 10,
+  sentDuring: 20,
+} as const;
 const step = { kind: EventKind.MapStep, group: 'g', step: 7 } as const;
 
 const bad: [string, string, HistoryEvent[]][] = [
@@ -63,6 +76,17 @@
     [{ kind: EventKind.RateLimitedLoad, instanceId: 'a', requests: 12, allowed: 11 }],
   ],
   ['work for callers that have left', 'abandonment', Array.from({ length: 4 }, () => abandoned)],
+  ['work for a crashing part', 'crashing part', Array.from({ length: 4 }, () => crashingArrival)],
+  [
+    'sound requests lost beside a crashing part',
+    'sound requests',
+    [{ ...soundShare, servedDuring: 9 }],
+  ],
+  [
+    'a sound part that is blamed',
+    'blame',
+    [{ kind: EventKind.SoundPartBlamed, instanceId: 'a', part: 'p' }],
+  ],
   [
     'two maps in one step',
     'one map per step',
@@ -91,6 +115,11 @@
   abandoned,
   abandoned,
   abandoned,
+  crashingArrival,
+  crashingArrival,
+  crashingArrival,
+  soundShare,
+  { ...soundShare, sentDuring: 19, servedDuring: 0 },
   { ...step, rank: 0, mapVersion: 1 },
   { ...step, rank: 1, mapVersion: 1 },
 ];
--- a/packages/history/src/checkers.ts
+++ b/packages/history/src/checkers.ts
@@ -192,6 +192,50 @@
   return violations;
 };
 
+/** Requests with a crashing part that may reach servers once the part should be known. */
+const CRASHING_ARRIVALS = 3;
+
+/** A prompt part that has crashed five servers ends hardly any more. */
+export const checkCrashingPart: Checker = (events) => {
+  const counts = new Map<string, number>();
+  for (const { part } of select(events, EventKind.CrashingArrival)) {
+    counts.set(part, (counts.get(part) ?? 0) + 1);
+  }
+  const violations: Violation[] = [];
+  for (const [part, count] of counts) {
+    if (count <= CRASHING_ARRIVALS) continue;
+    const detail = `${count} requests with ${part} reached servers after it had crashed five`;
+    violations.push({ promise: 'crashing part', detail });
+  }
+  return violations;
+};
+
+/** Below this number of requests a share says little. */
+const MINIMUM_SHARE_REQUESTS = 20;
+const MINIMUM_SOUND_RATIO = 0.5;
+
+/** Sound requests are served while requests with a crashing part come. */
+export const checkSoundRequests: Checker = (events) => {
+  const violations: Violation[] = [];
+  for (const event of select(events, EventKind.SoundShare)) {
+    const { part, servedBefore, sentBefore, servedDuring, sentDuring } = event;
+    if (Math.min(sentBefore, sentDuring) < MINIMUM_SHARE_REQUESTS) continue;
+    const before = servedBefore / sentBefore;
+    const during = servedDuring / sentDuring;
+    if (during >= before * MINIMUM_SOUND_RATIO) continue;
+    const detail = `${during.toFixed(2)} served beside ${part}, ${before.toFixed(2)} before`;
+    violations.push({ promise: 'sound requests', detail });
+  }
+  return violations;
+};
+
+/** Only prompt parts that crash servers are blamed for it. */
+export const checkBlame: Checker = (events) =>
+  select(events, EventKind.SoundPartBlamed).map(({ instanceId, part }) => ({
+    promise: 'blame',
+    detail: `${instanceId} blames ${part}, which has crashed no server`,
+  }));
+
 /** In every step, all ranks of a group use one and the same expert map. */
 export const checkOneMapPerStep: Checker = (events) => {
   const violations: Violation[] = [];
@@ -220,6 +264,9 @@
   checkAbandonment,
   checkDeparture,
   checkBackoff,
+  checkCrashingPart,
+  checkSoundRequests,
+  checkBlame,
   checkOneMapPerStep,
 ];
 
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -36,6 +36,12 @@
   AbandonedArrival = 'abandonedArrival',
   /** A request of an entry reached a backend server that had asked this entry to back off. */
   BackoffLoad = 'backoffLoad',
+  /** A request with a prompt part that has crashed five servers reached one more, too late. */
+  CrashingArrival = 'crashingArrival',
+  /** First attempts of sound requests while requests with a crashing part came, or before. */
+  SoundShare = 'soundShare',
+  /** An entry blames a prompt part that has crashed no server. */
+  SoundPartBlamed = 'soundPartBlamed',
   /** A request reached a backend server that had told its entry long before that it leaves. */
   SentToLeaving = 'sentToLeaving',
 }
@@ -102,6 +108,24 @@
       readonly instanceId: string;
       readonly entry: string;
     }
+  | {
+      readonly kind: EventKind.CrashingArrival;
+      readonly instanceId: string;
+      readonly part: string;
+    }
+  | {
+      readonly kind: EventKind.SoundShare;
+      readonly part: string;
+      readonly servedBefore: number;
+      readonly sentBefore: number;
+      readonly servedDuring: number;
+      readonly sentDuring: number;
+    }
+  | {
+      readonly kind: EventKind.SoundPartBlamed;
+      readonly instanceId: string;
+      readonly part: string;
+    }
   | {
       readonly kind: EventKind.BackoffLoad;
       readonly instanceId: string;
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -6,6 +6,7 @@
 
 import { EventKind } from '@lapisbridge/history';
 import type { History } from '@lapisbridge/history';
+import { createRandom, sleep } from '@lapisbridge/kernel';
 import type { Random } from '@lapisbridge/kernel';
 import { Ran } from '@lapisbridge/types';
 import {
@@ -19,6 +20,7 @@
 } from '@lapisbridge/users-platform';
 import type { CallerOutcome } from '@lapisbridge/users-platform';
 
+import { CrashingKind } from './site.js';
 import type { Site } from './site.js';
 
 export enum Kind {
@@ -52,6 +54,17 @@
   [Kind.LookUp]: LOOK_UP_PREFIX,
 };
 
+/** Prompt parts have hexadecimal ids. */
+const FIRST_PART = 'aa';
+const SUBJECT_PREFIX = 'c';
+const SUBJECTS = 7;
+const CRASHING_PAUSE_MILLISECONDS = 300;
+const CRASHING_KINDS: Readonly<Record<Kind.Stream | Kind.LookUp, CrashingKind>> = {
+  [Kind.Stream]: CrashingKind.Stream,
+  [Kind.LookUp]: CrashingKind.LookUp,
+};
+const CRASHING_SEED = 0xbad;
+
 function expectedText(kind: Kind, requestId: string): string {
   if (kind !== Kind.Stream) return plainBody(requestId);
   let text = '';
@@ -62,6 +75,8 @@
 export function createCallers(site: Site, history: History, random: Random, key: string): Callers {
   const violations: string[] = [];
   const agents = site.entries.map(() => new Agent({ keepAlive: true }));
+  // Drawn apart from the others, so that seeds keep the load that they had without them.
+  const drawEntry = createRandom(CRASHING_SEED);
   let sent = 0;
   let served = 0;
 
@@ -86,9 +101,32 @@
     return isComplete && text === expected;
   }
 
-  async function call(entry: number, kind: Kind): Promise<boolean> {
+  function call(entry: number, kind: Kind): Promise<boolean> {
+    return send(entry, kind, sharedPartsOf(kind));
+  }
+
+  /** Sends the requests with a crashing part until the time is over; nobody misses them. */
+  async function callWithCrashingParts(until: number): Promise<void> {
+    while (performance.now() < until) {
+      await sleep(CRASHING_PAUSE_MILLISECONDS);
+      for (const kind of [Kind.Stream, Kind.LookUp] as const) {
+        const part = site.crashingPart(CRASHING_KINDS[kind]);
+        const entry = Math.floor(drawEntry() * site.entries.length);
+        if (part !== undefined) void send(entry, kind, [FIRST_PART, part]);
+      }
+    }
+  }
+
+  /** Sound requests share a first part, and some of them a second one. */
+  function sharedPartsOf(kind: Kind): readonly string[] {
+    if (kind === Kind.Booking) return [];
+    return [FIRST_PART, `${SUBJECT_PREFIX}${sent % SUBJECTS}`];
+  }
+
+  async function send(entry: number, kind: Kind, sharedParts: readonly string[]): Promise<boolean> {
     sent += 1;
     const requestId = `${kind}-${sent}`;
+    const sentAt = performance.now();
     const program = site.entries[entry];
     const agent = agents[entry];
     if (program === undefined || agent === undefined) throw new Error(`there is no entry ${entry}`);
@@ -101,6 +139,7 @@
       path: `${PREFIXES[kind]}${requestId}`,
       method: kind === Kind.LookUp ? 'GET' : 'POST',
       key,
+      promptParts: sharedParts.length === 0 ? [] : [...sharedParts, sent.toString(16)],
       timeoutMilliseconds: PATIENCE_MILLISECONDS,
       abandonAfterPauseMilliseconds: kind === Kind.Stream ? STREAM_GAP_MILLISECONDS : undefined,
       agent,
@@ -120,6 +159,8 @@
       history.record({ kind: EventKind.Stopped, instanceId: program.name, cutOff: 1 });
     }
     const isServed = check(requestId, kind, outcome);
+    const isSound = !sharedParts.some((part) => site.crashWatch.isCrashing(part));
+    if (isSound) site.crashWatch.onSoundEnd(program.name, kind, sentAt, outcome.status === 200);
     if (isServed) served += 1;
     return isServed;
   }
@@ -142,7 +183,10 @@
     call,
     async run(count, milliseconds) {
       const until = performance.now() + milliseconds;
-      await Promise.all(Array.from({ length: count }, () => callAlways(until)));
+      await Promise.all([
+        ...Array.from({ length: count }, () => callAlways(until)),
+        callWithCrashingParts(until),
+      ]);
     },
     tally: () => ({ served, sent }),
     close() {
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -41,6 +41,7 @@
   site.backoffWatch.excuse(program.name);
   site.departureWatch.excuse(program.name);
   site.abandonmentWatch.excuse(program.name);
+  site.crashWatch.excuse(program.name);
   program.signal(signal);
 }
 
@@ -153,6 +154,10 @@
         resumeSidecar();
       };
     }
+    case FaultKind.EndServer:
+      return site.endServer(pick(servers, target));
+    case FaultKind.CrashingPart:
+      return site.beginCrashingPart(target);
     case FaultKind.DrainServer: {
       const server = pick(site.plainServers, target);
       server.isDraining = true;
--- a/packages/soak/src/link.ts
+++ b/packages/soak/src/link.ts
@@ -16,6 +16,8 @@
   OneWay = 'oneWay',
   /** Connections are taken, and what comes on them lies unread: the server's process has stopped. */
   Held = 'held',
+  /** The server's process has ended: connections are closed, and new ones refused. */
+  Refusing = 'refusing',
 }
 
 export interface Link {
@@ -73,9 +75,23 @@
     pipe(caller, onward, false);
     pipe(onward, caller, true);
   });
+  let address = { host: '', port: 0 };
+
+  function stopListening(): void {
+    if (mode === LinkMode.Refusing) return;
+    const bound = server.address();
+    if (bound !== null && typeof bound !== 'string') {
+      address = { host: bound.address, port: bound.port };
+    }
+    server.close();
+    for (const socket of open) socket.destroy();
+  }
+
   return {
     server,
     setMode(next) {
+      if (next === LinkMode.Refusing) stopListening();
+      else if (mode === LinkMode.Refusing) server.listen(address);
       mode = next;
       if (next !== LinkMode.Held) {
         const released = held;
--- a/packages/soak/src/plan-faults.ts
+++ b/packages/soak/src/plan-faults.ts
@@ -33,6 +33,10 @@
   ShedLoad = 'shedLoad',
   /** The machine of a rank stands still: its backend server and the sidecar beside it. */
   StopMachine = 'stopMachine',
+  /** The process of a backend server ends, and another one starts at its address. */
+  EndServer = 'endServer',
+  /** Requests come with a prompt part that crashes each server that begins to answer them. */
+  CrashingPart = 'crashingPart',
 }
 
 export interface Fault {
@@ -70,6 +74,8 @@
   { kind: FaultKind.ShedLoad, gapMilliseconds: 6000, seed: 0xb0ff, lengthFactor: 2 },
   { kind: FaultKind.AnnounceLeaving, gapMilliseconds: 7000, seed: 0x1eaf, lengthFactor: 2 },
   { kind: FaultKind.StopMachine, gapMilliseconds: 7000, seed: 0x5709, lengthFactor: 1.5 },
+  { kind: FaultKind.EndServer, gapMilliseconds: 5000, seed: 0xe4d, lengthFactor: 1 },
+  { kind: FaultKind.CrashingPart, gapMilliseconds: 9000, seed: 0xbad, lengthFactor: 3 },
 ];
 
 function drawFaults(
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -5,13 +5,14 @@
 import { request } from 'node:http';
 import { fileURLToPath } from 'node:url';
 
-import { checkAll, createHistory } from '@lapisbridge/history';
+import { checkAll, createHistory, EventKind } from '@lapisbridge/history';
 import { createRandom, sleep } from '@lapisbridge/kernel';
 
 import { createCallers, Kind } from './callers.js';
 import type { Callers } from './callers.js';
 import { injectFault } from './inject-fault.js';
-import { planFaults } from './plan-faults.js';
+import { findBlamedParts } from './find-blamed-parts.js';
+import { FaultKind, planFaults } from './plan-faults.js';
 import type { Fault } from './plan-faults.js';
 import { startSite } from './site.js';
 import type { Site } from './site.js';
@@ -92,9 +93,12 @@
   await Promise.all(
     faults.map(async (fault) => {
       await sleep(fault.at);
+      const isOther = fault.kind !== FaultKind.CrashingPart;
+      if (isOther) site.crashWatch.onOtherFault();
       const lift = injectFault(site, fault);
       await sleep(fault.lasts);
       lift();
+      if (isOther) site.crashWatch.onOtherFaultLifted();
     }),
   );
 }
@@ -127,6 +131,11 @@
       playFaults(site, faults),
     ]);
     violations.push(...(await findUnserved(site, callers)));
+    site.crashWatch.conclude();
+    for (const { instanceId, part } of findBlamedParts(site)) {
+      if (site.crashWatch.isCrashing(part)) continue;
+      history.record({ kind: EventKind.SoundPartBlamed, instanceId, part });
+    }
     for (const { promise, detail } of checkAll(history.events)) {
       violations.push(`${promise}: ${detail}`);
     }
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -23,7 +23,9 @@
 
 import { createAbandonmentWatch } from './abandonment-watch.js';
 import type { AbandonmentWatch } from './abandonment-watch.js';
-import { createLink } from './link.js';
+import { createCrashWatch } from './crash-watch.js';
+import type { CrashWatch } from './crash-watch.js';
+import { createLink, LinkMode } from './link.js';
 import type { Link } from './link.js';
 import { createProgram } from './program.js';
 import type { Program } from './program.js';
@@ -41,10 +43,18 @@
   isDraining: boolean;
   /** Rises when another process takes its place. */
   startedAt: number;
+  /** Times that its process has ended and no other has started yet. */
+  endCount: number;
   /** Its machine stands still, and its heartbeats with it. */
   isStopped: boolean;
 }
 
+/** Requests that a crashing part can come with. */
+export enum CrashingKind {
+  Stream = 'stream',
+  LookUp = 'look-up',
+}
+
 export interface Site {
   /** Programs' logs and settings are here. */
   readonly folder: string;
@@ -58,6 +68,13 @@
   readonly backoffWatch: BackoffWatch;
   readonly departureWatch: DepartureWatch;
   readonly abandonmentWatch: AbandonmentWatch;
+  readonly crashWatch: CrashWatch;
+  /** Crashing part of the requests of each kind that come now; undefined for none. */
+  crashingPart(kind: CrashingKind): string | undefined;
+  /** Lets requests with a new crashing part come; returns what ends them. */
+  beginCrashingPart(target: number): () => void;
+  /** Ends the process of a server; returns what starts another one at its address. */
+  endServer(server: SiteServer): () => void;
   /** Notes which entry a request is sent to. */
   noteEntry(requestId: string, entry: string): void;
   callersAt(entry: number): { readonly host: string; readonly port: number };
@@ -83,6 +100,8 @@
 
 const SIZE = { sets: 2, experts: 16, placesPerRank: 8 };
 const HEARTBEAT_MILLISECONDS = 400;
+/** How long a crashed server is away. */
+const CRASH_MILLISECONDS = 1500;
 const CALLERS_PORT = 21_001;
 const READINESS_PORT = 21_002;
 const PEER_PORT = 21_003;
@@ -124,12 +143,36 @@
   const rateLimitWatch = createRateLimitWatch(history, () => performance.now());
   const backoffWatch = createBackoffWatch(history, () => performance.now());
   const departureWatch = createDepartureWatch(history, () => performance.now());
+  const crashWatch = createCrashWatch(history, () => performance.now());
+  const crashingParts = new Map<CrashingKind, string>();
+  let crashingPartCount = 0;
   const abandonmentWatch = createAbandonmentWatch(history, () => performance.now());
   const entryOf = new Map<string, string>();
   const sentAt = new Map<string, number>();
   await listen(store.server, addressOf(Net.Store, 0), STORE_PORT);
   servers.push(store.server);
 
+  function endServer(server: SiteServer): () => void {
+    server.endCount += 1;
+    server.link.setMode(LinkMode.Refusing);
+    const rank = ranks.indexOf(server);
+    if (rank >= 0) group.crash(rank);
+    return () => {
+      server.endCount -= 1;
+      if (server.endCount > 0) return;
+      server.startedAt += 1;
+      server.link.setMode(LinkMode.Passing);
+      if (rank >= 0) group.restart(rank);
+    };
+  }
+
+  function crashOn(server: SiteServer, part: string): void {
+    // Requests that begin together crash the server once.
+    if (server.endCount > 0) return;
+    crashWatch.onCrash(part);
+    setTimeout(endServer(server), CRASH_MILLISECONDS * (0.75 + 0.5 * random()));
+  }
+
   async function startServer(index: number, rank: number | undefined): Promise<SiteServer> {
     const instanceId = rank === undefined ? `plain-${index}` : `rank-${rank}`;
     const runner = createRunnerStandIn({
@@ -140,13 +183,18 @@
         const isOnce = requestId.startsWith('booking');
         if (isOnce) history.record({ kind: EventKind.Effect, callKey: requestId });
       },
-      onArrival(requestId) {
+      onArrival(requestId, sharedParts) {
+        crashWatch.onArrival(instanceId, entryOf.get(requestId) ?? '', sharedParts);
         const entry = entryOf.get(requestId) ?? '';
         rateLimitWatch.onArrival(instanceId, entry, runner.rateLimit);
         backoffWatch.onArrival(instanceId, entry);
         departureWatch.onArrival(instanceId, entry, sentAt.get(requestId) ?? 0);
         abandonmentWatch.onArrival(instanceId, entry, requestId);
       },
+      onCrash() {
+        const { crashingPart } = runner;
+        if (crashingPart !== undefined) crashOn(server, crashingPart);
+      },
       onRateLimitStated(requestId) {
         rateLimitWatch.onStated(instanceId, entryOf.get(requestId) ?? '');
       },
@@ -162,7 +210,16 @@
     await listen(runner.server, host, SERVER_PORT);
     await listen(link.server, host, LINK_PORT);
     servers.push(runner.server, link.server);
-    return { instanceId, runner, link, isDraining: false, startedAt: 1, isStopped: false };
+    const server: SiteServer = {
+      instanceId,
+      runner,
+      link,
+      isDraining: false,
+      startedAt: 1,
+      endCount: 0,
+      isStopped: false,
+    };
+    return server;
   }
 
   const ranks: SiteServer[] = [];
@@ -177,7 +234,8 @@
     sequence += 1;
     for (const [index, server] of [...ranks, ...plainServers].entries()) {
       const isRank = index < ranks.length;
-      if (server.isStopped || (isRank && group.ranks[index]?.isAlive === false)) continue;
+      if (server.isStopped || server.endCount > 0) continue;
+      if (isRank && group.ranks[index]?.isAlive === false) continue;
       const row = {
         service: isRank ? MODEL_SERVICE : PLAIN_SERVICE,
         address: `${addressOf(Net.Servers, index)}:${LINK_PORT}`,
@@ -270,6 +328,23 @@
     backoffWatch,
     departureWatch,
     abandonmentWatch,
+    crashWatch,
+    crashingPart: (kind) => crashingParts.get(kind),
+    beginCrashingPart(target) {
+      crashingPartCount += 1;
+      const part = `bad${crashingPartCount}`;
+      const isStream = target % 2 === 0;
+      const kind = isStream ? CrashingKind.Stream : CrashingKind.LookUp;
+      const struck = isStream ? ranks : plainServers;
+      crashingParts.set(kind, part);
+      crashWatch.onBegin(part, kind);
+      for (const { runner } of struck) runner.crashingPart = part;
+      return () => {
+        if (crashingParts.get(kind) === part) crashingParts.delete(kind);
+        crashWatch.onFinish(part);
+      };
+    },
+    endServer,
     noteEntry(requestId, entry) {
       entryOf.set(requestId, entry);
       sentAt.set(requestId, performance.now());
