Refuse requests with a prompt part that has crashed servers, whatever way they would be sent

Callers saw every stream fail for seconds, again and again: each request with the part ended one server or, repeated, two, and its lock-step group with it. The entry now records which requests were lost unanswered with a server that ended and which were answered, and the pure decision blames the part that remains. First attempts, repeats, hedges, resumed and moved streams ask before each send; attempts at a server without progress are taken back, streams that wait for their group are woken. Refused at once: 503 where nothing ran, else 502. Each entry still knows only its own crashes.

--- a/packages/crash-attribution/src/crash-ledger.ts
+++ b/packages/crash-attribution/src/crash-ledger.ts
@@ -29,6 +29,8 @@
   statements(scope: StatementScope): CrashStatements;
   /** The first of the parts that is quarantined; undefined if none is. */
   findQuarantined(sharedParts: readonly string[]): string | undefined;
+  /** Resolves when the next part is quarantined. */
+  nextQuarantine(): Promise<void>;
   /** Ends the quarantine of a part, and forgets the crashes that led to it. */
   release(part: string): void;
   /** Quarantined parts, oldest first. */
@@ -82,10 +84,23 @@
   const quarantinedAt = new Map<string, number>();
   const releasedAt = new Map<string, number>();
   let evaluateAt = Infinity;
+  let resolveQuarantine: () => void = () => undefined;
+  let pendingQuarantine = nextPromise();
 
   /** Whether there is something that others may not know. */
   let hasNews = false;
 
+  function nextPromise(): Promise<void> {
+    return new Promise((resolve) => {
+      resolveQuarantine = resolve;
+    });
+  }
+
+  function announceQuarantine(): void {
+    resolveQuarantine();
+    pendingQuarantine = nextPromise();
+  }
+
   function clearanceOf(part: string): number | undefined {
     const own = answered.answeredAt(part);
     const known = clearedAt.get(part);
@@ -129,6 +144,7 @@
     hasNews = true;
     logger.warn('prompt part quarantined', { part, ...facts });
     options.onQuarantine(part);
+    announceQuarantine();
   }
 
   function removeExpired(): void {
@@ -273,6 +289,7 @@
       release(part, now(), 'operator');
       settle();
     },
+    nextQuarantine: () => pendingQuarantine,
     quarantinedParts: () => [...quarantinedAt.keys()],
   };
 }
--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -5,6 +5,7 @@
 import { createServer } from 'node:http';
 
 import { createCatalog } from '@lapisbridge/catalog';
+import { createCrashLedger } from '@lapisbridge/crash-attribution';
 import {
   createArrivalMeter,
   createCallerListener,
@@ -20,6 +21,7 @@
   createServerRateLimits,
   createServerStatements,
   probeConnection,
+  processKeyOf,
 } from '@lapisbridge/forwarding';
 import type { ForwardContext, SendingEntries, ActiveStatement } from '@lapisbridge/forwarding';
 import type { Address } from '@lapisbridge/json-call';
@@ -96,11 +98,18 @@
   });
   const backoffs = createServerBackoffs(monotonicClock, logger);
   const departures = createServerDepartures(monotonicClock, logger);
+  const crashLedger = createCrashLedger({
+    logger,
+    onChange: () => fleet.expediteDigests(),
+    onQuarantine: (part) => serverEnds.cancelWith(part),
+    now: monotonicClock,
+  });
   const serverEnds = createServerEndDetector({
     logger,
     probe: probeConnection,
-    onServerEnd: () => undefined,
-    onProgress: () => undefined,
+    onServerEnd: ({ server, endedAt, suspects }) =>
+      crashLedger.recordCrash({ server: processKeyOf(server), endedAt, suspects }),
+    onProgress: (sharedParts) => crashLedger.recordAnswered(sharedParts),
     now: monotonicClock,
   });
   const statements = createServerStatements({ rateLimits, backoffs, departures });
@@ -171,6 +180,12 @@
     () => serverEnds.endedServers(),
   );
 
+  metrics.gauge(
+    'lapisbridge_quarantined_prompt_parts',
+    'Prompt parts whose requests are refused because they crash backend servers.',
+    () => crashLedger.quarantinedParts().length,
+  );
+
   metrics.serverGauge(
     'lapisbridge_server_backoff_seconds',
     'Time since a backend server that backs off asked for it.',
@@ -205,6 +220,7 @@
     coldShare,
     statements,
     serverEnds,
+    crashLedger,
     arrivals: createArrivalMeter(monotonicClock),
     entries,
     pulse,
--- a/packages/forwarding/src/caller-fixture.ts
+++ b/packages/forwarding/src/caller-fixture.ts
@@ -12,10 +12,14 @@
 }
 
 /** Sends one request to the entry at the port. Rejects when the connection fails. */
-export function sendRequest(port: number, requestId: string): Promise<ReceivedResponse> {
+export function sendRequest(
+  port: number,
+  requestId: string,
+  promptParts: readonly string[] = [],
+): Promise<ReceivedResponse> {
   const sentAt = performance.now();
   return new Promise((resolve, reject) => {
-    const headers = { 'request-id': requestId };
+    const headers = { 'request-id': requestId, 'prompt-parts': promptParts.join(',') };
     const outgoing = request({ host: '127.0.0.1', port, method: 'POST', headers }, (incoming) => {
       incoming.resume();
       incoming.on('end', () =>
--- /dev/null
+++ b/packages/forwarding/src/describe-end.ts
@@ -0,0 +1,19 @@
+/**
+ * Describes for the log why a request ends without an answer.
+ */
+import { findQuarantinedPart } from './forward-context.js';
+import type { AcceptedRequest, ForwardContext, RequestProgress } from './forward-context.js';
+import { describeOutcome } from './outcome.js';
+import type { RefusalCause } from './plan-retry-after.js';
+
+export function describeEnd(
+  context: ForwardContext,
+  accepted: AcceptedRequest,
+  { outcomes }: RequestProgress,
+  cause: RefusalCause,
+): string {
+  const reasons = outcomes.map(describeOutcome);
+  const part = findQuarantinedPart(context, accepted);
+  if (part !== undefined) reasons.push(`prompt part ${part} is quarantined`);
+  return reasons.join('; ') || cause;
+}
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -1,6 +1,7 @@
 /**
  * Services that forwarding uses, and the state of one request.
  */
+import type { CrashLedger } from '@lapisbridge/crash-attribution';
 import type { Catalog, ClientAccount, Configuration, Route } from '@lapisbridge/catalog';
 import type { Logger } from '@lapisbridge/logger';
 import type { Metrics } from '@lapisbridge/metrics';
@@ -27,6 +28,7 @@
   readonly coldShare: ColdStartShare;
   readonly statements: ServerStatements;
   readonly serverEnds: ServerEndDetector;
+  readonly crashLedger: Pick<CrashLedger, 'findQuarantined' | 'nextQuarantine'>;
   readonly pulse: EventActivity;
   readonly groupHealth: GroupHealth;
   readonly logger: Logger;
@@ -76,6 +78,14 @@
   return { tried: new Set(), outcomes: [], runs: 0, sends: 0 };
 }
 
+/** Prompt part because of which the request may reach no server; undefined for any other. */
+export function findQuarantinedPart(
+  context: ForwardContext,
+  { sharedParts }: AcceptedRequest,
+): string | undefined {
+  return sharedParts.length === 0 ? undefined : context.crashLedger.findQuarantined(sharedParts);
+}
+
 export function computeRemainingMilliseconds(
   context: ForwardContext,
   accepted: AcceptedRequest,
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -9,6 +9,8 @@
 import { createCatalog, RequestKind } from '@lapisbridge/catalog';
 import type { BackendServer, Catalog, Configuration, GroupRank, Route } from '@lapisbridge/catalog';
 import { createSilentLogger } from '@lapisbridge/logger';
+import { createCrashLedger } from '@lapisbridge/crash-attribution';
+import type { CrashLedger } from '@lapisbridge/crash-attribution';
 import type { Logger } from '@lapisbridge/logger';
 import { createMetrics } from '@lapisbridge/metrics';
 
@@ -25,7 +27,7 @@
 import type { SendingEntries } from './sender-rank.js';
 import { createServerBackoffs } from './server-backoffs.js';
 import { createServerDepartures } from './server-departures.js';
-import { createServerEndDetector } from './server-end-detector.js';
+import { createServerEndDetector, processKeyOf } from './server-end-detector.js';
 import { createServerLoadTracker } from './server-load-tracker.js';
 import { createServerLiveness } from './server-liveness.js';
 import type { ServerLiveness } from './server-liveness.js';
@@ -47,9 +49,12 @@
   readonly catalog: Catalog;
   readonly isStuck: { value: boolean };
   readonly groupHealth: GroupHealth;
+  readonly crashLedger: CrashLedger;
   readonly liveness: ServerLiveness;
   /** Records the decisions about each request. */
   readonly logger: Logger;
+  /** Ends the process of a backend server: it closes its connections and refuses new ones. */
+  end(instanceId: string): void;
   close(): Promise<void>;
 }
 
@@ -141,6 +146,7 @@
 export async function startFixture(options: FixtureOptions): Promise<Fixture> {
   const arrivals: ReceivedRequest[] = [];
   const running: Server[] = [];
+  const serversById = new Map<string, Server>();
   const sockets = new Set<Socket>();
   const servers = new Map<string, BackendServer>();
   for (const [instanceId, handler] of Object.entries(options.servers)) {
@@ -157,6 +163,7 @@
       server.on('connection', (socket) => sockets.add(socket));
       port = await listen(server);
       running.push(server);
+      serversById.set(instanceId, server);
     }
     servers.set(instanceId, {
       instanceId,
@@ -188,6 +195,20 @@
   const groupHealth = createGroupHealth(now, logger);
   const liveness = createServerLiveness(now, logger);
   liveness.keepOnly(servers);
+  const crashLedger = createCrashLedger({
+    logger,
+    onChange: () => undefined,
+    onQuarantine: (part) => serverEnds.cancelWith(part),
+    now,
+  });
+  const serverEnds = createServerEndDetector({
+    logger,
+    probe: probeConnection,
+    onServerEnd: ({ server, endedAt, suspects }) =>
+      crashLedger.recordCrash({ server: processKeyOf(server), endedAt, suspects }),
+    onProgress: (sharedParts) => crashLedger.recordAnswered(sharedParts),
+    now,
+  });
   const context: ForwardContext = {
     protocol: fixtureProtocol,
     catalog,
@@ -209,13 +230,8 @@
       backoffs: createServerBackoffs(now, logger),
       departures: createServerDepartures(now, logger),
     }),
-    serverEnds: createServerEndDetector({
-      logger,
-      probe: probeConnection,
-      onServerEnd: () => undefined,
-      onProgress: () => undefined,
-      now,
-    }),
+    serverEnds,
+    crashLedger,
     arrivals: createArrivalMeter(now),
     entries: () => 1,
     pulse: { ...createEventActivity(now), isStalled: () => isStuck.value },
@@ -242,8 +258,14 @@
     catalog,
     isStuck,
     groupHealth,
+    crashLedger,
     liveness,
     logger,
+    end(instanceId) {
+      const ended = serversById.get(instanceId);
+      ended?.close();
+      ended?.closeAllConnections();
+    },
     async close() {
       for (const socket of sockets) socket.destroy();
       for (const server of running) server.close();
--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -80,7 +80,9 @@
   const { ledger, liveness, protocol } = context;
   const { request, requestId } = accepted;
   const startedAt = context.now();
-  const watched = context.serverEnds.watch(server, accepted.sharedParts);
+  const watched = context.serverEnds.watch(server, accepted.sharedParts, (reason) =>
+    exchange?.cancel(reason),
+  );
   let head: ResponseHead | undefined;
   const chunks: Buffer[] = [];
   let responseBytes = 0;
--- a/packages/forwarding/src/plan-retry-after.ts
+++ b/packages/forwarding/src/plan-retry-after.ts
@@ -18,6 +18,8 @@
   GroupBroken = 'groupBroken',
   /** Sending the request again would exceed the retry budget. */
   BudgetSpent = 'budgetSpent',
+  /** A part of its prompt crashes the servers that answer it. */
+  Quarantined = 'quarantined',
   /** The request expired before it could be sent. */
   Expired = 'expired',
 }
@@ -38,6 +40,7 @@
     case RefusalCause.NoServer:
     case RefusalCause.BackingOff:
     case RefusalCause.GroupBroken:
+    case RefusalCause.Quarantined:
     case RefusalCause.Expired:
       return cause;
     default: {
@@ -62,6 +65,8 @@
   // Used until recorded outages give a better estimate.
   [RefusalCause.GroupBroken]: 2900,
   [RefusalCause.BudgetSpent]: 1200,
+  // Longer than any caller waits.
+  [RefusalCause.Quarantined]: 600_000,
   [RefusalCause.Expired]: 0,
 };
 
--- a/packages/forwarding/src/serve-plain.ts
+++ b/packages/forwarding/src/serve-plain.ts
@@ -8,11 +8,16 @@
 import type { ServerChoice } from '@lapisbridge/routing';
 
 import { chooseServer } from './choose-server.js';
-import { computeRemainingMilliseconds, createProgress } from './forward-context.js';
+import {
+  computeRemainingMilliseconds,
+  createProgress,
+  findQuarantinedPart,
+} from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
 import { lateThresholdMilliseconds } from './late-answer.js';
 import { logRequestEnd, RequestEndKind } from './request-end.js';
-import { describeOutcome, OutcomeKind, proveNotRun } from './outcome.js';
+import { describeEnd } from './describe-end.js';
+import { OutcomeKind, proveNotRun } from './outcome.js';
 import type { Answered, Outcome } from './outcome.js';
 import { failRequest, refuseRequest } from './local-reply.js';
 import { startPlainAttempt } from './plain-attempt.js';
@@ -135,6 +140,9 @@
 
   /** Starts one more attempt, or returns why none can be started. */
   function startNextAttempt(): StartResult {
+    if (findQuarantinedPart(context, accepted) !== undefined) {
+      return cannotStart(RefusalCause.Quarantined);
+    }
     if (progress.sends >= MAXIMUM_SENDS) return cannotStart(RefusalCause.Full);
     if (computeRemainingMilliseconds(context, accepted) < MINIMUM_ATTEMPT_MILLISECONDS) {
       return cannotStart(RefusalCause.Expired);
@@ -197,7 +205,7 @@
       sendToCaller(errorResponse, lastAttempt);
       return;
     }
-    const reason = progress.outcomes.map(describeOutcome).join('; ') || cause;
+    const reason = describeEnd(context, accepted, progress, cause);
     const proof = proveNotRun(progress.outcomes, reason);
     if (proof === undefined) failRequest(context, accepted, reason, isExpired);
     else refuseRequest(context, accepted, cause, proof, expectedWaitMilliseconds);
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -7,10 +7,15 @@
 import type { ServerView } from '@lapisbridge/routing';
 
 import { chooseServer } from './choose-server.js';
-import { computeRemainingMilliseconds, createProgress } from './forward-context.js';
+import {
+  computeRemainingMilliseconds,
+  createProgress,
+  findQuarantinedPart,
+} from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
 import { logRequestEnd, RequestEndKind } from './request-end.js';
-import { describeOutcome, OutcomeKind, proveNotRun } from './outcome.js';
+import { describeEnd } from './describe-end.js';
+import { OutcomeKind, proveNotRun } from './outcome.js';
 import type { Outcome } from './outcome.js';
 import { failRequest, refuseRequest } from './local-reply.js';
 import { canAdmitStream } from './plan-queue-admission.js';
@@ -120,6 +125,9 @@
   /** Starts one more attempt, or returns why none can be started. */
   function startNextAttempt(): StartResult {
     if (state.timeout !== undefined) return { kind: StartKind.None, cause: state.timeout };
+    if (findQuarantinedPart(context, accepted) !== undefined) {
+      return { kind: StartKind.None, cause: RefusalCause.Quarantined };
+    }
     if (progress.sends - state.groupRefusals >= MAXIMUM_SENDS) {
       return { kind: StartKind.None, cause: RefusalCause.Full };
     }
@@ -194,7 +202,7 @@
 
   /** Ends the stream with a refusal or a failure. `delay` is what prevented the last send. */
   function conclude(cause: RefusalCause, delay?: StreamDelay): void {
-    const reason = progress.outcomes.map(describeOutcome).join('; ') || cause;
+    const reason = describeEnd(context, accepted, progress, cause);
     const proof = response.hasBegun ? undefined : proveNotRun(progress.outcomes, reason);
     if (proof === undefined) {
       failRequest(context, accepted, reason, state.timeout !== undefined);
--- a/packages/forwarding/src/server-end-detector.test.ts
+++ b/packages/forwarding/src/server-end-detector.test.ts
@@ -5,10 +5,14 @@
 import { serverWith } from './backend-server-fixture.js';
 import { ProbeResult } from './connection-probe.js';
 import { createServerEndDetector } from './server-end-detector.js';
-import type { ServerEnd, ServerEndDetector } from './server-end-detector.js';
+import type { ServerEnd, ServerEndDetector, WatchedAttempt } from './server-end-detector.js';
 
 const PROBE_MILLISECONDS = 40;
 
+function ignoreCancel(): void {
+  // These attempts end by themselves.
+}
+
 describe('the end of a backend server', () => {
   let ends: ServerEnd[] = [];
   const server = serverWith();
@@ -26,10 +30,10 @@
 
   it('is reported with the shared parts of lost requests without progress', async () => {
     const watched = detector(ProbeResult.Refused);
-    const started = watched.watch(server, ['a', 'b']);
+    const started = watched.watch(server, ['a', 'b'], ignoreCancel);
     started.onProgress();
-    const waiting = watched.watch(server, ['a', 'c']);
-    const cancelled = watched.watch(server, ['d']);
+    const waiting = watched.watch(server, ['a', 'c'], ignoreCancel);
+    const cancelled = watched.watch(server, ['d'], ignoreCancel);
     for (const lost of [started, waiting]) lost.onEnd(true);
     cancelled.onEnd(false);
     await sleep(PROBE_MILLISECONDS);
@@ -40,9 +44,9 @@
 
   it('is reported again when more requests are found to be lost with it', async () => {
     const watched = detector(ProbeResult.Refused);
-    watched.watch(server, ['a']).onEnd(true);
+    watched.watch(server, ['a'], ignoreCancel).onEnd(true);
     await sleep(PROBE_MILLISECONDS);
-    watched.watch(server, ['b']).onEnd(true);
+    watched.watch(server, ['b'], ignoreCancel).onEnd(true);
     expect(ends.map(({ suspects }) => suspects)).toEqual([['a'], ['a', 'b']]);
     expect(watched.endedServers()).toBe(1);
   });
@@ -52,7 +56,7 @@
     async (result) => {
       // Guards against blaming requests for cut links and lost answers.
       const watched = detector(result);
-      watched.watch(server, ['a']).onEnd(true);
+      watched.watch(server, ['a'], ignoreCancel).onEnd(true);
       await sleep(PROBE_MILLISECONDS);
       watched.keepOnly(new Map());
       expect(ends).toEqual([]);
@@ -61,7 +65,7 @@
 
   it('is inferred from another process at its address', async () => {
     const watched = detector(ProbeResult.Inconclusive);
-    watched.watch(server, ['a']).onEnd(true);
+    watched.watch(server, ['a'], ignoreCancel).onEnd(true);
     await sleep(PROBE_MILLISECONDS);
     watched.keepOnly(new Map([['server', serverWith({ startedAt: 2 })]]));
     expect(ends).toHaveLength(1);
@@ -70,8 +74,21 @@
   it('is not reported for a server that drains', async () => {
     const watched = detector(ProbeResult.Refused);
     watched.keepOnly(new Map([['server', serverWith({ draining: true })]]));
-    watched.watch(server, ['a']).onEnd(true);
+    watched.watch(server, ['a'], ignoreCancel).onEnd(true);
     await sleep(PROBE_MILLISECONDS);
     expect(ends).toEqual([]);
   });
+
+  it('is prevented by cancelling the attempts with a quarantined part that show no progress', () => {
+    const watched = detector(ProbeResult.Accepted);
+    const cancelled: string[] = [];
+    const watch = (id: string, ...parts: string[]): WatchedAttempt =>
+      watched.watch(server, parts, () => cancelled.push(id));
+    watch('pending', 'a', 'bad');
+    watch('other', 'a');
+    watch('answered', 'bad').onProgress();
+    watch('ended', 'bad').onEnd(false);
+    watched.cancelWith('bad');
+    expect(cancelled).toEqual(['pending']);
+  });
 });
--- a/packages/forwarding/src/server-end-detector.ts
+++ b/packages/forwarding/src/server-end-detector.ts
@@ -29,7 +29,14 @@
 }
 
 export interface ServerEndDetector {
-  watch(server: BackendServer, sharedParts: readonly string[]): WatchedAttempt;
+  /** `cancel` is called if a shared part is quarantined before the attempt makes progress. */
+  watch(
+    server: BackendServer,
+    sharedParts: readonly string[],
+    cancel: (reason: string) => void,
+  ): WatchedAttempt;
+  /** Cancels the attempts with this shared part, except those that servers go on answering. */
+  cancelWith(part: string): void;
   /** Checks the servers that lost connections against the newest list. */
   keepOnly(servers: ReadonlyMap<string, BackendServer>): void;
   /** Unplanned ends of servers that had requests of this entry, since the process started. */
@@ -46,6 +53,11 @@
   now(): number;
 }
 
+interface PendingAttempt {
+  readonly sharedParts: readonly string[];
+  readonly cancel: (reason: string) => void;
+}
+
 interface LossRecord {
   readonly server: BackendServer;
   readonly firstLossAt: number;
@@ -73,6 +85,7 @@
 export function createServerEndDetector(options: ServerEndDetectorOptions): ServerEndDetector {
   const { logger, now } = options;
   const losses = new Map<string, LossRecord>();
+  const pending = new Set<PendingAttempt>();
   let listedServers: ReadonlyMap<string, BackendServer> = new Map();
   let endedServers = 0;
 
@@ -141,19 +154,28 @@
   }
 
   return {
-    watch(server, sharedParts) {
+    watch(server, sharedParts, cancel) {
       let hasProgress = false;
+      const attempt = { sharedParts, cancel };
+      if (sharedParts.length > 0) pending.add(attempt);
       return {
         onProgress() {
           if (hasProgress) return;
           hasProgress = true;
+          pending.delete(attempt);
           options.onProgress(sharedParts);
         },
         onEnd(isConnectionLost) {
+          pending.delete(attempt);
           if (isConnectionLost) recordLoss(server, hasProgress ? [] : sharedParts);
         },
       };
     },
+    cancelWith(part) {
+      for (const { sharedParts, cancel } of [...pending]) {
+        if (sharedParts.includes(part)) cancel(`prompt part ${part} is quarantined`);
+      }
+    },
     keepOnly(servers) {
       listedServers = servers;
       const processAt = new Map<string, string>();
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -82,7 +82,9 @@
   const { request, requestId } = accepted;
   const { promptTokens } = request;
   const startedAt = context.now();
-  const watched = context.serverEnds.watch(server, accepted.sharedParts);
+  const watched = context.serverEnds.watch(server, accepted.sharedParts, (reason) =>
+    exchange?.cancel(reason),
+  );
   const splitter = createEventSplitter();
   const errorBody: Buffer[] = [];
   let errorBodyBytes = 0;
--- a/packages/forwarding/src/stream-delay.ts
+++ b/packages/forwarding/src/stream-delay.ts
@@ -168,7 +168,11 @@
   });
   if (wait === 0) return false;
   if (kind === DelayKind.GroupBroken) {
-    await Promise.race([context.groupHealth.nextChange(), sleep(wait)]);
+    await Promise.race([
+      context.groupHealth.nextChange(),
+      context.crashLedger.nextQuarantine(),
+      sleep(wait),
+    ]);
   } else await sleep(wait);
   return true;
 }
--- a/packages/log-story/src/name-cause.ts
+++ b/packages/log-story/src/name-cause.ts
@@ -15,6 +15,7 @@
   crowded: 'every slot was taken',
   backingOff: 'every backend server that could be tried had asked to be sent nothing for a while',
   groupBroken: 'the lock-step group of its backend servers stood still',
+  quarantined: 'a part of its prompt crashes the servers that answer it',
   budgetSpent: 'one more attempt would have exceeded the retry budget',
   expired: 'its time was up before it could be sent',
   400: 'it was not a proper request',
