Share crashes, clearances and quarantined prompt parts with all entries and the store

Callers saw servers end under one prompt part long after five had, since each entry knew only its own crashes: five entries may see one each. Digests now carry crashes, cleared suspects, quarantined and released parts, relayed like rate limits and empty while nothing is known.

--- a/packages/catalog/src/store.ts
+++ b/packages/catalog/src/store.ts
@@ -46,10 +46,11 @@
   Unknown = 'unknown',
 }
 
-/** A row to write, with an optional precondition. */
+/** A row to write or remove, with an optional precondition. */
 export interface RowWrite {
   readonly key: string;
-  readonly value: Buffer;
+  /** Undefined removes the row. */
+  readonly value: Buffer | undefined;
   /** Revision that the row must have: 0 if it must not exist, undefined for any. */
   readonly expectedRevision: number | undefined;
 }
@@ -67,6 +68,6 @@
   list(table: string, part: string): Promise<StoreAnswer>;
   /** Changes of a table after a revision; the store holds the call until there are any. */
   feed(table: string, since: number, longPollMilliseconds: number): Promise<Feed>;
-  /** Writes rows in one transaction. */
+  /** Writes and removes rows in one transaction. */
   write(table: string, part: string, writes: readonly RowWrite[]): Promise<TransactionResult>;
 }
--- a/packages/crash-attribution/src/crash-statements.ts
+++ b/packages/crash-attribution/src/crash-statements.ts
@@ -41,9 +41,13 @@
   );
 }
 
-function encodeParts(statements: readonly PartStatement[]): unknown[] | undefined {
-  if (statements.length === 0) return undefined;
-  return statements.map(({ part, ageMilliseconds }) => [part, Math.round(ageMilliseconds)]);
+function encodeParts(name: string, statements: readonly PartStatement[]): JsonObject {
+  if (statements.length === 0) return {};
+  const encoded = statements.map(({ part, ageMilliseconds }) => [
+    part,
+    Math.round(ageMilliseconds),
+  ]);
+  return { [name]: encoded };
 }
 
 function decodeParts(body: JsonObject, name: string): PartStatement[] {
@@ -65,10 +69,10 @@
     suspects,
   }));
   return {
-    crashes: crashes.length === 0 ? undefined : crashes,
-    cleared: encodeParts(statements.cleared),
-    quarantined: encodeParts(statements.quarantined),
-    released: encodeParts(statements.released),
+    ...(crashes.length === 0 ? {} : { crashes }),
+    ...encodeParts('cleared', statements.cleared),
+    ...encodeParts('quarantined', statements.quarantined),
+    ...encodeParts('released', statements.released),
   };
 }
 
--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -35,6 +35,7 @@
 import { createCatalogSync } from './catalog-sync.js';
 import type { CatalogSync } from './catalog-sync.js';
 import { estimateEntryCount } from './plan-entries.js';
+import { createQuarantineSync } from './quarantine-sync.js';
 import { startFleet } from './start-fleet.js';
 
 /** Timeout of a call to the store, in addition to the time for which the store may hold it. */
@@ -100,7 +101,10 @@
   const departures = createServerDepartures(monotonicClock, logger);
   const crashLedger = createCrashLedger({
     logger,
-    onChange: () => fleet.expediteDigests(),
+    onChange() {
+      fleet.expediteDigests();
+      quarantineSync.onLedgerChange();
+    },
     onQuarantine: (part) => serverEnds.cancelWith(part),
     now: monotonicClock,
   });
@@ -120,18 +124,28 @@
     liveness,
     groupHealth,
     rateLimits,
+    crashLedger,
     logger,
     metrics,
     random,
     fleetSize: estimateEntries,
     catalogSync: () => catalogSync,
   });
+  const store = adapters.createStore({
+    ...settings.storeAddress,
+    timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
+  });
+  const quarantineSync = createQuarantineSync({
+    ledger: crashLedger,
+    store,
+    logger,
+    random,
+    now: monotonicClock,
+    isDelegate: () => fleet.isDelegate(),
+  });
   const catalogSync: CatalogSync = createCatalogSync({
     catalog,
-    store: adapters.createStore({
-      ...settings.storeAddress,
-      timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS,
-    }),
+    store,
     tables: adapters.tables,
     logger,
     random,
@@ -256,6 +270,7 @@
       respondWithCopy: catalogSync.respondWithCopy,
     });
     catalogSync.start();
+    quarantineSync.start();
     await listener?.start();
   } catch (thrown) {
     await endUnstarted(life, thrown);
--- a/packages/direct-entry/src/start-fleet.ts
+++ b/packages/direct-entry/src/start-fleet.ts
@@ -3,6 +3,12 @@
  * UDP socket.
  */
 import type { Catalog } from '@lapisbridge/catalog';
+import {
+  decodeCrashStatements,
+  encodeCrashStatements,
+  StatementScope,
+} from '@lapisbridge/crash-attribution';
+import type { CrashLedger } from '@lapisbridge/crash-attribution';
 import { createDatagramLink, createEntryFleet, InstanceRole } from '@lapisbridge/fleet';
 import type { EntryFleet, RankLoad, SidecarAddress } from '@lapisbridge/fleet';
 import type {
@@ -28,6 +34,7 @@
   readonly liveness: ServerLiveness;
   readonly groupHealth: GroupHealth;
   readonly rateLimits: ServerRateLimits;
+  readonly crashLedger: CrashLedger;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly random: Random;
@@ -72,7 +79,8 @@
 
 /** Creates the fleet membership of this entry and its metrics. */
 export function startFleet(options: StartFleetOptions): StartedFleet {
-  const { catalog, ledger, liveness, groupHealth, rateLimits, logger, random, metrics } = options;
+  const { catalog, ledger, liveness, groupHealth, rateLimits, crashLedger } = options;
+  const { logger, random, metrics } = options;
   const { instanceId, host, availabilityZone, peerPort } = options.settings();
   const self = { instanceId, host, role: InstanceRole.Entry, availabilityZone };
   /** Instance ids of the backend servers of each rank, by `rankKey`. */
@@ -129,6 +137,9 @@
     onFreshness: (from, freshness) => options.catalogSync().onPeerFreshness(from, freshness),
     rateLimits: () => rateLimits.statements(),
     onRateLimits: (statements) => rateLimits.onPeerStatements(statements),
+    crashes: () => encodeCrashStatements(crashLedger.statements(StatementScope.Recent)),
+    onCrashes: (from, crashes) =>
+      crashLedger.merge(decodeCrashStatements(crashes), from.instanceId),
     onLoads: applyLoads,
     send: (to, message) => link.send(to, message),
     requestTick: scheduleTick,
--- a/packages/fleet/src/entry-fleet.ts
+++ b/packages/fleet/src/entry-fleet.ts
@@ -43,6 +43,9 @@
   /** What this entry knows of backend servers' rate limits. */
   rateLimits(): readonly RelayedRateLimit[];
   onRateLimits(limits: readonly RelayedRateLimit[]): void;
+  /** What this entry knows of crashed servers. */
+  crashes(): JsonObject;
+  onCrashes(from: InstanceName, crashes: JsonObject): void;
   /** Called with loads newer than those passed before. */
   onLoads(loads: readonly RankLoad[]): void;
   send(host: string, message: FleetMessage): void;
@@ -179,6 +182,7 @@
       leaders: leaders.all(),
       freshness: options.freshness(),
       rateLimits: options.rateLimits(),
+      crashes: options.crashes(),
     });
   }
 
@@ -367,6 +371,7 @@
     for (const { group, host, fence } of digest.leaders) handleLeader(group, host, fence);
     options.onFreshness(from, digest.freshness);
     options.onRateLimits(digest.rateLimits);
+    options.onCrashes(from, digest.crashes);
   }
 
   function handleHello(
--- a/packages/fleet/src/message.test.ts
+++ b/packages/fleet/src/message.test.ts
@@ -42,6 +42,7 @@
       { instanceId: 'limited', requestsPerSecond: 0.5, ageMilliseconds: 20 },
       { instanceId: 'lifted', requestsPerSecond: undefined, ageMilliseconds: 300 },
     ],
+    crashes: { quarantined: [['ab', 5]] },
   },
   {
     kind: MessageKind.Announcement,
--- a/packages/fleet/src/message.ts
+++ b/packages/fleet/src/message.ts
@@ -117,6 +117,8 @@
       /** Freshness of the sender's copies of the store's tables; read by the entry program. */
       readonly freshness: JsonObject;
       readonly rateLimits: readonly RelayedRateLimit[];
+      /** What the sender knows of crashed servers; read by the entry program. */
+      readonly crashes: JsonObject;
     }
   | {
       readonly kind: MessageKind.Announcement;
@@ -249,6 +251,7 @@
     leaders: decodeLeaders(body),
     freshness: isObject(body.freshness) ? body.freshness : {},
     rateLimits: decodeRateLimits(body),
+    crashes: isObject(body.crashes) ? body.crashes : {},
   };
 }
 
@@ -392,7 +395,12 @@
   }
   if (message.kind === MessageKind.Digest) {
     const rateLimits = message.rateLimits.map(encodeRateLimit);
-    return { ...message, rateLimits: rateLimits.length > 0 ? rateLimits : undefined };
+    const { crashes } = message;
+    return {
+      ...message,
+      rateLimits: rateLimits.length > 0 ? rateLimits : undefined,
+      crashes: Object.keys(crashes).length > 0 ? crashes : undefined,
+    };
   }
   if (message.kind === MessageKind.ZoneSummary) {
     const ranks: unknown[] = [];
--- a/packages/fleet/src/simulated-fleet.ts
+++ b/packages/fleet/src/simulated-fleet.ts
@@ -30,6 +30,9 @@
   /** Freshness of an entry's copies of the store's tables. */
   freshness?(entry: InstanceName): JsonObject;
   onFreshness?(entry: InstanceName, from: InstanceName, freshness: JsonObject): void;
+  /** What an entry knows of crashed servers. */
+  crashes?(entry: InstanceName): JsonObject;
+  onCrashes?(entry: InstanceName, from: InstanceName, crashes: JsonObject): void;
 }
 
 export interface SimulatedEntry {
@@ -230,6 +233,8 @@
           ageMilliseconds: timeline.now() - at,
         })),
       onRateLimits: handleRateLimits,
+      crashes: () => options.crashes?.(name) ?? {},
+      onCrashes: (from, crashes) => options.onCrashes?.(name, from, crashes),
       onFreshness(from, relayed) {
         freshness.push({ from: from.instanceId, at: timeline.now() });
         options.onFreshness?.(name, from, relayed);
--- a/packages/group-sidecar/src/simulated-group.ts
+++ b/packages/group-sidecar/src/simulated-group.ts
@@ -258,6 +258,8 @@
       onFreshness: () => undefined,
       rateLimits: () => [],
       onRateLimits: () => undefined,
+      crashes: () => ({}),
+      onCrashes: () => undefined,
       onLoads: () => undefined,
       send: (host, message) => send(self, host, message),
       requestTick: () => void setTimeout(() => fleet.tick(), 1),
