Reproduce: an entry that gets most connections refuses half of the streams

The soak hands nine in ten connections to one entry and lets callers open one for each request; a checker compares first attempts of each kind with those before.

--- a/packages/history/src/checkers.test.ts
+++ b/packages/history/src/checkers.test.ts
@@ -29,6 +29,13 @@
   servedDuring: 10,
   sentDuring: 20,
 } as const;
+const handedOver = {
+  kind: EventKind.HandedOverShare,
+  servedBefore: 20,
+  sentBefore: 20,
+  servedDuring: 15,
+  sentDuring: 20,
+} as const;
 const step = { kind: EventKind.MapStep, group: 'g', step: 7 } as const;
 
 const bad: [string, string, HistoryEvent[]][] = [
@@ -82,6 +89,7 @@
     'sound requests',
     [{ ...soundShare, servedDuring: 9 }],
   ],
+  ['an entry that cannot serve alone', 'hand-over', [{ ...handedOver, servedDuring: 14 }]],
   [
     'a sound part that is blamed',
     'blame',
@@ -118,6 +126,7 @@
   crashingArrival,
   crashingArrival,
   crashingArrival,
+  handedOver,
   soundShare,
   { ...soundShare, sentDuring: 19, servedDuring: 0 },
   { ...step, rank: 0, mapVersion: 1 },
--- a/packages/history/src/checkers.ts
+++ b/packages/history/src/checkers.ts
@@ -229,6 +229,23 @@
   return violations;
 };
 
+const MINIMUM_HANDED_OVER_RATIO = 0.75;
+
+/** One entry serves what is usually spread over all of them. */
+export const checkHandOver: Checker = (events) => {
+  const violations: Violation[] = [];
+  for (const event of select(events, EventKind.HandedOverShare)) {
+    const { servedBefore, sentBefore, servedDuring, sentDuring } = event;
+    if (Math.min(sentBefore, sentDuring) < MINIMUM_SHARE_REQUESTS) continue;
+    const before = servedBefore / sentBefore;
+    const during = servedDuring / sentDuring;
+    if (during >= before * MINIMUM_HANDED_OVER_RATIO) continue;
+    const detail = `${during.toFixed(2)} served by one entry, ${before.toFixed(2)} by all`;
+    violations.push({ promise: 'hand-over', detail });
+  }
+  return violations;
+};
+
 /** Only prompt parts that crash servers are blamed for it. */
 export const checkBlame: Checker = (events) =>
   select(events, EventKind.SoundPartBlamed).map(({ instanceId, part }) => ({
@@ -267,6 +284,7 @@
   checkCrashingPart,
   checkSoundRequests,
   checkBlame,
+  checkHandOver,
   checkOneMapPerStep,
 ];
 
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -40,6 +40,8 @@
   CrashingArrival = 'crashingArrival',
   /** First attempts of sound requests while requests with a crashing part came, or before. */
   SoundShare = 'soundShare',
+  /** First attempts while most connections were handed to one entry, and before. */
+  HandedOverShare = 'handedOverShare',
   /** An entry blames a prompt part that has crashed no server. */
   SoundPartBlamed = 'soundPartBlamed',
   /** A request reached a backend server that had told its entry long before that it leaves. */
@@ -121,6 +123,13 @@
       readonly servedDuring: number;
       readonly sentDuring: number;
     }
+  | {
+      readonly kind: EventKind.HandedOverShare;
+      readonly servedBefore: number;
+      readonly sentBefore: number;
+      readonly servedDuring: number;
+      readonly sentDuring: number;
+    }
   | {
       readonly kind: EventKind.SoundPartBlamed;
       readonly instanceId: string;
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -63,6 +63,8 @@
   [Kind.Stream]: CrashingKind.Stream,
   [Kind.LookUp]: CrashingKind.LookUp,
 };
+/** Share of the connections that a hand-over gives to one entry. */
+const HANDED_OVER_SHARE = 0.9;
 const CRASHING_SEED = 0xbad;
 
 function expectedText(kind: Kind, requestId: string): string {
@@ -74,6 +76,8 @@
 
 export function createCallers(site: Site, history: History, random: Random, key: string): Callers {
   const violations: string[] = [];
+  /** Opens a connection for each request. */
+  const newConnections = new Agent({ keepAlive: false });
   const agents = site.entries.map(() => new Agent({ keepAlive: true }));
   // Drawn apart from the others, so that seeds keep the load that they had without them.
   const drawEntry = createRandom(CRASHING_SEED);
@@ -142,7 +146,7 @@
       promptParts: sharedParts.length === 0 ? [] : [...sharedParts, sent.toString(16)],
       timeoutMilliseconds: PATIENCE_MILLISECONDS,
       abandonAfterPauseMilliseconds: kind === Kind.Stream ? STREAM_GAP_MILLISECONDS : undefined,
-      agent,
+      agent: site.receivingEntry() === undefined ? agent : newConnections,
     });
     if (outcome.hasAbandoned) site.abandonmentWatch.onLeft(requestId);
     history.record({
@@ -160,16 +164,27 @@
     }
     const isServed = check(requestId, kind, outcome);
     const isSound = !sharedParts.some((part) => site.crashWatch.isCrashing(part));
+    if (isSound && outcome.wasConnected) {
+      site.handOverWatch.onEnd(program.name, kind, sentAt, outcome.status === 200);
+    }
     if (isSound) site.crashWatch.onSoundEnd(program.name, kind, sentAt, outcome.status === 200);
     if (isServed) served += 1;
     return isServed;
   }
 
+  /** The entry that a caller's connection is handed to; `drawn` is uniform in [0, 1). */
+  function chooseEntry(drawn: number): number {
+    const chosen = drawn * site.entries.length;
+    const receiving = site.receivingEntry();
+    const isHandedOver = receiving !== undefined && chosen % 1 < HANDED_OVER_SHARE;
+    return isHandedOver ? receiving : Math.floor(chosen);
+  }
+
   async function callAlways(until: number): Promise<void> {
     const kinds = Object.values(Kind);
     while (performance.now() < until) {
       const kind = kinds[Math.floor(random() * kinds.length)];
-      const isServed = await call(Math.floor(random() * site.entries.length), kind);
+      const isServed = await call(chooseEntry(random()), kind);
       // Callers that were refused or lost wait before they ask for something else.
       const pause = isServed ? 5 : 80;
       await new Promise((resolve) => {
@@ -190,7 +205,7 @@
     },
     tally: () => ({ served, sent }),
     close() {
-      for (const agent of agents) agent.destroy();
+      for (const agent of [...agents, newConnections]) agent.destroy();
     },
   };
 }
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -42,6 +42,7 @@
   site.departureWatch.excuse(program.name);
   site.abandonmentWatch.excuse(program.name);
   site.crashWatch.excuse(program.name);
+  site.handOverWatch.excuse(program.name);
   program.signal(signal);
 }
 
@@ -156,6 +157,8 @@
     }
     case FaultKind.EndServer:
       return site.endServer(pick(servers, target));
+    case FaultKind.HandOver:
+      return site.handOver(target);
     case FaultKind.CrashingPart:
       return site.beginCrashingPart(target);
     case FaultKind.DrainServer: {
--- a/packages/soak/src/plan-faults.ts
+++ b/packages/soak/src/plan-faults.ts
@@ -37,6 +37,8 @@
   EndServer = 'endServer',
   /** Requests come with a prompt part that crashes each server that begins to answer them. */
   CrashingPart = 'crashingPart',
+  /** A balancer hands most new connections to one entry, and callers open them more often. */
+  HandOver = 'handOver',
 }
 
 export interface Fault {
@@ -76,6 +78,7 @@
   { kind: FaultKind.StopMachine, gapMilliseconds: 7000, seed: 0x5709, lengthFactor: 1.5 },
   { kind: FaultKind.EndServer, gapMilliseconds: 5000, seed: 0xe4d, lengthFactor: 1 },
   { kind: FaultKind.CrashingPart, gapMilliseconds: 9000, seed: 0xbad, lengthFactor: 3 },
+  { kind: FaultKind.HandOver, gapMilliseconds: 9000, seed: 0x0ff, lengthFactor: 2 },
 ];
 
 function drawFaults(
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -10,7 +10,9 @@
 
 import { createCallers, Kind } from './callers.js';
 import type { Callers } from './callers.js';
+import type { HandOverWatch } from './hand-over-watch.js';
 import { injectFault } from './inject-fault.js';
+import type { CrashWatch } from './crash-watch.js';
 import { findBlamedParts } from './find-blamed-parts.js';
 import { FaultKind, planFaults } from './plan-faults.js';
 import type { Fault } from './plan-faults.js';
@@ -26,6 +28,8 @@
   readonly callers?: number;
   /** Time of one pass of the ranks. */
   readonly passMilliseconds?: number;
+  /** Requests per second that a rank takes while it is cold; unlimited when omitted. */
+  readonly coldRequestsPerSecond?: number;
   readonly network: number;
   /** Folder of the bundled programs; those of this checkout without it. */
   readonly programs?: string;
@@ -89,16 +93,24 @@
   return unserved;
 }
 
+/** The watches that compare with times without the fault. */
+function otherWatches(site: Site, kind: FaultKind): (CrashWatch | HandOverWatch)[] {
+  const watches: (CrashWatch | HandOverWatch)[] = [];
+  if (kind !== FaultKind.CrashingPart) watches.push(site.crashWatch);
+  if (kind !== FaultKind.HandOver) watches.push(site.handOverWatch);
+  return watches;
+}
+
 async function playFaults(site: Site, faults: readonly Fault[]): Promise<void> {
   await Promise.all(
     faults.map(async (fault) => {
       await sleep(fault.at);
-      const isOther = fault.kind !== FaultKind.CrashingPart;
-      if (isOther) site.crashWatch.onOtherFault();
+      const others = otherWatches(site, fault.kind);
+      for (const watch of others) watch.onOtherFault();
       const lift = injectFault(site, fault);
       await sleep(fault.lasts);
       lift();
-      if (isOther) site.crashWatch.onOtherFaultLifted();
+      for (const watch of others) watch.onOtherFaultLifted();
     }),
   );
 }
@@ -116,6 +128,7 @@
     ranks: options.ranks ?? RANKS,
     plainServers: PLAIN_SERVERS,
     passMilliseconds: options.passMilliseconds,
+    coldRequestsPerSecond: options.coldRequestsPerSecond,
     network: options.network,
     programs: options.programs ?? BUNDLED,
     onOwnEnd: (name, code) => violations.push(`own end: ${name} with ${code}`),
@@ -132,6 +145,7 @@
     ]);
     violations.push(...(await findUnserved(site, callers)));
     site.crashWatch.conclude();
+    site.handOverWatch.conclude();
     for (const { instanceId, part } of findBlamedParts(site)) {
       if (site.crashWatch.isCrashing(part)) continue;
       history.record({ kind: EventKind.SoundPartBlamed, instanceId, part });
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -25,6 +25,8 @@
 import type { AbandonmentWatch } from './abandonment-watch.js';
 import { createCrashWatch } from './crash-watch.js';
 import type { CrashWatch } from './crash-watch.js';
+import { createHandOverWatch } from './hand-over-watch.js';
+import type { HandOverWatch } from './hand-over-watch.js';
 import { createLink, LinkMode } from './link.js';
 import type { Link } from './link.js';
 import { createProgram } from './program.js';
@@ -69,6 +71,11 @@
   readonly departureWatch: DepartureWatch;
   readonly abandonmentWatch: AbandonmentWatch;
   readonly crashWatch: CrashWatch;
+  readonly handOverWatch: HandOverWatch;
+  /** Entry that most new connections are handed to; undefined while callers choose. */
+  receivingEntry(): number | undefined;
+  /** Hands most new connections to an entry; returns what ends it. */
+  handOver(entry: number): () => void;
   /** Crashing part of the requests of each kind that come now; undefined for none. */
   crashingPart(kind: CrashingKind): string | undefined;
   /** Lets requests with a new crashing part come; returns what ends them. */
@@ -91,6 +98,8 @@
   readonly ranks: number;
   readonly plainServers: number;
   readonly passMilliseconds?: number | undefined;
+  /** Requests per second that a rank takes while it is cold; unlimited when omitted. */
+  readonly coldRequestsPerSecond?: number | undefined;
   /** Folder of the bundled programs. */
   readonly programs: string;
   /** 1 to 250; keeps the addresses of runs on one machine apart. */
@@ -143,6 +152,8 @@
   const rateLimitWatch = createRateLimitWatch(history, () => performance.now());
   const backoffWatch = createBackoffWatch(history, () => performance.now());
   const departureWatch = createDepartureWatch(history, () => performance.now());
+  const handOverWatch = createHandOverWatch(history, () => performance.now());
+  let receivingEntry: number | undefined;
   const crashWatch = createCrashWatch(history, () => performance.now());
   const crashingParts = new Map<CrashingKind, string>();
   let crashingPartCount = 0;
@@ -260,7 +271,7 @@
   let version = 0;
   function configure(keys: readonly string[]): void {
     version += 1;
-    store.put('op', 'config', configurationRow(version, keys, SIZE));
+    store.put('op', 'config', configurationRow(version, keys, SIZE, options.coldRequestsPerSecond));
   }
 
   const seeds = Array.from(
@@ -329,6 +340,16 @@
     departureWatch,
     abandonmentWatch,
     crashWatch,
+    handOverWatch,
+    receivingEntry: () => receivingEntry,
+    handOver(entry) {
+      receivingEntry = entry % entries.length;
+      handOverWatch.onBegin();
+      return () => {
+        receivingEntry = undefined;
+        handOverWatch.onFinish();
+      };
+    },
     crashingPart: (kind) => crashingParts.get(kind),
     beginCrashingPart(target) {
       crashingPartCount += 1;
