Divide cold rates and unseen load by the traffic of entries, not by their number

Callers saw half of their streams refused at first while a balancer handed most connections to one entry: each might use an even part of every server's cold rate, and took every other entry to send as much as itself. The servers' load reports count all entries' requests, so an entry now reckons its own share of them. Three quarters of a cold rate follow that share, the sum stays within the rate, and what others have sent since a report is scaled by it.

--- a/packages/direct-entry/src/plan-entries.test.ts
+++ b/packages/direct-entry/src/plan-entries.test.ts
@@ -35,7 +35,7 @@
           () => ({ own, names: view, count: estimateEntryCount(input) }),
           () => 0,
         );
-        while (share.roomInMilliseconds(`server-${server}`, rate) === 0) {
+        while (share.roomInMilliseconds(`server-${server}`, rate, 1 / names.length) === 0) {
           share.recordSent(`server-${server}`);
           sent += 1;
         }
--- a/packages/forwarding/src/arrival-meter.ts
+++ b/packages/forwarding/src/arrival-meter.ts
@@ -1,7 +1,6 @@
 /**
  * Measures how many requests per second this entry receives for each service, as an exponentially
- * decaying average. Callers are distributed over the entries by a hash, so the rate of this entry
- * approximates that of every other.
+ * decaying average.
  */
 export interface ArrivalMeter {
   recordArrival(service: string): void;
--- a/packages/forwarding/src/choose-server.ts
+++ b/packages/forwarding/src/choose-server.ts
@@ -8,6 +8,7 @@
 import { computeRemainingMilliseconds } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext, RequestProgress } from './forward-context.js';
 import { roundedOrNone } from './rounded-or-none.js';
+import { othersPerRequest, planTrafficShare } from './traffic-share.js';
 
 /**
  * Prompt reading speed, in tokens per millisecond, of services without a model, which have no
@@ -15,10 +16,15 @@
  */
 const READ_SPEED_WITHOUT_MODEL = 1;
 
-function collectCandidates(
-  context: ForwardContext,
-  accepted: AcceptedRequest,
-): { views: ServerView[]; serversById: ReadonlyMap<string, BackendServer>; leaving: number } {
+interface Candidates {
+  readonly views: ServerView[];
+  readonly serversById: ReadonlyMap<string, BackendServer>;
+  readonly trafficShare: number;
+  /** Number of servers that are left out because they are leaving. */
+  readonly leaving: number;
+}
+
+function collectCandidates(context: ForwardContext, accepted: AcceptedRequest): Candidates {
   const { coldShare } = context;
   const profile = accepted.configuration.services.get(accepted.service);
   const { drainedZones } = context.catalog.operatorState();
@@ -26,6 +32,7 @@
   const views: ServerView[] = [];
   const coldRate = profile?.coldRequestsPerSecond ?? 0;
   const senders = coldShare.senderCount(coldRate);
+  const trafficShare = estimateTrafficShare(context, accepted.service, serversById.values());
   let leaving = 0;
   for (const server of serversById.values()) {
     if (server.service !== accepted.service || server.draining) continue;
@@ -35,7 +42,11 @@
       leaving += 1;
       continue;
     }
-    const coldCapacityInMilliseconds = coldShare.roomInMilliseconds(server.instanceId, coldRate);
+    const coldCapacityInMilliseconds = coldShare.roomInMilliseconds(
+      server.instanceId,
+      coldRate,
+      trafficShare,
+    );
     views.push(
       context.ledger.view(
         server,
@@ -48,17 +59,36 @@
           brokenForMilliseconds: context.groupHealth.brokenForMilliseconds(server),
           isSilent: context.liveness.isSilent(server),
         },
-        context.entries(),
+        othersPerRequest(trafficShare),
       ),
     );
   }
-  return { views, serversById, leaving };
+  return { views, serversById, trafficShare, leaving };
+}
+
+/** Share of the service's requests that this entry sends, by the servers' load reports. */
+function estimateTrafficShare(
+  context: ForwardContext,
+  service: string,
+  servers: Iterable<BackendServer>,
+): number {
+  let reportedRequests = 0;
+  let ownRequests = 0;
+  for (const server of servers) {
+    if (server.service !== service) continue;
+    const reported = context.ledger.reportedRequests(server.instanceId);
+    if (reported === undefined) continue;
+    reportedRequests += reported.all;
+    ownRequests += Math.min(reported.own, reported.all);
+  }
+  return planTrafficShare({ reportedRequests, ownRequests, entries: context.entries() });
 }
 
 /** Estimates the requests that other entries have sent since the servers reported their load. */
 function estimateUnseenArrivals(
   context: ForwardContext,
   service: string,
+  trafficShare: number,
   views: readonly ServerView[],
 ): number {
   let totalReportAge = 0;
@@ -69,7 +99,7 @@
     reportCount += 1;
   }
   if (reportCount === 0) return 0;
-  const others = context.arrivals.arrivalsPerSecond(service) * (context.entries() - 1);
+  const others = context.arrivals.arrivalsPerSecond(service) * othersPerRequest(trafficShare);
   return (others * (totalReportAge / reportCount)) / 1000;
 }
 
@@ -84,7 +114,7 @@
   progress: RequestProgress,
   fits: (view: ServerView) => boolean = () => true,
 ): ChosenServer {
-  const { views, serversById, leaving } = collectCandidates(context, accepted);
+  const { views, serversById, trafficShare, leaving } = collectCandidates(context, accepted);
   const engine = accepted.configuration.services.get(accepted.service)?.engine;
   const choice = planServerChoice({
     views,
@@ -92,7 +122,7 @@
     excluded: progress.tried,
     prefillTokensPerMillisecond:
       engine === undefined ? READ_SPEED_WITHOUT_MODEL : engine.prefillTokensPerSecond / 1000,
-    unreportedArrivals: estimateUnseenArrivals(context, accepted.service, views),
+    unreportedArrivals: estimateUnseenArrivals(context, accepted.service, trafficShare, views),
     canServeInTime: fits,
     random: context.random,
   });
@@ -108,6 +138,7 @@
       serversRevision: context.catalog.servers().revision,
       candidates: views.length,
       leaving: leaving > 0 ? leaving : undefined,
+      trafficShare: Number(trafficShare.toFixed(2)),
       cost: chosen ? Math.round(choice.cost) : undefined,
       outstanding: chosen ? choice.view.outstanding : undefined,
       slots: chosen ? choice.view.slots : undefined,
--- a/packages/forwarding/src/cold-start-share.ts
+++ b/packages/forwarding/src/cold-start-share.ts
@@ -9,6 +9,9 @@
  * already be too many. Then only that many entries send to the server, chosen by rendezvous
  * hashing: all entries compute the same set without communication, and each server gets a different
  * one.
+ *
+ * Most of the rate is divided by traffic instead, since the load balancer in front may hand most
+ * callers to one entry. The parts of all entries add up to one, so the sum stays what it was.
  */
 import { createSenderRanks } from './sender-rank.js';
 import type { SendingEntries } from './sender-rank.js';
@@ -16,9 +19,14 @@
 export interface ColdStartShare {
   /**
    * Milliseconds until this entry may send one more request: 0 if it may send now, `Infinity` if it
-   * is not among the senders of the server.
+   * is not among the senders of the server. `trafficShare` is the share of the service's requests
+   * that this entry sends.
    */
-  roomInMilliseconds(instanceId: string, coldRequestsPerSecond: number): number;
+  roomInMilliseconds(
+    instanceId: string,
+    coldRequestsPerSecond: number,
+    trafficShare: number,
+  ): number;
   /** Number of entries that may send to a server, whether or not this one is among them. */
   senderCount(coldRequestsPerSecond: number): number;
   recordSent(instanceId: string): void;
@@ -33,6 +41,8 @@
  * themselves among the senders too often.
  */
 const ALLOCATED_SHARE = 0.6;
+/** Part of a rate that is divided evenly; the rest follows the traffic. */
+const EVEN_WEIGHT = 0.25;
 
 function allowedSendersAt(coldRequestsPerSecond: number): number {
   return Math.max(1, Math.floor(coldRequestsPerSecond * ALLOCATED_SHARE));
@@ -53,11 +63,18 @@
   }
 
   /** Requests that this entry may send to the server in one second. */
-  function ownRequestsPerSecond(instanceId: string, coldRequestsPerSecond: number): number {
+  function ownRequestsPerSecond(
+    instanceId: string,
+    coldRequestsPerSecond: number,
+    trafficShare: number,
+  ): number {
     const known = entries();
-    const share = Math.floor(coldRequestsPerSecond / Math.max(1, known.count));
-    if (share >= 1) return share;
-    return ranks.rankAt(instanceId, known) < allowedSendersAt(coldRequestsPerSecond) ? 1 : 0;
+    const even = coldRequestsPerSecond / Math.max(1, known.count);
+    const byTraffic = (1 - EVEN_WEIGHT) * coldRequestsPerSecond * trafficShare;
+    const isSender = ranks.rankAt(instanceId, known) < allowedSendersAt(coldRequestsPerSecond);
+    const own = even < 1 ? Math.floor(byTraffic) : Math.round(EVEN_WEIGHT * even + byTraffic);
+    // An entry without traffic must be able to gain some.
+    return isSender ? Math.max(1, own) : own;
   }
 
   return {
@@ -66,9 +83,9 @@
       const mayAllSend = coldRequestsPerSecond <= 0 || coldRequestsPerSecond >= count;
       return mayAllSend ? count : allowedSendersAt(coldRequestsPerSecond);
     },
-    roomInMilliseconds(instanceId, coldRequestsPerSecond) {
+    roomInMilliseconds(instanceId, coldRequestsPerSecond, trafficShare) {
       if (coldRequestsPerSecond <= 0) return 0;
-      const share = ownRequestsPerSecond(instanceId, coldRequestsPerSecond);
+      const share = ownRequestsPerSecond(instanceId, coldRequestsPerSecond, trafficShare);
       if (share === 0) return Infinity;
       const times = sendsInWindow(instanceId);
       if (times.length < share) return 0;
--- a/packages/forwarding/src/server-load-tracker.test.ts
+++ b/packages/forwarding/src/server-load-tracker.test.ts
@@ -26,7 +26,7 @@
   const suspicionAfter = (verdict: Verdict): number => {
     ledger.recordSent(SERVER.instanceId, 0);
     ledger.recordEnd(SERVER.instanceId, verdict, 0, false);
-    return ledger.view(SERVER, limits, 1).decayedFailures;
+    return ledger.view(SERVER, limits, 0).decayedFailures;
   };
   const doubt = suspicionAfter(Verdict.Failing);
   expect(doubt).toBeGreaterThan(0);
--- a/packages/forwarding/src/server-load-tracker.ts
+++ b/packages/forwarding/src/server-load-tracker.ts
@@ -44,19 +44,26 @@
    * Whether the server had a free slot, according to its last report; false without a recent one.
    */
   hasFreeSlot(server: BackendServer): boolean;
-  /** `senders` is the number of entries that send to the same servers. */
+  /** Requests at the server, and this entry's among them; undefined without a recent report. */
+  reportedRequests(instanceId: string): ReportedRequests | undefined;
+  /** `othersPerRequest`: requests that other entries send for each one of this entry. */
   view(
     server: BackendServer,
     limits: Pick<
       ServerView,
       'limitedForMilliseconds' | 'backoffMilliseconds' | 'brokenForMilliseconds' | 'isSilent'
     >,
-    senders: number,
+    othersPerRequest: number,
   ): ServerView;
   /** Drops the state of servers that are no longer listed and have no requests in flight. */
   keepOnly(instanceIds: ReadonlyMap<string, unknown>): void;
 }
 
+export interface ReportedRequests {
+  readonly all: number;
+  readonly own: number;
+}
+
 interface ServerRecord {
   inFlight: number;
   unreadTokens: number;
@@ -124,12 +131,12 @@
   }
 
   /**
-   * Estimates the requests at the server. The other entries have seen the same report, so each is
-   * assumed to have sent as many requests since as this one.
+   * Estimates the requests at the server. The other entries have seen the same report, and are
+   * assumed to have sent requests since in proportion to their traffic.
    */
-  function expected(record: ServerRecord, senders: number): number {
+  function expected(record: ServerRecord, othersPerRequest: number): number {
     const unseen = reportAge(record) === undefined ? 0 : Math.max(0, inFlightGrowth(record));
-    return outstanding(record) + unseen * Math.max(0, senders - 1);
+    return outstanding(record) + unseen * othersPerRequest;
   }
 
   return {
@@ -188,14 +195,20 @@
       return record.report.running + record.report.waiting < slots;
     },
     inFlight: (instanceId) => records.get(instanceId)?.inFlight ?? 0,
-    view(server, limits, senders) {
+    reportedRequests(instanceId) {
+      const record = records.get(instanceId);
+      if (record?.report === undefined || reportAge(record) === undefined) return undefined;
+      const { running, waiting } = record.report;
+      return { all: running + waiting, own: record.inFlightAtReport };
+    },
+    view(server, limits, othersPerRequest) {
       const record = recordOf(server.instanceId);
       return {
         instanceId: server.instanceId,
         availabilityZone: server.availabilityZone,
         slots: server.slots,
         outstanding: outstanding(record),
-        expectedOutstanding: expected(record, senders),
+        expectedOutstanding: expected(record, othersPerRequest),
         pendingPrefillTokens: record.unreadTokens,
         typicalResponseMilliseconds: record.typicalMilliseconds,
         reportAgeMilliseconds: reportAge(record),
--- a/packages/forwarding/src/shares.test.ts
+++ b/packages/forwarding/src/shares.test.ts
@@ -76,7 +76,7 @@
         for (const { entry, wait } of played) {
           now += wait / 20;
           const share = shares[entry];
-          if (share?.roomInMilliseconds('server', rate) === 0) {
+          if (share?.roomInMilliseconds('server', rate, 1 / ENTRIES.count) === 0) {
             share.recordSent('server');
             sent.push(now);
           }
@@ -100,7 +100,7 @@
           () => ({ own, names, count: names.length }),
           () => now,
         );
-        while (share.roomInMilliseconds(server, rate) === 0) {
+        while (share.roomInMilliseconds(server, rate, 1 / names.length) === 0) {
           share.recordSent(server);
           sent += 1;
         }
@@ -127,12 +127,44 @@
           () => ({ own, names: view, count: view.length }),
           () => 0,
         );
-        if (share.roomInMilliseconds(`server-${server}`, rate) === 0) sent += 1;
+        if (share.roomInMilliseconds(`server-${server}`, rate, 1 / names.length) === 0) sent += 1;
       }
       expect(sent, `server ${server}`).toBeLessThanOrEqual(rate * 1.5 + 5);
     }
   });
 
+  it.each([
+    [36, 7],
+    [26, 6],
+    [26, 25],
+    [14, 39],
+    [26, 98],
+  ])('of a cold server that takes %i a second follow the traffic of %i entries', (rate, count) => {
+    // Guards against an entry that gets most callers and may send a small part of their requests.
+    const random = createRandom(11);
+    const names = Array.from({ length: count }, (_, index) => `entry-${index}`);
+    for (let round = 0; round < 50; round += 1) {
+      const traffic = names.map(() => random() ** 6);
+      const sum = traffic.reduce((left, right) => left + right, 0);
+      let sent = 0;
+      for (const [index, own] of names.entries()) {
+        const trafficShare = (traffic[index] ?? 0) / sum;
+        const share = createColdStartShare(
+          () => ({ own, names, count }),
+          () => 0,
+        );
+        let ownSent = 0;
+        while (share.roomInMilliseconds('server', rate, trafficShare) === 0) {
+          share.recordSent('server');
+          ownSent += 1;
+        }
+        expect(ownSent).toBeGreaterThanOrEqual(Math.floor(0.75 * trafficShare * rate));
+        sent += ownSent;
+      }
+      expect(sent).toBeLessThanOrEqual(rate * 1.5 + 5);
+    }
+  });
+
   it('return the time until the next request is allowed', () => {
     let now = 0;
     const share = createColdStartShare(
@@ -141,9 +173,9 @@
     );
     share.recordSent('server');
     now = 300;
-    expect(share.roomInMilliseconds('server', 7)).toBe(700);
+    expect(share.roomInMilliseconds('server', 7, 1 / ENTRIES.count)).toBe(700);
     now = 1001;
-    expect(share.roomInMilliseconds('server', 7)).toBe(0);
+    expect(share.roomInMilliseconds('server', 7, 1 / ENTRIES.count)).toBe(0);
   });
 
   it('of a server that is briefly missing from the list are not reset', () => {
@@ -156,10 +188,10 @@
     );
     share.recordSent('server');
     share.keepOnly(new Map());
-    expect(share.roomInMilliseconds('server', 7)).toBeGreaterThan(0);
+    expect(share.roomInMilliseconds('server', 7, 1 / ENTRIES.count)).toBeGreaterThan(0);
     now = 1500;
     share.keepOnly(new Map());
-    expect(share.roomInMilliseconds('server', 7)).toBe(0);
+    expect(share.roomInMilliseconds('server', 7, 1 / ENTRIES.count)).toBe(0);
   });
 
   it('do not limit a server without a cold-start phase', () => {
@@ -168,6 +200,6 @@
       () => 0,
     );
     for (let index = 0; index < 100; index += 1) share.recordSent('server');
-    expect(share.roomInMilliseconds('server', 0)).toBe(0);
+    expect(share.roomInMilliseconds('server', 0, 0)).toBe(0);
   });
 });
