--- a/packages/crash-attribution/src/crash-ledger.ts
+++ b/packages/crash-attribution/src/crash-ledger.ts
@@ -52,11 +52,15 @@
 }
 
 interface KnownCrash extends Crash {
+  /** Who reported it first. */
+  readonly source: string;
   readonly suspects: Set<string>;
 }
 
 /** How long a crash counts as evidence, and an answered request clears its parts. */
 const EVIDENCE_MILLISECONDS = 600_000;
+/** Source of this entry's own observations. */
+const OWN_SOURCE = 'this entry';
 const QUARANTINE_MILLISECONDS = 24 * 3_600_000;
 /** Long enough to reach every entry through relays and lost messages. */
 const RECENT_MILLISECONDS = 15_000;
@@ -169,7 +173,8 @@
       now: now(),
     });
     for (const { part, servers } of blames) {
-      quarantine(part, now(), { crashes: servers.length, servers: servers.join(',') });
+      const reports = servers.map((server) => `${server} by ${crashes.get(server)?.source}`);
+      quarantine(part, now(), { crashes: servers.length, servers: reports.join(', ') });
     }
   }
 
@@ -191,7 +196,7 @@
   }
 
   /** Adds the suspects to the crash; returns those that were not known. */
-  function addCrash({ server, endedAt, suspects }: ObservedCrash): string[] {
+  function addCrash({ server, endedAt, suspects }: ObservedCrash, source: string): string[] {
     const added: string[] = [];
     const known = crashes.get(server);
     const all = known?.suspects ?? new Set<string>();
@@ -201,7 +206,7 @@
       added.push(part);
     }
     if (added.length === 0) return added;
-    if (known === undefined) crashes.set(server, { server, endedAt, suspects: all });
+    if (known === undefined) crashes.set(server, { server, source, endedAt, suspects: all });
     hasNews = true;
     return added;
   }
@@ -230,7 +235,7 @@
     },
     recordCrash({ server, endedAt, suspects }) {
       const uncleared = suspects.filter((part) => !isCleared(part, { endedAt }));
-      addCrash({ server, endedAt, suspects: uncleared });
+      addCrash({ server, endedAt, suspects: uncleared }, OWN_SOURCE);
       settle();
     },
     merge(statements, source) {
@@ -241,7 +246,7 @@
       }
       for (const { server, ageMilliseconds, suspects } of statements.crashes) {
         if (ageMilliseconds > EVIDENCE_MILLISECONDS) continue;
-        const added = addCrash({ server, endedAt: now() - ageMilliseconds, suspects });
+        const added = addCrash({ server, endedAt: now() - ageMilliseconds, suspects }, source);
         if (added.length === 0) continue;
         logger.info('crash reported', { server, suspects: added.join(','), source });
         clearOwn(added);
--- a/packages/log-story/src/draw-timeline.ts
+++ b/packages/log-story/src/draw-timeline.ts
@@ -57,6 +57,10 @@
   readonly lastsMilliseconds?: number;
 }
 
+function describeSuspects(suspects: unknown): string {
+  return suspects === '' ? 'no prompt part under suspicion' : `suspects ${String(suspects)}`;
+}
+
 /** What begins or ends with a line; undefined for other lines. */
 function changeOf(line: LogLine): Change | undefined {
   const { event, fields, instance } = line;
@@ -90,6 +94,23 @@
         begins: event === 'server leaving',
         cause: 'the server said so in an answer',
       };
+    case 'backend server ended':
+      return {
+        matter: `end of ${String(fields.server)}`,
+        begins: true,
+        cause: `${String(fields.evidence)}, ${describeSuspects(fields.suspects)}`,
+        lastsMilliseconds: 0,
+      };
+    case 'prompt part quarantined':
+    case 'prompt part released':
+      return {
+        matter: `quarantine of prompt part ${String(fields.part)}`,
+        begins: event === 'prompt part quarantined',
+        cause:
+          fields.servers === undefined
+            ? `reported by ${String(fields.source)}`
+            : `servers ended: ${String(fields.servers)}`,
+      };
     case 'server backoff':
       return {
         matter: `backoff of ${String(fields.server)}`,
--- a/packages/log-story/src/log-story.test.ts
+++ b/packages/log-story/src/log-story.test.ts
@@ -94,6 +94,12 @@
     );
   });
 
+  it('names the prompt part because of which it was refused', () => {
+    const reason = 'prompt part bad is quarantined';
+    const refused = { second: 2, kind: 'refusal', subject: 'id', choice: 'quarantined', reason };
+    expect(tellStory(linesOf(refused), 'id')?.cause).toContain('prompt part bad is quarantined');
+  });
+
   it('is none for an id that no line names', () => {
     expect(tellStory(linesOf(refusal), 'other')).toBeUndefined();
   });
@@ -173,6 +179,44 @@
     ]);
   });
 
+  it('shows which prompt part is quarantined, and the ends of servers that led to it', () => {
+    const part = { part: 'bad' };
+    const lines = linesOf(
+      {
+        second: 1,
+        event: 'backend server ended',
+        server: 'i-1',
+        evidence: 'replaced',
+        suspects: 'bad',
+      },
+      {
+        second: 6,
+        event: 'prompt part quarantined',
+        ...part,
+        servers: 'i-1@5 by this entry, i-2@6 by entry-2',
+      },
+      {
+        second: 6,
+        instance: 'entry-2',
+        event: 'prompt part quarantined',
+        ...part,
+        source: 'entry-1',
+      },
+      { second: 7, kind: 'refusal', subject: 'id', choice: 'quarantined', reason: 'x' },
+      { second: 9, event: 'prompt part released', ...part, reason: 'operator' },
+      { second: 9, instance: 'entry-2', event: 'prompt part released', ...part, reason: 'store' },
+    );
+    expect(drawTimeline(lines).periods).toMatchObject([
+      { matter: 'end of i-1', milliseconds: 0, cause: 'replaced, suspects bad' },
+      {
+        matter: 'quarantine of prompt part bad',
+        milliseconds: 3000,
+        cause: 'servers ended: i-1@5 by this entry, i-2@6 by entry-2',
+        refused: 1,
+      },
+    ]);
+  });
+
   it('leaves open what was not regained', () => {
     const lines = linesOf({ second: 1, event: 'group lost', group: 'g', cause: 'refused' });
     expect(drawTimeline(lines).periods).toMatchObject([
--- a/packages/log-story/src/name-cause.ts
+++ b/packages/log-story/src/name-cause.ts
@@ -62,7 +62,8 @@
     case 'answer':
       return describeAnswer(last);
     case 'refusal': {
-      const cause = REFUSALS[last.choice] ?? last.reason;
+      const named = REFUSALS[last.choice] ?? last.reason;
+      const cause = last.choice === 'quarantined' ? `${named}: ${last.reason}` : named;
       return `Refused as not run, since ${cause}${losses}.`;
     }
     case 'failure':
--- a/packages/log-story/src/tell-story.ts
+++ b/packages/log-story/src/tell-story.ts
@@ -59,6 +59,9 @@
         matter: `backoff of ${String(fields.server)}`,
         state: `asked for ${String(fields.milliseconds)} ms without requests`,
       };
+    case 'prompt part quarantined':
+    case 'prompt part released':
+      return { matter: `prompt part ${String(fields.part)}`, state: event };
     case 'copy taken from a peer':
       return { matter: `copy of ${String(fields.table)}`, state: `from ${String(fields.host)}` };
     case 'started':
