Take a response without a length for truncated when its server has ended

Callers could get half an answer, or a stream without its last events, as complete: a response with neither a length nor chunks ends with its connection, and a server process that is killed closes its connections like one that has finished. The entry now asks whether the server still accepts connections at the end of such a response, unless the server is leaving. Streams go on elsewhere after their last event, other responses fail visibly.

--- a/packages/forwarding/src/exchange.ts
+++ b/packages/forwarding/src/exchange.ts
@@ -9,6 +9,8 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
+import { probeConnection, ProbeResult } from './connection-probe.js';
+
 export enum ExchangeEndKind {
   /** The complete response arrived, delimited as HTTP requires. */
   Complete = 'complete',
@@ -42,6 +44,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   readonly connectTimeoutMilliseconds: number;
+  /** Whether the server is about to stop, so that its end says nothing about a response. */
+  isServerLeaving(): boolean;
 }
 
 export interface Exchange {
@@ -91,11 +95,21 @@
     if (response === undefined || !isCloseDelimited(response)) return;
     isCheckingReset = true;
     socket.write('\r\n', (error) => {
-      if (error === null || error === undefined) end(ExchangeEndKind.Complete, 'complete response');
+      if (error === null || error === undefined) void checkForServerEnd();
       else fail(`connection reset at the end of the response: ${error.message}`);
     });
   }
 
+  /**
+   * A server process that is killed closes its connections like one that has finished. Without a
+   * length, only the server's end tells that the response may be truncated.
+   */
+  async function checkForServerEnd(): Promise<void> {
+    const result = options.isServerLeaving() ? undefined : await probeConnection(options);
+    if (result === ProbeResult.Refused) fail('server ended at the end of the response');
+    else end(ExchangeEndKind.Complete, 'complete response');
+  }
+
   function onSocket(socket: Socket): void {
     socket.setNoDelay(true);
     socket.setKeepAlive(true, TCP_KEEP_ALIVE_MILLISECONDS);
--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -150,6 +150,60 @@
     expect(await send()).toMatchObject({ status: 200, body: 'whole' });
   });
 
+  /** Sends a head without a length and a part of the body, then ends the server's process. */
+  function endAfter(part: string, headers = ''): BackendHandler {
+    return (incoming) => {
+      incoming.socket.write(
+        `HTTP/1.1 200 OK\r\nRequest-Id: request\r\nSignature: signed\r\n${headers}Connection: close\r\n\r\n${part}`,
+        () => fixture?.end('one'),
+      );
+    };
+  }
+
+  it('without a length is not complete when its server ends', async () => {
+    // Guards against half a response that looks complete because a killed process closes it.
+    await start({ servers: { one: endAfter('half') } });
+    expect((await send()).status).toBe(502);
+  });
+
+  it('without a length is complete when a server that leaves ends after it', async () => {
+    await start({ servers: { one: endAfter('whole', 'Leaving: 1\r\n') } });
+    expect(await send()).toMatchObject({ status: 200, body: 'whole' });
+  });
+
+  it.each([
+    ['after an event', 'id: 1\ndata: 1\n\n'],
+    ['within an event', 'id: 1\ndata: 1\n\nid: 2\nda'],
+  ])('that streams without a length is resumed when its server ends %s', async (_what, part) => {
+    await start({
+      servers: { one: endAfter(part), two: streamEvents(3) },
+      route: { kind: RequestKind.Streaming, resumable: true },
+    });
+    const { body, isWhole } = await send();
+    expect(body).toBe('id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n');
+    expect(isWhole).toBe(true);
+  });
+
+  it('that streams without a length is broken off when it ends within an event', async () => {
+    const closing: BackendHandler = (incoming) => {
+      incoming.socket.end(
+        'HTTP/1.1 200 OK\r\nRequest-Id: request\r\nSignature: signed\r\nConnection: close\r\n\r\nid: 1\ndata: 1\n\nid: 2\nda',
+      );
+    };
+    await start({ servers: { one: closing }, route: { kind: RequestKind.Streaming } });
+    expect(await send()).toMatchObject({ body: 'id: 1\ndata: 1\n\n', isWhole: false });
+  });
+
+  it('that streams without a length is complete when it ends after an event', async () => {
+    const closing: BackendHandler = (incoming) => {
+      incoming.socket.end(
+        'HTTP/1.1 200 OK\r\nRequest-Id: request\r\nSignature: signed\r\nConnection: close\r\n\r\nid: 1\ndata: 1\n\n',
+      );
+    };
+    await start({ servers: { one: closing }, route: { kind: RequestKind.Streaming } });
+    expect(await send()).toMatchObject({ body: 'id: 1\ndata: 1\n\n', isWhole: true });
+  });
+
   it('to another request is never forwarded', async () => {
     // A server sends the response to an earlier request in place of the response to this one.
     const wrongRequest: BackendHandler = (_incoming, response) => {
--- a/packages/forwarding/src/server-statements.ts
+++ b/packages/forwarding/src/server-statements.ts
@@ -37,6 +37,8 @@
   recordSent(instanceId: string): void;
   /** `senders` is the number of entries that may send to the server. */
   admission(server: BackendServer, senders: number): ServerAdmission;
+  /** Whether the server has stated that it is shutting down. */
+  isLeaving(server: BackendServer): boolean;
   /** Requests per second that the server takes from all entries; undefined if it has no limit. */
   rateLimitOf(instanceId: string): number | undefined;
   /** Drops the state of servers that are no longer listed. */
@@ -72,6 +74,7 @@
         roomInMilliseconds: rateLimits.roomInMilliseconds(instanceId, senders),
       };
     },
+    isLeaving: (server) => departures.isLeaving(server),
     rateLimitOf: (instanceId) => rateLimits.limitOf(instanceId),
     keepOnly(servers) {
       rateLimits.keepOnly(servers);
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -157,6 +157,13 @@
     }
     case FaultKind.EndServer:
       return site.endServer(pick(servers, target));
+    case FaultKind.CloseDelimited: {
+      const { runner } = pick(servers, target);
+      runner.isCloseDelimited = true;
+      return () => {
+        runner.isCloseDelimited = false;
+      };
+    }
     case FaultKind.HandOver:
       return site.handOver(target);
     case FaultKind.CrashingPart:
--- a/packages/soak/src/link.ts
+++ b/packages/soak/src/link.ts
@@ -48,6 +48,14 @@
       else forward();
     };
     const takeEnd = (): void => {
+      if (isAnswer && !from.writableEnded && mode !== LinkMode.Delayed) {
+        // A reset that arrives together with data reads like an end; only a write still fails.
+        from.write('\r\n', (error) => {
+          if (error === null || error === undefined) to.end();
+          else to.resetAndDestroy();
+        });
+        return;
+      }
       if (mode === LinkMode.Delayed) setTimeout(() => to.end(), DELAY_MILLISECONDS);
       else to.end();
     };
--- a/packages/soak/src/plan-faults.ts
+++ b/packages/soak/src/plan-faults.ts
@@ -37,6 +37,8 @@
   EndServer = 'endServer',
   /** Requests come with a prompt part that crashes each server that begins to answer them. */
   CrashingPart = 'crashingPart',
+  /** Answers of a backend server end with their connections, without a length or chunks. */
+  CloseDelimited = 'closeDelimited',
   /** A balancer hands most new connections to one entry, and callers open them more often. */
   HandOver = 'handOver',
 }
@@ -79,6 +81,7 @@
   { kind: FaultKind.EndServer, gapMilliseconds: 5000, seed: 0xe4d, lengthFactor: 1 },
   { kind: FaultKind.CrashingPart, gapMilliseconds: 9000, seed: 0xbad, lengthFactor: 3 },
   { kind: FaultKind.HandOver, gapMilliseconds: 9000, seed: 0x0ff, lengthFactor: 2 },
+  { kind: FaultKind.CloseDelimited, gapMilliseconds: 4000, seed: 0xc105e, lengthFactor: 2 },
 ];
 
 function drawFaults(
