--- a/packages/forwarding/src/backoff.test.ts
+++ b/packages/forwarding/src/backoff.test.ts
@@ -2,10 +2,12 @@
  * Forwarding while a backend server has requested a backoff.
  */
 import { RequestKind } from '@lapisbridge/catalog';
-import { afterEach, expect, it } from 'vitest';
+import { afterEach, beforeEach, expect, it } from 'vitest';
 
 import { sendRequest } from './caller-fixture.js';
 import type { ReceivedResponse } from './caller-fixture.js';
+import { startControlledClock } from './controlled-clock.js';
+import type { ControlledClock } from './controlled-clock.js';
 import {
   respondWith,
   dropConnection,
@@ -15,9 +17,17 @@
 } from './forwarding-fixture.js';
 import type { BackendHandler, Fixture } from './forwarding-fixture.js';
 
+let clock: ControlledClock;
 let fixture: Fixture;
 
-afterEach(() => fixture.close());
+beforeEach(() => {
+  clock = startControlledClock();
+});
+
+afterEach(async () => {
+  await clock.runUntil(fixture.close());
+  clock.stop();
+});
 
 /** Refuses the request and requests a backoff of so many seconds. */
 function refuseWithRetryAfter(seconds: number): BackendHandler {
@@ -33,7 +43,7 @@
 }
 
 function send(id: string): Promise<ReceivedResponse> {
-  return sendRequest(fixture.port, id);
+  return clock.runUntil(sendRequest(fixture.port, id));
 }
 
 function requestCountAt(server: string): number {
@@ -99,9 +109,7 @@
     servers: { one: refuseWithRetryAfter(0.3), other: withDelay(respondWith('answer')) },
   });
   await send('first');
-  await new Promise((resolve) => {
-    setTimeout(resolve, 350);
-  });
+  await clock.advance(350);
   await send('second');
   expect(requestCountAt('one')).toBe(2);
 });
--- a/packages/forwarding/src/silent-server.test.ts
+++ b/packages/forwarding/src/silent-server.test.ts
@@ -4,14 +4,16 @@
 import { request } from 'node:http';
 
 import { RequestKind } from '@lapisbridge/catalog';
-import { sleep } from '@lapisbridge/kernel';
 import { afterEach, beforeEach, expect, it } from 'vitest';
 
+import { startControlledClock } from './controlled-clock.js';
+import type { ControlledClock } from './controlled-clock.js';
 import { startFixture, streamEvents } from './forwarding-fixture.js';
 import type { BackendHandler, Fixture } from './forwarding-fixture.js';
 import { callerPatienceMilliseconds } from './plan-wait.js';
 import { STREAM_ROUTE } from './stream-route-fixture.js';
 
+let clock: ControlledClock;
 let fixture: Fixture;
 let reports: NodeJS.Timeout;
 /** Servers whose sidecars report. */
@@ -48,13 +50,16 @@
 function stream(requestId: string): Promise<string> {
   return new Promise((resolve) => {
     let text = '';
-    const outgoing = request({ port: fixture.port, method: 'POST' }, (incoming) => {
-      incoming.on('data', (chunk: Buffer) => {
-        text += chunk.toString();
-      });
-      incoming.on('error', () => undefined);
-      incoming.on('close', () => resolve(text));
-    });
+    const outgoing = request(
+      { host: '127.0.0.1', port: fixture.port, method: 'POST' },
+      (incoming) => {
+        incoming.on('data', (chunk: Buffer) => {
+          text += chunk.toString();
+        });
+        incoming.on('error', () => undefined);
+        incoming.on('close', () => resolve(text));
+      },
+    );
     outgoing.setHeader('request-id', requestId);
     outgoing.on('error', () => resolve(text));
     outgoing.end();
@@ -62,6 +67,7 @@
 }
 
 beforeEach(() => {
+  clock = startControlledClock();
   reporting = new Set(NAMES);
   reports = setInterval(() => {
     for (const name of reporting) fixture.liveness.recordContact(name);
@@ -70,16 +76,17 @@
 
 afterEach(async () => {
   clearInterval(reports);
-  await fixture.close();
+  await clock.runUntil(fixture.close());
+  clock.stop();
 });
 
 it('continues elsewhere at once while it waits for its first event', async () => {
   await start(sendEventsThenStall(0), streamEvents(EVENTS));
   const began = performance.now();
   const answer = stream('waiting');
-  await sleep(50);
+  await clock.advance(50);
   reporting.delete('one');
-  expect(await answer).toBe(ALL_EVENTS);
+  expect(await clock.runUntil(answer)).toBe(ALL_EVENTS);
   expect(performance.now() - began).toBeLessThan(1000);
   expect(fixture.arrivals.map(({ instanceId }) => instanceId)).toEqual(['one', 'two']);
 });
@@ -87,9 +94,9 @@
 it('continues elsewhere after its last event, also while its service sends no events', async () => {
   await start(sendEventsThenStall(3), streamEvents(EVENTS));
   const answer = stream('begun');
-  await sleep(50);
+  await clock.advance(50);
   reporting.delete('one');
-  expect(await answer).toBe(ALL_EVENTS);
+  expect(await clock.runUntil(answer)).toBe(ALL_EVENTS);
   expect(fixture.arrivals[1]).toMatchObject({ headers: { 'last-event': '3' } });
 });
 
@@ -103,9 +110,9 @@
     await start(sendEventsThenStall(events), sendEventsThenStall(0));
     const began = performance.now();
     const answer = stream('late');
-    await sleep(50);
+    await clock.advance(50);
     reporting.delete('one');
-    await answer;
+    await clock.runUntil(answer);
     expect(performance.now() - began).toBeLessThan(callerPatienceMilliseconds(STREAM_ROUTE));
     expect(fixture.arrivals[0]?.instanceId).toBe('one');
   },
@@ -116,9 +123,9 @@
   await start(sendEventsThenStall(0), streamEvents(EVENTS));
   const began = performance.now();
   const answer = stream('long');
-  await sleep(1750);
+  await clock.advance(1750);
   reporting.delete('one');
-  await answer;
+  await clock.runUntil(answer);
   expect(performance.now() - began).toBeLessThan(callerPatienceMilliseconds(STREAM_ROUTE));
   expect(fixture.arrivals[0]?.instanceId).toBe('one');
 });
@@ -133,6 +140,6 @@
     );
   };
   await start(pausing, streamEvents(EVENTS));
-  expect(await stream('pausing')).toContain('id: 4');
+  expect(await clock.runUntil(stream('pausing'))).toContain('id: 4');
   expect(fixture.arrivals).toHaveLength(1);
 });
