--- a/packages/crash-attribution/src/crash-ledger.ts
+++ b/packages/crash-attribution/src/crash-ledger.ts
@@ -69,7 +69,10 @@
 const MAXIMUM_SUSPECTS = 32;
 const MAXIMUM_QUARANTINED = 256;
 const MAXIMUM_RELEASED = 256;
-const MAXIMUM_RECENT = 16;
+const MAXIMUM_RECENT_CRASHES = 8;
+const MAXIMUM_RECENT_PARTS = 16;
+/** A relayed statement is the same one if it differs by less. */
+const RELAY_TOLERANCE_MILLISECONDS = 1000;
 
 /** Removes the entries that were added first until so many are left. */
 function limitSize<Value>(map: Map<string, Value>, maximum: number): void {
@@ -87,10 +90,10 @@
   const clearedAt = new Map<string, number>();
   const quarantinedAt = new Map<string, number>();
   const releasedAt = new Map<string, number>();
+  /** When suspects are judged again without further news. */
   let evaluateAt = Infinity;
   let resolveQuarantine: () => void = () => undefined;
   let pendingQuarantine = nextPromise();
-
   /** Whether there is something that others may not know. */
   let hasNews = false;
 
@@ -241,7 +244,7 @@
     merge(statements, source) {
       for (const { part, ageMilliseconds } of statements.released) {
         const at = now() - ageMilliseconds;
-        if (at <= (releasedAt.get(part) ?? -Infinity) + CLEARANCE_TIME_MILLISECONDS) continue;
+        if (at <= (releasedAt.get(part) ?? -Infinity) + RELAY_TOLERANCE_MILLISECONDS) continue;
         release(part, at, source);
       }
       for (const { server, ageMilliseconds, suspects } of statements.crashes) {
@@ -271,7 +274,7 @@
       const maximumAge = isAll ? EVIDENCE_MILLISECONDS : RECENT_MILLISECONDS;
       const listed = [...crashes.values()]
         .filter(({ endedAt }) => now() - endedAt <= maximumAge)
-        .slice(isAll ? 0 : -MAXIMUM_RECENT);
+        .slice(isAll ? 0 : -MAXIMUM_RECENT_CRASHES);
       const suspects = new Set(listed.flatMap((crash) => [...crash.suspects]));
       return {
         crashes: listed.map((crash) => ({
@@ -280,8 +283,8 @@
           suspects: [...crash.suspects],
         })),
         cleared: agesOf(clearedAt, clearedAt.size).filter(({ part }) => suspects.has(part)),
-        quarantined: agesOf(quarantinedAt, isAll ? MAXIMUM_QUARANTINED : MAXIMUM_RECENT),
-        released: agesOf(releasedAt, isAll ? MAXIMUM_RELEASED : MAXIMUM_RECENT),
+        quarantined: agesOf(quarantinedAt, isAll ? MAXIMUM_QUARANTINED : MAXIMUM_RECENT_PARTS),
+        released: agesOf(releasedAt, isAll ? MAXIMUM_RELEASED : MAXIMUM_RECENT_PARTS),
       };
     },
     findQuarantined(sharedParts) {
--- a/packages/crash-attribution/src/plan-quarantine.ts
+++ b/packages/crash-attribution/src/plan-quarantine.ts
@@ -37,7 +37,7 @@
  * Servers that end within this time count as one event: a power failure ends many at once, under
  * whatever they were reading.
  */
-export const EVENT_MILLISECONDS = 500;
+const EVENT_MILLISECONDS = 500;
 const MINIMUM_EVENTS = 2;
 const MINIMUM_WEIGHT = 1;
 /** The same for parts that have only come together, so that one of them may be sound. */
