--- a/packages/forwarding/src/choose-server.ts
+++ b/packages/forwarding/src/choose-server.ts
@@ -33,6 +33,8 @@
   const coldRate = profile?.coldRequestsPerSecond ?? 0;
   const senders = coldShare.senderCount(coldRate);
   const trafficShare = estimateTrafficShare(context, accepted.service, serversById.values());
+  // A single request of an entry that sends few says little about the others.
+  const unseenPerRequest = Math.min(othersPerRequest(trafficShare), context.entries() - 1);
   let leaving = 0;
   for (const server of serversById.values()) {
     if (server.service !== accepted.service || server.draining) continue;
@@ -59,7 +61,7 @@
           brokenForMilliseconds: context.groupHealth.brokenForMilliseconds(server),
           isSilent: context.liveness.isSilent(server),
         },
-        othersPerRequest(trafficShare),
+        unseenPerRequest,
       ),
     );
   }
