--- a/packages/routing/src/plan-server-choice.ts
+++ b/packages/routing/src/plan-server-choice.ts
@@ -14,7 +14,7 @@
   readonly slots: number;
   /** Requests running and waiting at the server: its last report plus what was sent since. */
   readonly outstanding: number;
-  /** The same, assuming that every other entry has sent as many as this one since the report. */
+  /** The same, with what other entries are assumed to have sent since the report. */
   readonly expectedOutstanding: number;
   /** Prompt tokens that this entry has sent and that, as far as it can tell, await prefill. */
   readonly pendingPrefillTokens: number;
