--- a/packages/soak/src/link.ts
+++ b/packages/soak/src/link.ts
@@ -39,8 +39,12 @@
   }
 
   function pipe(from: Socket, to: Socket, isAnswer: boolean): void {
+    let hasSwallowed = false;
     const takeData = (chunk: Buffer): void => {
-      if (mode === LinkMode.Silent || (isAnswer && mode === LinkMode.OneWay)) return;
+      if (mode === LinkMode.Silent || (isAnswer && mode === LinkMode.OneWay)) {
+        hasSwallowed = true;
+        return;
+      }
       const forward = (): void => {
         if (!to.destroyed) to.write(chunk);
       };
@@ -48,6 +52,8 @@
       else forward();
     };
     const takeEnd = (): void => {
+      // The end of a connection does not overtake bytes that were lost on it.
+      if (hasSwallowed) return;
       if (isAnswer && !from.writableEnded && mode !== LinkMode.Delayed) {
         // A reset that arrives together with data reads like an end; only a write still fails.
         from.write('\r\n', (error) => {
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -172,6 +172,8 @@
       server.endCount -= 1;
       if (server.endCount > 0) return;
       server.startedAt += 1;
+      server.runner.isLeaving = false;
+      departureWatch.onReplaced(server.instanceId);
       server.link.setMode(LinkMode.Passing);
       if (rank >= 0) group.restart(rank);
     };
