Log and count what an entry spends of its retry budget

No line told how much of its share an entry has used, out of what, or that a request ended because the budget was spent: the reason named only its failed sends. Metrics count retries by service, cause and result. No decision changes.

--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -216,21 +216,25 @@
     () => backoffs.requestsSent(),
   );
 
+  const retryShare = createRetryBudgetShare({
+    bounds: () => ({
+      ratio: life.settings().retryRatio,
+      slack: life.settings().retrySlack,
+      windowMilliseconds: life.settings().retryWindowMilliseconds,
+    }),
+    entries,
+    logger,
+    now: monotonicClock,
+  });
+  metrics.retries(() => retryShare.counts());
+
   const context: ForwardContext = {
     metrics,
     protocol: adapters.protocol,
     catalog,
     ledger,
     liveness,
-    retryShare: createRetryBudgetShare(
-      () => ({
-        ratio: life.settings().retryRatio,
-        slack: life.settings().retrySlack,
-        windowMilliseconds: life.settings().retryWindowMilliseconds,
-      }),
-      entries,
-      monotonicClock,
-    ),
+    retryShare,
     coldShare,
     statements,
     serverEnds,
--- a/packages/forwarding/src/describe-end.ts
+++ b/packages/forwarding/src/describe-end.ts
@@ -4,7 +4,7 @@
 import { findQuarantinedPart } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext, RequestProgress } from './forward-context.js';
 import { describeOutcome } from './outcome.js';
-import type { RefusalCause } from './plan-retry-after.js';
+import { RefusalCause } from './plan-retry-after.js';
 
 export function describeEnd(
   context: ForwardContext,
@@ -15,5 +15,6 @@
   const reasons = outcomes.map(describeOutcome);
   const part = findQuarantinedPart(context, accepted);
   if (part !== undefined) reasons.push(`prompt part ${part} is quarantined`);
+  if (cause === RefusalCause.BudgetSpent) reasons.push('retry budget spent');
   return reasons.join('; ') || cause;
 }
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -214,11 +214,12 @@
     catalog,
     ledger: createServerLoadTracker(now),
     liveness,
-    retryShare: createRetryBudgetShare(
-      () => ({ ratio: 0, slack: options.retrySlack ?? 100, windowMilliseconds: 10_000 }),
-      () => 1,
+    retryShare: createRetryBudgetShare({
+      bounds: () => ({ ratio: 0, slack: options.retrySlack ?? 100, windowMilliseconds: 10_000 }),
+      entries: () => 1,
+      logger,
       now,
-    ),
+    }),
     coldShare: createColdStartShare(() => options.sendingEntries ?? SINGLE_ENTRY, now),
     statements: createServerStatements({
       rateLimits: createServerRateLimits({
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -22,8 +22,13 @@
 export { createGroupHealth } from './group-health.js';
 export type { GroupHealth, RankHealth } from './group-health.js';
 export { createEventActivity } from './event-activity.js';
-export { createRetryBudgetShare } from './retry-budget-share.js';
-export type { RetryBudgetLimits, RetryBudgetShare } from './retry-budget-share.js';
+export { createRetryBudgetShare, RetryCause } from './retry-budget-share.js';
+export type {
+  RetryBudgetLimits,
+  RetryBudgetShare,
+  RetryBudgetShareOptions,
+  RetryCount,
+} from './retry-budget-share.js';
 export type { SendingEntries } from './sender-rank.js';
 export { createServerBackoffs } from './server-backoffs.js';
 export type { ServerBackoffs } from './server-backoffs.js';
--- a/packages/forwarding/src/serve-plain.ts
+++ b/packages/forwarding/src/serve-plain.ts
@@ -24,6 +24,7 @@
 import type { PlainAttempt } from './plain-attempt.js';
 import { RefusalCause } from './plan-retry-after.js';
 import { planRoomWait } from './plan-wait.js';
+import { RetryCause, retryCauseAfter } from './retry-budget-share.js';
 import { roundedOrNone } from './rounded-or-none.js';
 
 /** Maximum sends of one request, including refused ones; beyond it the service counts as full. */
@@ -138,6 +139,10 @@
     }
   }
 
+  function retryCause(): RetryCause {
+    return running.size > 0 ? RetryCause.Hedged : retryCauseAfter(progress.outcomes);
+  }
+
   /** Starts one more attempt, or returns why none can be started. */
   function startNextAttempt(): StartResult {
     if (findQuarantinedPart(context, accepted) !== undefined) {
@@ -151,7 +156,7 @@
     if (server === undefined) {
       return delayOrRefuse(choice);
     }
-    if (progress.sends > 0 && !context.retryShare.trySpend(service)) {
+    if (progress.sends > 0 && !context.retryShare.trySpend(service, retryCause())) {
       return cannotStart(RefusalCause.BudgetSpent);
     }
     progress.sends += 1;
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -24,6 +24,7 @@
 import { roundedOrNone } from './rounded-or-none.js';
 import { DelayKind, REFUSAL_CAUSE_BY_DELAY, toStreamDelay, waitForServer } from './stream-delay.js';
 import type { StreamDelay } from './stream-delay.js';
+import { RetryCause, retryCauseAfter } from './retry-budget-share.js';
 import { startStreamAttempt, StreamEndKind } from './stream-attempt.js';
 import type { StreamAttempt, StreamEnd } from './stream-attempt.js';
 import { createStreamRecord } from './stream-record.js';
@@ -122,6 +123,10 @@
     });
   }
 
+  function retryCause(): RetryCause {
+    return response.hasBegun ? RetryCause.Resumed : retryCauseAfter(progress.outcomes);
+  }
+
   /** Starts one more attempt, or returns why none can be started. */
   function startNextAttempt(): StartResult {
     if (state.timeout !== undefined) return { kind: StartKind.None, cause: state.timeout };
@@ -135,7 +140,7 @@
     const delay = toStreamDelay(context, choice);
     if (delay !== undefined) return { kind: StartKind.Delayed, delay };
     if (server === undefined) return { kind: StartKind.None, cause: causeWithoutServer() };
-    if (progress.sends > 0 && !context.retryShare.trySpend(service)) {
+    if (progress.sends > 0 && !context.retryShare.trySpend(service, retryCause())) {
       return { kind: StartKind.None, cause: RefusalCause.BudgetSpent };
     }
     progress.sends += 1;
--- a/packages/forwarding/src/shares.test.ts
+++ b/packages/forwarding/src/shares.test.ts
@@ -1,9 +1,10 @@
 import { createRandom, pickSome } from '@lapisbridge/kernel';
+import { createSilentLogger } from '@lapisbridge/logger';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
 import { createColdStartShare } from './cold-start-share.js';
-import { createRetryBudgetShare } from './retry-budget-share.js';
+import { createRetryBudgetShare, RetryCause } from './retry-budget-share.js';
 
 const BOUNDS = { ratio: 0.2, slack: 90, windowMilliseconds: 10_000 };
 
@@ -33,11 +34,12 @@
       fc.property(steps, (played: Step[]) => {
         let now = 0;
         const shares = Array.from({ length: 7 }, () =>
-          createRetryBudgetShare(
-            () => BOUNDS,
-            () => 7,
-            () => now,
-          ),
+          createRetryBudgetShare({
+            bounds: () => BOUNDS,
+            entries: () => 7,
+            logger: createSilentLogger(),
+            now: () => now,
+          }),
         );
         const requests: number[] = [];
         const repeats: number[] = [];
@@ -46,7 +48,7 @@
           shares[entry]?.recordRequest('service');
           requests.push(now);
           for (let index = 0; index < wanted; index += 1) {
-            if (shares[entry]?.trySpend('service') === true) repeats.push(now);
+            if (shares[entry]?.trySpend('service', RetryCause.Lost) === true) repeats.push(now);
           }
           const from = now - BOUNDS.windowMilliseconds;
           const inWindow = (times: number[]): number => times.filter((at) => at >= from).length;
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -32,9 +32,19 @@
   serverGauge(name: string, help: string, read: () => ReadonlyMap<string, number>): void;
   /** Registers counts of datagrams sent, by kind, that are read when metrics are asked for. */
   datagrams(read: () => ReadonlyMap<string, DatagramCount>): void;
+  /** Registers counts of retries that are read when metrics are asked for. */
+  retries(read: () => readonly RetryCount[]): void;
   text(): Promise<string>;
 }
 
+/** Retries of one service for one cause. */
+export interface RetryCount {
+  readonly service: string;
+  readonly cause: string;
+  readonly granted: number;
+  readonly denied: number;
+}
+
 export interface DatagramCount {
   readonly datagrams: number;
   readonly bytes: number;
@@ -135,6 +145,21 @@
       registry.registerMetric(sent);
       registry.registerMetric(bytes);
     },
+    retries(read) {
+      const retries = new Gauge({
+        name: 'lapisbridge_retries_total',
+        help: 'Retries that the budget granted or denied, by service and cause.',
+        labelNames: ['service', 'cause', 'result'],
+        registers: [registry],
+        collect() {
+          for (const { service, cause, granted, denied } of read()) {
+            this.set({ service, cause, result: 'granted' }, granted);
+            this.set({ service, cause, result: 'denied' }, denied);
+          }
+        },
+      });
+      registry.registerMetric(retries);
+    },
     text: () => registry.metrics(),
   };
 }
