--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -15,3 +15,5 @@
 export type { Checker, Violation } from './checkers.js';
 export { createHistory, EventKind } from './events.js';
 export type { EventOf, History, HistoryEvent } from './events.js';
+export { findWorstRetryWindow } from './retry-load.js';
+export type { RetryLimits, RetryWindow } from './retry-load.js';
