Let a process earn its retries instead of starting with a full share

What callers saw: nothing directly; the servers of a failing service got up to 1.5 times the retries that the deployment allows, whenever entries were restarted several times within ten seconds.

Cause: each entry kept its window of retries in memory and took its whole part of the slack whenever the window was empty, so each new process of an entry spent the part again that its predecessor had spent.

Two token buckets replace the window: one earns from the process's own requests, one earns the entry's slack as time passes. What a process may hold and what it earns in a window add up to less than its part, and a new process has one retry and earns the rest, so the sum holds whatever was spent before.

--- a/packages/direct-entry/src/simulate-retries.test.ts
+++ b/packages/direct-entry/src/simulate-retries.test.ts
@@ -22,6 +22,7 @@
         sinceStartMilliseconds: now() - startedAt,
       }),
     logger,
+    startedAt,
     now,
   });
   return {
--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -224,6 +224,7 @@
     }),
     entries,
     logger,
+    startedAt,
     now: monotonicClock,
   });
   metrics.retries(() => retryShare.counts());
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -141,6 +141,8 @@
   });
 }
 
+/** The entry has run for a while, so that it has earned retries. */
+const ENTRY_AGE_MILLISECONDS = 60_000;
 const SINGLE_ENTRY: SendingEntries = { own: 'entry', names: ['entry'], count: 1 };
 
 export async function startFixture(options: FixtureOptions): Promise<Fixture> {
@@ -218,6 +220,7 @@
       bounds: () => ({ ratio: 0, slack: options.retrySlack ?? 100, windowMilliseconds: 10_000 }),
       entries: () => 1,
       logger,
+      startedAt: now() - ENTRY_AGE_MILLISECONDS,
       now,
     }),
     coldShare: createColdStartShare(() => options.sendingEntries ?? SINGLE_ENTRY, now),
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -23,8 +23,8 @@
 export type { GroupHealth, RankHealth } from './group-health.js';
 export { createEventActivity } from './event-activity.js';
 export { createRetryBudgetShare, RetryCause } from './retry-budget-share.js';
+export type { RetryBudgetLimits } from './retry-allowance.js';
 export type {
-  RetryBudgetLimits,
   RetryBudgetShare,
   RetryBudgetShareOptions,
   RetryCount,
--- /dev/null
+++ b/packages/forwarding/src/retry-allowance.test.ts
@@ -0,0 +1,89 @@
+import { expect, it } from 'vitest';
+
+import { createRetryAllowance } from './retry-allowance.js';
+import type { RetryAllowance } from './retry-allowance.js';
+
+const LIMITS = { ratio: 0.2, slack: 90, windowMilliseconds: 10_000 };
+
+interface Played {
+  readonly allowance: RetryAllowance;
+  /** Time goes on while requests come evenly. */
+  wait(milliseconds: number, requests?: number): void;
+  /** Number of retries that are granted at once. */
+  spendAll(): number;
+}
+
+function play(entries: number): Played {
+  let now = 0;
+  const allowance = createRetryAllowance({
+    limits: () => LIMITS,
+    entries: () => entries,
+    startedAt: 0,
+    now: () => now,
+  });
+  return {
+    allowance,
+    wait(milliseconds, requests = 0) {
+      for (let request = 0; request < requests; request += 1) {
+        now += milliseconds / requests;
+        allowance.recordRequest();
+      }
+      if (requests === 0) now += milliseconds;
+    },
+    spendAll() {
+      let spent = 0;
+      while (allowance.trySpend()) spent += 1;
+      return spent;
+    },
+  };
+}
+
+it('grants the first request of a new process one retry', () => {
+  const { spendAll } = play(8);
+  expect(spendAll()).toBe(1);
+});
+
+it('grants a new process nothing for the requests of its predecessor', () => {
+  const { wait, spendAll } = play(8);
+  wait(1000, 10);
+  // The opening retry, a second's slack, and the requests' share that may be held: 2.1 in all.
+  expect(spendAll()).toBe(2);
+});
+
+it('saves retries for an outage in which most streams are lost at once', () => {
+  const { wait, spendAll } = play(8);
+  wait(10_000, 130);
+  // 9 of the 26 that the requests allow, and 3 of the 11 of the slack.
+  expect(spendAll()).toBe(12);
+});
+
+it('goes on granting retries through a long outage', () => {
+  const { wait, spendAll } = play(8);
+  wait(10_000, 130);
+  spendAll();
+  let spent = 0;
+  for (let second = 0; second < 20; second += 1) {
+    wait(1000, 13);
+    spent += spendAll();
+  }
+  // More than half of what the rule allows in 20 s: twice 26 and 11.
+  expect(spent).toBeGreaterThan(35);
+  expect(spent).toBeLessThanOrEqual(74);
+});
+
+it('earns the slack of the time in which nothing was asked', () => {
+  const { wait, spendAll } = play(8);
+  wait(60_000);
+  expect(spendAll()).toBe(3);
+});
+
+it('counts the requests and retries of the last window', () => {
+  const { allowance, wait } = play(8);
+  wait(1000, 10);
+  allowance.trySpend();
+  expect(allowance.recentRequests()).toBe(10);
+  expect(allowance.recentRetries()).toBe(1);
+  wait(10_001);
+  expect(allowance.recentRequests()).toBe(0);
+  expect(allowance.recentRetries()).toBe(0);
+});
--- a/packages/forwarding/src/retry-budget-share.ts
+++ b/packages/forwarding/src/retry-budget-share.ts
@@ -1,13 +1,13 @@
 /**
- * This entry's share of the deployment-wide retry budget. The budget limits the sum over all
- * entries, in any window, to a ratio of the requests plus a fixed slack. Each entry uses the ratio
- * of its own requests and its part of the slack, so the sum holds without communication;
- * overestimating the number of entries only makes the shares smaller.
+ * Retries of this entry, by service: what each service's allowance grants or denies, counted and
+ * logged.
  */
 import type { Logger } from '@lapisbridge/logger';
 
 import { OutcomeKind } from './outcome.js';
 import type { Outcome } from './outcome.js';
+import { createRetryAllowance } from './retry-allowance.js';
+import type { RetryAllowance, RetryBudgetLimits } from './retry-allowance.js';
 
 /** Why a request is sent once more. */
 export enum RetryCause {
@@ -31,105 +31,89 @@
   readonly service: string;
   readonly cause: RetryCause;
   readonly granted: number;
-  /** Retries that the exhausted share did not allow. */
+  /** Retries that the used up allowance did not permit. */
   readonly denied: number;
 }
 
 export interface RetryBudgetShare {
   /** Records a caller's request for a service. */
   recordRequest(service: string): void;
-  /** Uses one retry for a service; false if the share is exhausted. */
+  /** Uses one retry for a service; false if none is left. */
   trySpend(service: string, cause: RetryCause): boolean;
   counts(): readonly RetryCount[];
 }
 
-export interface RetryBudgetLimits {
-  readonly ratio: number;
-  readonly slack: number;
-  readonly windowMilliseconds: number;
-}
-
 export interface RetryBudgetShareOptions {
   bounds(): RetryBudgetLimits;
   /** Number of entries that share the slack. */
   entries(): number;
   readonly logger: Logger;
+  /** When the process started, on the clock of `now`. */
+  readonly startedAt: number;
   now(): number;
 }
 
-/** Minimum time between two log lines about one service. */
-const LOG_INTERVAL_MILLISECONDS = 1000;
-/** Share of the budget that is used, so that requests at the edge of a window cannot violate it. */
-const USED_SHARE = 0.7;
-
-interface ServiceWindow {
-  readonly requests: number[];
-  readonly repeats: number[];
+interface ServiceRetries {
+  readonly allowance: RetryAllowance;
   readonly counts: Map<RetryCause, { granted: number; denied: number }>;
   loggedAt: number;
   deniedSinceLog: number;
 }
 
+/** Minimum time between two log lines about one service. */
+const LOG_INTERVAL_MILLISECONDS = 1000;
+
 export function createRetryBudgetShare(options: RetryBudgetShareOptions): RetryBudgetShare {
-  const { bounds, entries, logger, now } = options;
-  const windows = new Map<string, ServiceWindow>();
+  const { bounds, entries, logger, startedAt, now } = options;
+  const services = new Map<string, ServiceRetries>();
 
-  function windowOf(service: string): ServiceWindow {
-    let window = windows.get(service);
-    if (window === undefined) {
-      window = {
-        requests: [],
-        repeats: [],
-        counts: new Map(),
-        loggedAt: -Infinity,
-        deniedSinceLog: 0,
-      };
-      windows.set(service, window);
-    }
-    const from = now() - bounds().windowMilliseconds;
-    while ((window.requests[0] ?? Infinity) < from) window.requests.shift();
-    while ((window.repeats[0] ?? Infinity) < from) window.repeats.shift();
-    return window;
+  function retriesOf(service: string): ServiceRetries {
+    const known = services.get(service);
+    if (known !== undefined) return known;
+    const retries: ServiceRetries = {
+      allowance: createRetryAllowance({ limits: bounds, entries, startedAt, now }),
+      counts: new Map(),
+      loggedAt: -Infinity,
+      deniedSinceLog: 0,
+    };
+    services.set(service, retries);
+    return retries;
   }
 
-  function logUsage(service: string, window: ServiceWindow, share: number): void {
-    if (now() - window.loggedAt < LOG_INTERVAL_MILLISECONDS) return;
-    window.loggedAt = now();
+  function logUsage(service: string, retries: ServiceRetries): void {
+    if (now() - retries.loggedAt < LOG_INTERVAL_MILLISECONDS) return;
+    retries.loggedAt = now();
+    const { allowance, deniedSinceLog } = retries;
     logger.info('retry budget', {
       service,
-      spent: window.repeats.length,
-      share: Number(share.toFixed(1)),
-      requests: window.requests.length,
+      spent: allowance.recentRetries(),
+      available: Number(allowance.available().toFixed(1)),
+      requests: allowance.recentRequests(),
       entries: entries(),
-      denied: window.deniedSinceLog,
+      denied: deniedSinceLog,
     });
-    window.deniedSinceLog = 0;
+    retries.deniedSinceLog = 0;
   }
 
   return {
-    recordRequest(service) {
-      windowOf(service).requests.push(now());
-    },
+    recordRequest: (service) => retriesOf(service).allowance.recordRequest(),
     trySpend(service, cause) {
-      const window = windowOf(service);
-      const { ratio, slack } = bounds();
-      const share = USED_SHARE * (ratio * window.requests.length + slack / Math.max(1, entries()));
-      const isGranted = window.repeats.length + 1 <= share;
-      const count = window.counts.get(cause) ?? { granted: 0, denied: 0 };
-      window.counts.set(cause, count);
+      const retries = retriesOf(service);
+      const count = retries.counts.get(cause) ?? { granted: 0, denied: 0 };
+      retries.counts.set(cause, count);
+      const isGranted = retries.allowance.trySpend();
       if (isGranted) {
-        window.repeats.push(now());
         count.granted += 1;
       } else {
-        window.deniedSinceLog += 1;
         count.denied += 1;
+        retries.deniedSinceLog += 1;
       }
-      logUsage(service, window, share);
+      logUsage(service, retries);
       return isGranted;
     },
     counts() {
       const all: RetryCount[] = [];
-      for (const [service, { counts }] of windows) {
+      for (const [service, { counts }] of services) {
         for (const [cause, count] of counts) all.push({ service, cause, ...count });
       }
       return all;
--- a/packages/forwarding/src/shares.test.ts
+++ b/packages/forwarding/src/shares.test.ts
@@ -38,6 +38,7 @@
             bounds: () => BOUNDS,
             entries: () => 7,
             logger: createSilentLogger(),
+            startedAt: 0,
             now: () => now,
           }),
         );
