Divide the retry budget's slack by all entries of the last hour

What callers saw: nothing directly; the servers of a failing service got more retries than the deployment allows while entries were cut off from each other.

Cause: the slack was divided by the entries that are heard. Members are forgotten after 30 s, so on each side of a longer cut the parts of the other side were used again, and a process that started behind a cut assumed only its own side from its sixth second on.

Evidence: the play exceeds the budget by 3 and 59 retries on two and three sides of a cut of a minute, by 4 and 47 where entries restart behind a cut; it keeps it now.

The divisor is the highest number of entries known at once within an hour, and at least the number that a new process assumes. Too high a number costs little: most retries are earned by requests. Cold starts and stated rates keep dividing by the entries that are heard, since too high a number would leave servers idle.

--- a/packages/direct-entry/src/plan-entries.test.ts
+++ b/packages/direct-entry/src/plan-entries.test.ts
@@ -2,7 +2,7 @@
 import { createRandom, pickSome } from '@lapisbridge/kernel';
 import { expect, it } from 'vitest';
 
-import { estimateEntryCount } from './plan-entries.js';
+import { createEntryCountPeak, estimateEntryCount, planRetrySharers } from './plan-entries.js';
 
 it('assumes a minimum until all entries have had time to be discovered', () => {
   const input = { knownEntries: 2, backendServers: 19 };
@@ -44,3 +44,28 @@
     }
   },
 );
+
+it('remembers for an hour how many entries there were', () => {
+  let now = 0;
+  const peak = createEntryCountPeak(() => now);
+  expect(peak.highest()).toBe(1);
+  peak.observe(12);
+  now = 1000;
+  peak.observe(9);
+  peak.observe(4);
+  now = 3_600_000;
+  peak.observe(4);
+  expect(peak.highest()).toBe(12);
+  now = 3_600_500;
+  peak.observe(5);
+  expect(peak.highest()).toBe(9);
+  now = 7_300_000;
+  peak.observe(5);
+  expect(peak.highest()).toBe(5);
+});
+
+it('divides the slack by a minimum of entries when few are known', () => {
+  expect(planRetrySharers(1, 12)).toBe(8);
+  expect(planRetrySharers(1, 90)).toBe(30);
+  expect(planRetrySharers(40, 90)).toBe(40);
+});
--- a/packages/direct-entry/src/plan-entries.ts
+++ b/packages/direct-entry/src/plan-entries.ts
@@ -19,6 +19,10 @@
 /** Time after the start within which this entry learns of all others. */
 const DISCOVERY_MILLISECONDS = 5000;
 
+function minimumEntries(backendServers: number): number {
+  return Math.max(MINIMUM_ASSUMED_ENTRIES, Math.ceil(backendServers / SERVERS_PER_ENTRY));
+}
+
 /** Returns the number of entries to assume, including this one. */
 export function estimateEntryCount({
   knownEntries,
@@ -26,9 +30,38 @@
   sinceStartMilliseconds,
 }: EntryCountInput): number {
   if (sinceStartMilliseconds >= DISCOVERY_MILLISECONDS) return knownEntries;
-  return Math.max(
-    knownEntries,
-    MINIMUM_ASSUMED_ENTRIES,
-    Math.ceil(backendServers / SERVERS_PER_ENTRY),
-  );
+  return Math.max(knownEntries, minimumEntries(backendServers));
+}
+
+/** The highest number of entries known at once within the last hour. */
+export interface EntryCountPeak {
+  /** Records the number of entries that are known now. */
+  observe(knownEntries: number): void;
+  highest(): number;
+}
+
+/** Entries that are partitioned for longer than this use shares that are too large. */
+const PEAK_RETENTION_MILLISECONDS = 3_600_000;
+
+export function createEntryCountPeak(now: () => number): EntryCountPeak {
+  /** Counts that were not reached again since, each with the last time it was observed. */
+  let peaks: { readonly count: number; readonly observedAt: number }[] = [];
+
+  return {
+    observe(knownEntries) {
+      const from = now() - PEAK_RETENTION_MILLISECONDS;
+      peaks = peaks.filter(({ count, observedAt }) => count > knownEntries && observedAt >= from);
+      peaks.push({ count: knownEntries, observedAt: now() });
+    },
+    highest: () => peaks[0]?.count ?? 1,
+  };
+}
+
+/**
+ * Returns the number of entries to divide the slack of the retry budget by. Entries that are no
+ * longer heard may be behind a partition and use their parts, and a process that starts behind one
+ * hears only its side. Too high a number costs little, since most retries are earned by requests.
+ */
+export function planRetrySharers(peakEntries: number, backendServers: number): number {
+  return Math.max(peakEntries, minimumEntries(backendServers));
 }
--- a/packages/direct-entry/src/simulate-retries.test.ts
+++ b/packages/direct-entry/src/simulate-retries.test.ts
@@ -3,7 +3,7 @@
 import { createSilentLogger } from '@lapisbridge/logger';
 import { expect, it } from 'vitest';
 
-import { estimateEntryCount } from './plan-entries.js';
+import { createEntryCountPeak, planRetrySharers } from './plan-entries.js';
 import { simulateRetries, Traffic } from './simulate-retries.js';
 import type { RetrySimulation, SimulatedBudget, SimulatedProcess } from './simulate-retries.js';
 
@@ -13,14 +13,13 @@
 const logger = createSilentLogger();
 
 function createBudget({ knownEntries, startedAt, now }: SimulatedProcess): SimulatedBudget {
+  const peak = createEntryCountPeak(now);
   const budget = createRetryBudgetShare({
     bounds: () => LIMITS,
-    entries: () =>
-      estimateEntryCount({
-        knownEntries: knownEntries(),
-        backendServers: BACKEND_SERVERS,
-        sinceStartMilliseconds: now() - startedAt,
-      }),
+    entries() {
+      peak.observe(knownEntries());
+      return planRetrySharers(peak.highest(), BACKEND_SERVERS);
+    },
     logger,
     startedAt,
     now,
--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -34,7 +34,7 @@
 import { startInstanceListener } from './instance-listener.js';
 import { createCatalogSync } from './catalog-sync.js';
 import type { CatalogSync } from './catalog-sync.js';
-import { estimateEntryCount } from './plan-entries.js';
+import { createEntryCountPeak, estimateEntryCount, planRetrySharers } from './plan-entries.js';
 import { createQuarantineSync } from './quarantine-sync.js';
 import { startFleet } from './start-fleet.js';
 
@@ -79,7 +79,10 @@
   let isStopping = false;
   const pulse = createEventActivity(monotonicClock);
 
+  const entryCountPeak = createEntryCountPeak(monotonicClock);
+
   function estimateEntries(knownEntries: number): number {
+    entryCountPeak.observe(knownEntries);
     return estimateEntryCount({
       knownEntries,
       backendServers: catalog.servers().servers.size,
@@ -222,7 +225,7 @@
       slack: life.settings().retrySlack,
       windowMilliseconds: life.settings().retryWindowMilliseconds,
     }),
-    entries,
+    entries: () => planRetrySharers(entryCountPeak.highest(), catalog.servers().servers.size),
     logger,
     startedAt,
     now: monotonicClock,
