Charge the retry budget only for sends that reach a server

What callers saw: after the budget was spent, a request whose first server refused connections failed, though no server had received it.

Cause: every send after the first was charged. The budget limits what reaches servers beyond the first arrival of each request; a connection that was never established carries nothing, so neither that send nor the one that replaces it is a retry.

--- a/packages/forwarding/src/forwarding.test.ts
+++ b/packages/forwarding/src/forwarding.test.ts
@@ -93,6 +93,15 @@
     expect(arrivals).toHaveLength(1);
   });
 
+  it('needs no retry budget to be sent to another server when the first is unreachable', async () => {
+    const { arrivals } = await start({
+      servers: { one: undefined, two: respondWith('booked') },
+      retrySlack: 0,
+    });
+    expect(await send()).toMatchObject({ status: 200, body: 'booked' });
+    expect(arrivals).toHaveLength(1);
+  });
+
   it('is refused with a retry-after time when no server ran it', async () => {
     // Every server is full and says so: the caller learns at once that nothing ran.
     await start({ servers: { one: refuseRequest, two: refuseRequest } });
--- a/packages/forwarding/src/outcome.ts
+++ b/packages/forwarding/src/outcome.ts
@@ -17,6 +17,8 @@
   readonly reason: string;
   /** The server was reached and refused the request; false when it could not be reached. */
   readonly wasRefused: boolean;
+  /** Whether the request may have left this process. */
+  readonly wasSent: boolean;
 }
 
 export interface Unknown {
--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -32,7 +32,7 @@
 ): Outcome {
   switch (end.kind) {
     case ExchangeEndKind.NotSent:
-      return { kind: OutcomeKind.NotRun, reason: end.reason, wasRefused: false };
+      return { kind: OutcomeKind.NotRun, reason: end.reason, wasRefused: false, wasSent: false };
     case ExchangeEndKind.Incomplete:
     case ExchangeEndKind.Cancelled:
       return { kind: OutcomeKind.Unknown, reason: end.reason };
@@ -43,6 +43,7 @@
           kind: OutcomeKind.NotRun,
           reason: describeRefusal(head),
           wasRefused: !head.isMisdirected,
+          wasSent: true,
         };
       }
       const headFault = findHeadFault(head, requestId);
--- a/packages/forwarding/src/retry-allowance.ts
+++ b/packages/forwarding/src/retry-allowance.ts
@@ -32,6 +32,8 @@
   recordRequest(): void;
   /** Uses one retry; false if there is none left. */
   trySpend(): boolean;
+  /** Returns a retry that was not sent. */
+  refund(): void;
   /** Number of retries that may be sent now. */
   available(): number;
   /** Requests of the last window. */
@@ -96,6 +98,11 @@
       retries.push(now());
       return true;
     },
+    refund() {
+      update();
+      retries.pop();
+      fromSlack += 1;
+    },
     available() {
       update();
       return fromRequests + fromSlack;
--- a/packages/forwarding/src/retry-budget-share.ts
+++ b/packages/forwarding/src/retry-budget-share.ts
@@ -31,6 +31,8 @@
   readonly service: string;
   readonly cause: RetryCause;
   readonly granted: number;
+  /** Granted retries that were not sent. */
+  readonly returned: number;
   /** Retries that the used up allowance did not permit. */
   readonly denied: number;
 }
@@ -40,6 +42,8 @@
   recordRequest(service: string): void;
   /** Uses one retry for a service; false if none is left. */
   trySpend(service: string, cause: RetryCause): boolean;
+  /** Returns a retry that was not sent. */
+  refund(service: string, cause: RetryCause): void;
   counts(): readonly RetryCount[];
 }
 
@@ -53,9 +57,15 @@
   now(): number;
 }
 
+interface MutableCount {
+  granted: number;
+  returned: number;
+  denied: number;
+}
+
 interface ServiceRetries {
   readonly allowance: RetryAllowance;
-  readonly counts: Map<RetryCause, { granted: number; denied: number }>;
+  readonly counts: Map<RetryCause, MutableCount>;
   loggedAt: number;
   deniedSinceLog: number;
 }
@@ -80,6 +90,14 @@
     return retries;
   }
 
+  function countOf({ counts }: ServiceRetries, cause: RetryCause): MutableCount {
+    const known = counts.get(cause);
+    if (known !== undefined) return known;
+    const count = { granted: 0, returned: 0, denied: 0 };
+    counts.set(cause, count);
+    return count;
+  }
+
   function logUsage(service: string, retries: ServiceRetries): void {
     if (now() - retries.loggedAt < LOG_INTERVAL_MILLISECONDS) return;
     retries.loggedAt = now();
@@ -99,8 +117,7 @@
     recordRequest: (service) => retriesOf(service).allowance.recordRequest(),
     trySpend(service, cause) {
       const retries = retriesOf(service);
-      const count = retries.counts.get(cause) ?? { granted: 0, denied: 0 };
-      retries.counts.set(cause, count);
+      const count = countOf(retries, cause);
       const isGranted = retries.allowance.trySpend();
       if (isGranted) {
         count.granted += 1;
@@ -111,6 +128,11 @@
       logUsage(service, retries);
       return isGranted;
     },
+    refund(service, cause) {
+      const retries = retriesOf(service);
+      retries.allowance.refund();
+      countOf(retries, cause).returned += 1;
+    },
     counts() {
       const all: RetryCount[] = [];
       for (const [service, { counts }] of services) {
--- a/packages/forwarding/src/serve-plain.ts
+++ b/packages/forwarding/src/serve-plain.ts
@@ -24,6 +24,7 @@
 import type { PlainAttempt } from './plain-attempt.js';
 import { RefusalCause } from './plan-retry-after.js';
 import { planRoomWait } from './plan-wait.js';
+import { createRetryAccount } from './retry-account.js';
 import { RetryCause, retryCauseAfter } from './retry-budget-share.js';
 import { roundedOrNone } from './rounded-or-none.js';
 
@@ -69,6 +70,7 @@
 ): Promise<void> {
   const { route, service, response } = accepted;
   const progress = createProgress();
+  const retries = createRetryAccount(context.retryShare, service);
   const running = new Set<PlainAttempt>();
   let errorResponse: Answered | undefined;
   let isExpired = false;
@@ -156,7 +158,7 @@
     if (server === undefined) {
       return delayOrRefuse(choice);
     }
-    if (progress.sends > 0 && !context.retryShare.trySpend(service, retryCause())) {
+    if (!retries.tryBegin(retryCause())) {
       return cannotStart(RefusalCause.BudgetSpent);
     }
     progress.sends += 1;
@@ -268,6 +270,7 @@
         logFailedAttempt(context, accepted, attempt, outcome);
         if (outcome.kind === OutcomeKind.NotRun) {
           progress.runs -= 1;
+          if (!outcome.wasSent) retries.onNotSent();
         } else if (!isIdempotent || progress.runs >= route.maximumAttempts) {
           if (running.size > 0) continue;
           conclude(RefusalCause.Full, errorResponse === undefined ? undefined : attempt);
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -24,6 +24,7 @@
 import { roundedOrNone } from './rounded-or-none.js';
 import { DelayKind, REFUSAL_CAUSE_BY_DELAY, toStreamDelay, waitForServer } from './stream-delay.js';
 import type { StreamDelay } from './stream-delay.js';
+import { createRetryAccount } from './retry-account.js';
 import { RetryCause, retryCauseAfter } from './retry-budget-share.js';
 import { startStreamAttempt, StreamEndKind } from './stream-attempt.js';
 import type { StreamAttempt, StreamEnd } from './stream-attempt.js';
@@ -73,7 +74,12 @@
     case StreamEndKind.Answered:
       return { kind: OutcomeKind.Answered, head: end.head, body: end.body };
     case StreamEndKind.NotRun:
-      return { kind: OutcomeKind.NotRun, reason: end.reason, wasRefused: end.wasRefused };
+      return {
+        kind: OutcomeKind.NotRun,
+        reason: end.reason,
+        wasRefused: end.wasRefused,
+        wasSent: end.wasSent,
+      };
     case StreamEndKind.Incomplete:
       return { kind: OutcomeKind.Unknown, reason: end.reason };
     default: {
@@ -90,6 +96,7 @@
 ): Promise<void> {
   const { response, route, service } = accepted;
   const progress = createProgress();
+  const retries = createRetryAccount(context.retryShare, service);
   const record = createStreamRecord(context, accepted);
   const state: StreamState = {
     groupRefusals: 0,
@@ -140,7 +147,7 @@
     const delay = toStreamDelay(context, choice);
     if (delay !== undefined) return { kind: StartKind.Delayed, delay };
     if (server === undefined) return { kind: StartKind.None, cause: causeWithoutServer() };
-    if (progress.sends > 0 && !context.retryShare.trySpend(service, retryCause())) {
+    if (!retries.tryBegin(retryCause())) {
       return { kind: StartKind.None, cause: RefusalCause.BudgetSpent };
     }
     progress.sends += 1;
@@ -305,6 +312,7 @@
           return;
         case StreamEndKind.NotRun:
           progress.runs -= 1;
+          if (!end.wasSent) retries.onNotSent();
           if (end.isGroupBroken) {
             state.groupRefusals += 1;
             context.groupHealth.recordRefusal(server);
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -31,6 +31,8 @@
       readonly kind: StreamEndKind.NotRun;
       readonly reason: string;
       readonly wasRefused: boolean;
+      /** Whether the request may have left this process. */
+      readonly wasSent: boolean;
       /** Refused because another server of its lock-step group failed. */
       readonly isGroupBroken: boolean;
     }
@@ -141,6 +143,7 @@
         kind: StreamEndKind.NotRun,
         reason: end.reason,
         wasRefused: false,
+        wasSent: false,
         isGroupBroken: false,
       };
     }
@@ -158,6 +161,7 @@
         kind: StreamEndKind.NotRun,
         reason: describeRefusal(head),
         wasRefused: !head.isMisdirected,
+        wasSent: true,
         isGroupBroken,
       };
     }
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -42,6 +42,8 @@
   readonly service: string;
   readonly cause: string;
   readonly granted: number;
+  /** Granted retries that were not sent. */
+  readonly returned: number;
   readonly denied: number;
 }
 
@@ -152,8 +154,9 @@
         labelNames: ['service', 'cause', 'result'],
         registers: [registry],
         collect() {
-          for (const { service, cause, granted, denied } of read()) {
+          for (const { service, cause, granted, returned, denied } of read()) {
             this.set({ service, cause, result: 'granted' }, granted);
+            this.set({ service, cause, result: 'returned' }, returned);
             this.set({ service, cause, result: 'denied' }, denied);
           }
         },
