Start the product interface's retry budget with one retry, and keep it when the ratio changes

What callers saw: nothing directly.

A process has one retry and refills the reserve within a minute, and reads the ratio at each deposit. The test of the tenth keeps its bounds; its call follows the new options.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,10 +4,9 @@
  */
 import type { EntrySettings } from '@lapisbridge/config';
 import { createInstance } from '@lapisbridge/instance';
-import { sleep } from '@lapisbridge/kernel';
+import { monotonicClock, sleep } from '@lapisbridge/kernel';
 import { createStoreWatcher } from '@lapisbridge/platform';
 import { createRetryBudget } from '@lapisbridge/routing';
-import type { RetryBudget } from '@lapisbridge/routing';
 import { MessageKind } from '@lapisbridge/wire';
 import type { Channel, Message } from '@lapisbridge/wire';
 
@@ -66,13 +65,9 @@
   const storeWatcher = createStoreWatcher(platform.table, instance.random);
   const metrics = createMetrics();
   const inFlight = createInFlightLimits();
-  let budgetRatio = DEFAULT_RETRY_RATIO;
-  let budget: RetryBudget = createRetryBudget(budgetRatio);
-  state.onChange(() => {
-    const ratio = state.configuration?.document.limits.retryBudgetRatio ?? DEFAULT_RETRY_RATIO;
-    if (ratio === budgetRatio) return;
-    budgetRatio = ratio;
-    budget = createRetryBudget(ratio);
+  const budget = createRetryBudget({
+    ratio: () => state.configuration?.document.limits.retryBudgetRatio ?? DEFAULT_RETRY_RATIO,
+    now: monotonicClock,
   });
 
   function createContext(): CallContext {
@@ -81,8 +76,7 @@
       pool,
       logger,
       random: instance.random,
-      // Read anew at each use, since a change of the document replaces it.
-      budget: { deposit: () => budget.deposit(), tryWithdraw: () => budget.tryWithdraw() },
+      budget,
       nextTurn() {
         turn += 1;
         return turn;
--- a/packages/entry/src/repair.test.ts
+++ b/packages/entry/src/repair.test.ts
@@ -7,6 +7,7 @@
 import { checkDocument } from '@lapisbridge/config';
 import type { EnvironmentDocument } from '@lapisbridge/config';
 import type { Instance } from '@lapisbridge/instance';
+import { monotonicClock } from '@lapisbridge/kernel';
 import { createSilentLogger } from '@lapisbridge/logger';
 import { createRetryBudget } from '@lapisbridge/routing';
 import { createSharedState } from '@lapisbridge/shared-state';
@@ -143,7 +144,7 @@
     pool,
     logger: instance.logger,
     random: instance.random,
-    budget: createRetryBudget(0.1),
+    budget: createRetryBudget({ ratio: () => 0.1, now: monotonicClock }),
     nextTurn: () => 0,
     entryId: 'e',
     ownZone: 'a',
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -19,6 +19,6 @@
 export type { SubsetMember } from './plan-subset.js';
 export { rendezvousOrder, rendezvousWeight } from './rendezvous.js';
 export { createRetryBudget } from './retry-budget.js';
-export type { RetryBudget } from './retry-budget.js';
+export type { RetryBudget, RetryBudgetOptions } from './retry-budget.js';
 export { planServerChoice, ServerChoiceKind } from './plan-server-choice.js';
 export type { ServerChoice, ServerChoiceInput, ServerView } from './plan-server-choice.js';
--- a/packages/routing/src/routing.test.ts
+++ b/packages/routing/src/routing.test.ts
@@ -157,7 +157,7 @@
   it('allows a tenth of extra attempts, and a small reserve', () => {
     // Servers refuse because they are overloaded. Unlimited retries would double that load, until
     // no useful work is done.
-    const budget = createRetryBudget(0.1, 5);
+    const budget = createRetryBudget({ ratio: () => 0.1, reserve: 5, now: () => 0 });
     let retries = 0;
     for (let request = 0; request < 1000; request += 1) {
       budget.deposit();
@@ -166,4 +166,32 @@
     expect(retries).toBeGreaterThanOrEqual(100);
     expect(retries).toBeLessThanOrEqual(106);
   });
+
+  it('grants a new process one retry, not the reserve again', () => {
+    // Guards against entries that are restarted in series and retry far more than the budget.
+    let retries = 0;
+    for (let life = 0; life < 5; life += 1) {
+      const budget = createRetryBudget({ ratio: () => 0.1, now: () => life * 400 });
+      while (budget.tryWithdraw()) retries += 1;
+    }
+    expect(retries).toBe(5);
+  });
+
+  it('refills its reserve in time, and keeps what is saved when the ratio changes', () => {
+    let now = 0;
+    let ratio = 0.1;
+    const budget = createRetryBudget({ ratio: () => ratio, now: () => now });
+    const withdrawAll = (): number => {
+      let retries = 0;
+      while (budget.tryWithdraw()) retries += 1;
+      return retries;
+    };
+    expect(withdrawAll()).toBe(1);
+    now = 60_000;
+    expect(withdrawAll()).toBe(10);
+    ratio = 0.5;
+    expect(withdrawAll()).toBe(0);
+    for (let request = 0; request < 4; request += 1) budget.deposit();
+    expect(withdrawAll()).toBe(2);
+  });
 });
