Halve an entry's share of a cold server in the first second of its process

An entry that is killed has sent its part of a server's cold rate, and the process that follows within a second sent the part again. Where all entries restart at once, a cold server got twice its rate, and above one and a half times plus five it crashes.

Evidence: the new test, 70 of 59, 48 of 44 and 50 of 44 allowed in one second at 7, 6 and 25 entries; it passes now.

In its first second a process has half of its share, rounded up at every second entry by the order that all compute for the server, so both processes together stay below one and a half.

--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -167,7 +167,7 @@
 
   const entries = (): number => sendingEntries().count;
 
-  const coldShare = createColdStartShare(sendingEntries, monotonicClock);
+  const coldShare = createColdStartShare(sendingEntries, monotonicClock, startedAt);
   catalog.onChange(() => {
     const { servers } = catalog.servers();
     for (const tracker of [ledger, liveness, pulse, coldShare, statements, serverEnds]) {
--- a/packages/forwarding/src/cold-start-share.ts
+++ b/packages/forwarding/src/cold-start-share.ts
@@ -48,9 +48,11 @@
   return Math.max(1, Math.floor(coldRequestsPerSecond * ALLOCATED_SHARE));
 }
 
+/** `startedAt` is when the process started; long ago if absent. */
 export function createColdStartShare(
   entries: () => SendingEntries,
   now: () => number,
+  startedAt = -Infinity,
 ): ColdStartShare {
   const sent = new Map<string, number[]>();
   const ranks = createSenderRanks();
@@ -71,10 +73,15 @@
     const known = entries();
     const even = coldRequestsPerSecond / Math.max(1, known.count);
     const byTraffic = (1 - EVEN_WEIGHT) * coldRequestsPerSecond * trafficShare;
-    const isSender = ranks.rankAt(instanceId, known) < allowedSendersAt(coldRequestsPerSecond);
+    const rank = ranks.rankAt(instanceId, known);
+    const isSender = rank < allowedSendersAt(coldRequestsPerSecond);
     const own = even < 1 ? Math.floor(byTraffic) : Math.round(EVEN_WEIGHT * even + byTraffic);
     // An entry without traffic must be able to gain some.
-    return isSender ? Math.max(1, own) : own;
+    const share = isSender ? Math.max(1, own) : own;
+    if (now() >= startedAt + WINDOW_MILLISECONDS) return share;
+    // The requests of the process before this one still count. Half of an odd share is rounded up
+    // at every second entry.
+    return Math.floor(share / 2) + (rank * 2 < known.count ? share % 2 : 0);
   }
 
   return {
@@ -86,7 +93,8 @@
     roomInMilliseconds(instanceId, coldRequestsPerSecond, trafficShare) {
       if (coldRequestsPerSecond <= 0) return 0;
       const share = ownRequestsPerSecond(instanceId, coldRequestsPerSecond, trafficShare);
-      if (share === 0) return Infinity;
+      const settledInMilliseconds = startedAt + WINDOW_MILLISECONDS - now();
+      if (share === 0) return settledInMilliseconds > 0 ? settledInMilliseconds : Infinity;
       const times = sendsInWindow(instanceId);
       if (times.length < share) return 0;
       const expiringSentAt = times[times.length - share] ?? now();
--- a/packages/forwarding/src/shares.test.ts
+++ b/packages/forwarding/src/shares.test.ts
@@ -4,6 +4,7 @@
 import { describe, expect, it } from 'vitest';
 
 import { createColdStartShare } from './cold-start-share.js';
+import type { ColdStartShare } from './cold-start-share.js';
 import { createRetryBudgetShare, RetryCause } from './retry-budget-share.js';
 
 const BOUNDS = { ratio: 0.2, slack: 90, windowMilliseconds: 10_000 };
@@ -168,6 +169,47 @@
     }
   });
 
+  it.each([
+    [36, 7],
+    [26, 6],
+    [26, 25],
+    [14, 39],
+  ])(
+    'of a cold server that takes %i a second stay within its limit while %i entries restart at once',
+    (rate, count) => {
+      // Guards against processes that use their share again in the second in which they restarted.
+      const names = Array.from({ length: count }, (_, index) => `entry-${index}`);
+      let now = 0;
+      const startShares = (): ColdStartShare[] =>
+        names.map((own) =>
+          createColdStartShare(
+            () => ({ own, names, count }),
+            () => now,
+            now,
+          ),
+        );
+      const sentAt: number[] = [];
+      const sendAll = (shares: readonly ColdStartShare[]): void => {
+        for (const share of shares) {
+          while (share.roomInMilliseconds('server', rate, 1 / count) === 0) {
+            share.recordSent('server');
+            sentAt.push(now);
+          }
+        }
+      };
+      const before = startShares();
+      now = 1500;
+      sendAll(before);
+      now = 1900;
+      const after = startShares();
+      for (; now < 4000; now += 10) {
+        sendAll(after);
+        const inSecond = sentAt.filter((at) => at > now - 1000);
+        expect(inSecond.length, `at ${now}`).toBeLessThanOrEqual(rate * 1.5 + 5);
+      }
+    },
+  );
+
   it('return the time until the next request is allowed', () => {
     let now = 0;
     const share = createColdStartShare(
