Wait an interval after first learning of a server's rate limit

An entry that learns of a limit had sent nothing as far as it knew, so it could send at once, and the process that follows it again.

The time at which a limit becomes known now counts as a request of this entry: what it, or the process before it, has sent unknowingly has arrived by then.

--- a/packages/forwarding/src/plan-rate-limit-delay.test.ts
+++ b/packages/forwarding/src/plan-rate-limit-delay.test.ts
@@ -59,6 +59,8 @@
     ['a large fleet in which all send to the server', { entries: 98, demand: 2.5 }],
     ['a burst after a pause', { entries: 98, demand: 400, pausedUntil: 25_000 }],
     ['a high demand', { entries: 6, demand: 60 }],
+    ['entries that restart in series', { ...SMALL, demand: 20, restartIntervalMilliseconds: 1500 }],
+    ['a large fleet that restarts', { ...LARGE, demand: 60, restartIntervalMilliseconds: 2500 }],
     ['a single entry', { entries: 1, demand: 20 }],
     ['entries that know few other entries', { ...LARGE, knownShare: 0.3 }],
     ['messages that are lost', { ...SMALL, lossShare: 0.5 }],
--- a/packages/forwarding/src/server-rate-limits.ts
+++ b/packages/forwarding/src/server-rate-limits.ts
@@ -102,7 +102,8 @@
     source: StatementSource,
   ): void {
     const before = known.get(instanceId);
-    const sentAt = before?.sentAt ?? [];
+    // What this process, or the one before it, has sent without knowing of the limit is unknown.
+    const sentAt = before?.sentAt ?? [now()];
     known.set(instanceId, { requestsPerSecond, statedAt, sentAt });
     if (before?.requestsPerSecond === requestsPerSecond) return;
     logger.info('server rate limit', {
--- a/packages/forwarding/src/simulate-rate-limit.ts
+++ b/packages/forwarding/src/simulate-rate-limit.ts
@@ -26,6 +26,8 @@
   readonly pausedUntil?: number;
   /** When the server stops stating a limit, in milliseconds. */
   readonly liftedAt?: number;
+  /** Interval at which all entries restart and lose their state; never if absent. */
+  readonly restartIntervalMilliseconds?: number;
   /** Share of the entries that get no requests. */
   readonly idleShare?: number;
   /** Share of the messages between entries that are lost. */
@@ -104,7 +106,7 @@
   const arrivals: number[] = [];
   let liftKnownAfterMilliseconds = Infinity;
 
-  const entries: ServerRateLimits[] = names.map((own) => {
+  function startEntry(own: string): ServerRateLimits {
     const others = names.filter((name) => name !== own);
     const count = Math.round(others.length * (scenario.knownShare ?? 1));
     const view = { own, names: [own, ...pickSome(others, count, random)], count: names.length };
@@ -114,7 +116,15 @@
       onChange: () => undefined,
       now: () => now,
     });
-  });
+  }
+
+  const entries = names.map(startEntry);
+
+  function restartIfDue(): void {
+    const interval = scenario.restartIntervalMilliseconds;
+    if (interval === undefined || now === 0 || now % interval >= STEP_MILLISECONDS) return;
+    for (const [index, own] of names.entries()) entries[index] = startEntry(own);
+  }
 
   function limitNow(): number | undefined {
     return now >= LIMITED_FROM_MILLISECONDS && now < liftedAt ? requestsPerSecond : undefined;
@@ -153,6 +163,7 @@
   const demandPerStep = (demand * STEP_MILLISECONDS) / 1000 / sendingNames.size;
 
   function step(): void {
+    restartIfDue();
     deliver();
     for (const [index, entry] of entries.entries()) {
       if ((now + index * STEP_MILLISECONDS) % GOSSIP_INTERVAL_MILLISECONDS < STEP_MILLISECONDS)
