Check the retry budget over all real processes in the soak, while entries are killed in series

What reaches the servers beyond the first arrival of each request is counted for each service over every window, by the rule as it is written: requests of the best of three windows. A new kind of fault kills every entry each two seconds; it is drawn apart, so that kept seeds keep their draws.

--- a/packages/history/src/checkers.test.ts
+++ b/packages/history/src/checkers.test.ts
@@ -82,6 +82,11 @@
     'rate limit',
     [{ kind: EventKind.RateLimitedLoad, instanceId: 'a', requests: 12, allowed: 11 }],
   ],
+  [
+    'more retries than the budget',
+    'retry budget',
+    [{ kind: EventKind.RetryLoad, service: 'a', retries: 12, allowed: 11.8 }],
+  ],
   ['work for callers that have left', 'abandonment', Array.from({ length: 4 }, () => abandoned)],
   ['work for a crashing part', 'crashing part', Array.from({ length: 4 }, () => crashingArrival)],
   [
@@ -120,6 +125,7 @@
   { kind: EventKind.ConfigurationSeen, instanceId: 'a', version: 1 },
   { kind: EventKind.Settled, instanceIds: ['a'] },
   { kind: EventKind.RateLimitedLoad, instanceId: 'a', requests: 11, allowed: 11 },
+  { kind: EventKind.RetryLoad, service: 'a', retries: 11, allowed: 11.2 },
   abandoned,
   abandoned,
   abandoned,
--- a/packages/history/src/checkers.ts
+++ b/packages/history/src/checkers.ts
@@ -159,6 +159,17 @@
   return violations;
 };
 
+/** A service gets no more retries from all entries than the retry budget allows in any window. */
+export const checkRetryBudget: Checker = (events) => {
+  const violations: Violation[] = [];
+  for (const { service, retries, allowed } of select(events, EventKind.RetryLoad)) {
+    if (retries <= allowed) continue;
+    const detail = `${service} got ${retries} retries in one window, allowed are ${allowed.toFixed(1)}`;
+    violations.push({ promise: 'retry budget', detail });
+  }
+  return violations;
+};
+
 /** Requests that may reach a backend server although their callers have left long before. */
 const ABANDONED_ARRIVALS = 3;
 
@@ -278,6 +289,7 @@
   checkConfiguration,
   checkColdStart,
   checkRateLimit,
+  checkRetryBudget,
   checkAbandonment,
   checkDeparture,
   checkBackoff,
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -32,6 +32,7 @@
   ColdLoad = 'coldLoad',
   /** Requests that a backend server got in a window while it stated a rate limit, and its bound. */
   RateLimitedLoad = 'rateLimitedLoad',
+  RetryLoad = 'retryLoad',
   /** A request reached a backend server long after its caller had left. */
   AbandonedArrival = 'abandonedArrival',
   /** A request of an entry reached a backend server that had asked this entry to back off. */
@@ -100,6 +101,12 @@
       readonly requests: number;
       readonly allowed: number;
     }
+  | {
+      readonly kind: EventKind.RetryLoad;
+      readonly service: string;
+      readonly retries: number;
+      readonly allowed: number;
+    }
   | {
       readonly kind: EventKind.AbandonedArrival;
       readonly instanceId: string;
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -13,6 +13,8 @@
   BOOKING_PREFIX,
   eventText,
   LOOK_UP_PREFIX,
+  MODEL_SERVICE,
+  PLAIN_SERVICE,
   plainBody,
   sendCallerRequest,
   STREAM_EVENTS,
@@ -135,7 +137,8 @@
     const agent = agents[entry];
     if (program === undefined || agent === undefined) throw new Error(`there is no entry ${entry}`);
     const before = program.stops();
-    site.noteEntry(requestId, program.name);
+    const service = kind === Kind.Stream ? MODEL_SERVICE : PLAIN_SERVICE;
+    site.noteRequest(requestId, program.name, service);
     history.record({ kind: EventKind.Invoke, request: requestId, callKey: requestId });
     const outcome = await sendCallerRequest({
       ...site.callersAt(entry),
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -9,6 +9,8 @@
 import type { Program } from './program.js';
 import type { Site, SiteServer } from './site.js';
 
+/** Entries that are killed in series serve for a while in between. */
+const SERIES_MILLISECONDS = 2000;
 const BAD_SHARE = 0.4;
 const LATE_SHARE = 0.4;
 const RATE_LIMITS = [1, 0.4, 2.5];
@@ -74,6 +76,14 @@
     case FaultKind.KillEntry:
       interrupt(site, pick(site.entries, target), 'SIGKILL');
       return nothing;
+    case FaultKind.KillEntries: {
+      const killAll = (): void => {
+        for (const entry of site.entries) interrupt(site, entry, 'SIGKILL');
+      };
+      killAll();
+      const series = setInterval(killAll, SERIES_MILLISECONDS);
+      return () => clearInterval(series);
+    }
     case FaultKind.TerminateEntry:
       interrupt(site, pick(site.entries, target), 'SIGTERM');
       return nothing;
@@ -103,7 +113,7 @@
     }
     case FaultKind.BadAnswers: {
       const { runner } = pick(servers, target);
-      runner.faultRatio = BAD_SHARE;
+      runner.faultRatio = fault.share ?? BAD_SHARE;
       return () => {
         runner.faultRatio = 0;
       };
--- a/packages/soak/src/plan-faults.ts
+++ b/packages/soak/src/plan-faults.ts
@@ -41,6 +41,8 @@
   CloseDelimited = 'closeDelimited',
   /** A balancer hands most new connections to one entry, and callers open them more often. */
   HandOver = 'handOver',
+  /** Every entry is killed, again and again. */
+  KillEntries = 'killEntries',
 }
 
 export interface Fault {
@@ -50,6 +52,8 @@
   readonly lasts: number;
   /** Which of the instances that it may strike; taken modulo their number. */
   readonly target: number;
+  /** Share of the answers that are struck, for kinds that strike some of them; 0.4 when omitted. */
+  readonly share?: number;
 }
 
 const SHORTEST_MILLISECONDS = 300;
@@ -82,6 +86,7 @@
   { kind: FaultKind.CrashingPart, gapMilliseconds: 9000, seed: 0xbad, lengthFactor: 3 },
   { kind: FaultKind.HandOver, gapMilliseconds: 9000, seed: 0x0ff, lengthFactor: 2 },
   { kind: FaultKind.CloseDelimited, gapMilliseconds: 4000, seed: 0xc105e, lengthFactor: 2 },
+  { kind: FaultKind.KillEntries, gapMilliseconds: 12_000, seed: 0xdead, lengthFactor: 2 },
 ];
 
 function drawFaults(
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -146,6 +146,7 @@
     violations.push(...(await findUnserved(site, callers)));
     site.crashWatch.conclude();
     site.handOverWatch.conclude();
+    site.retryWatch.conclude();
     for (const { instanceId, part } of findBlamedParts(site)) {
       if (site.crashWatch.isCrashing(part)) continue;
       history.record({ kind: EventKind.SoundPartBlamed, instanceId, part });
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -35,6 +35,8 @@
 import type { BackoffWatch } from './backoff-watch.js';
 import { createDepartureWatch } from './departure-watch.js';
 import type { DepartureWatch } from './departure-watch.js';
+import { createRetryWatch } from './retry-watch.js';
+import type { RetryWatch } from './retry-watch.js';
 import { createRateLimitWatch } from './rate-limit-watch.js';
 import type { RateLimitWatch } from './rate-limit-watch.js';
 
@@ -72,6 +74,7 @@
   readonly abandonmentWatch: AbandonmentWatch;
   readonly crashWatch: CrashWatch;
   readonly handOverWatch: HandOverWatch;
+  readonly retryWatch: RetryWatch;
   /** Entry that most new connections are handed to; undefined while callers choose. */
   receivingEntry(): number | undefined;
   /** Hands most new connections to an entry; returns what ends it. */
@@ -82,8 +85,8 @@
   beginCrashingPart(target: number): () => void;
   /** Ends the process of a server; returns what starts another one at its address. */
   endServer(server: SiteServer): () => void;
-  /** Notes which entry a request is sent to. */
-  noteEntry(requestId: string, entry: string): void;
+  /** Notes that a request for a service is sent to an entry. */
+  noteRequest(requestId: string, entry: string, service: string): void;
   callersAt(entry: number): { readonly host: string; readonly port: number };
   readinessAt(entry: number): { readonly host: string; readonly port: number };
   /** Writes the configuration with these keys under a new version. */
@@ -107,6 +110,7 @@
   onOwnEnd(name: string, code: number | null): void;
 }
 
+const RETRY_LIMITS = { ratio: 0.2, slack: 90, windowMilliseconds: 10_000 };
 const SIZE = { sets: 2, experts: 16, placesPerRank: 8 };
 const HEARTBEAT_MILLISECONDS = 400;
 /** How long a crashed server is away. */
@@ -158,6 +162,7 @@
   const crashingParts = new Map<CrashingKind, string>();
   let crashingPartCount = 0;
   const abandonmentWatch = createAbandonmentWatch(history, () => performance.now());
+  const retryWatch = createRetryWatch(history, RETRY_LIMITS, () => performance.now());
   const entryOf = new Map<string, string>();
   const sentAt = new Map<string, number>();
   await listen(store.server, addressOf(Net.Store, 0), STORE_PORT);
@@ -188,6 +193,7 @@
 
   async function startServer(index: number, rank: number | undefined): Promise<SiteServer> {
     const instanceId = rank === undefined ? `plain-${index}` : `rank-${rank}`;
+    const service = rank === undefined ? PLAIN_SERVICE : MODEL_SERVICE;
     const runner = createRunnerStandIn({
       instanceId,
       random,
@@ -203,6 +209,7 @@
         backoffWatch.onArrival(instanceId, entry);
         departureWatch.onArrival(instanceId, entry, sentAt.get(requestId) ?? 0);
         abandonmentWatch.onArrival(instanceId, entry, requestId);
+        retryWatch.onArrival(service, requestId);
       },
       onCrash() {
         const { crashingPart } = runner;
@@ -288,9 +295,9 @@
     graceSeconds: 8,
     configurationBoundMilliseconds: 2000,
     drainingBoundMilliseconds: 2000,
-    retryRatio: 0.2,
-    retrySlack: 90,
-    retryWindowSeconds: 10,
+    retryRatio: RETRY_LIMITS.ratio,
+    retrySlack: RETRY_LIMITS.slack,
+    retryWindowSeconds: RETRY_LIMITS.windowMilliseconds / 1000,
   };
   const { onOwnEnd } = options;
   const entries = Array.from({ length: options.entries }, (_, index) => {
@@ -343,6 +350,7 @@
     abandonmentWatch,
     crashWatch,
     handOverWatch,
+    retryWatch,
     receivingEntry: () => receivingEntry,
     handOver(entry) {
       receivingEntry = entry % entries.length;
@@ -368,7 +376,8 @@
       };
     },
     endServer,
-    noteEntry(requestId, entry) {
+    noteRequest(requestId, entry, service) {
+      retryWatch.onRequest(service);
       entryOf.set(requestId, entry);
       sentAt.set(requestId, performance.now());
     },
