Do not count requests whose time was over as cut off by a stop; name signals and errors in the soak

The rule does not count requests whose deadline was reached, and the check did. It still counts every connection that ends by itself.

--- a/packages/history/src/checkers.ts
+++ b/packages/history/src/checkers.ts
@@ -98,10 +98,11 @@
 /** A planned stop cuts off no request in progress. */
 export const checkGracefulStop: Checker = (events) => {
   const violations: Violation[] = [];
-  for (const { instanceId, cutOff } of select(events, EventKind.Stopped)) {
-    if (cutOff > 0) {
-      violations.push({ promise: 'graceful stop', detail: `${instanceId} cut off ${cutOff}` });
-    }
+  for (const { instanceId, cutOff, reason } of select(events, EventKind.Stopped)) {
+    if (cutOff === 0) continue;
+    const seen = reason === undefined ? '' : `: ${reason}`;
+    const detail = `${instanceId} cut off ${cutOff}${seen}`;
+    violations.push({ promise: 'graceful stop', detail });
   }
   return violations;
 };
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -74,7 +74,13 @@
   | { readonly kind: EventKind.DrainInForce; readonly instanceIds: readonly string[] }
   | { readonly kind: EventKind.DrainLifted; readonly instanceIds: readonly string[] }
   | { readonly kind: EventKind.StopAsked; readonly instanceId: string }
-  | { readonly kind: EventKind.Stopped; readonly instanceId: string; readonly cutOff: number }
+  | {
+      readonly kind: EventKind.Stopped;
+      readonly instanceId: string;
+      readonly cutOff: number;
+      /** What the caller of a request that was cut off saw. */
+      readonly reason?: string | undefined;
+    }
   | { readonly kind: EventKind.ConfigurationAccepted; readonly version: number }
   | {
       readonly kind: EventKind.ConfigurationSeen;
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -162,8 +162,11 @@
     const after = program.stops();
     // Sent before the stop was asked for, and ended without an answer while it went on.
     const isInStop = after.asked > before.asked && before.asked === before.ended;
-    if (outcome.status === 0 && outcome.wasConnected && !outcome.hasAbandoned && isInStop) {
-      history.record({ kind: EventKind.Stopped, instanceId: program.name, cutOff: 1 });
+    const hasLeft = outcome.hasAbandoned || outcome.hasTimedOut;
+    if (outcome.status === 0 && outcome.wasConnected && !hasLeft && isInStop) {
+      const waited = Math.round(performance.now() - sentAt);
+      const reason = `${requestId} ${outcome.failure} after ${waited} ms`;
+      history.record({ kind: EventKind.Stopped, instanceId: program.name, cutOff: 1, reason });
     }
     const isServed = check(requestId, kind, outcome);
     const isSound = !sharedParts.some((part) => site.crashWatch.isCrashing(part));
--- a/packages/soak/src/program.ts
+++ b/packages/soak/src/program.ts
@@ -12,8 +12,8 @@
   readonly file: string;
   readonly folder: string;
   readonly settings: Readonly<Record<string, unknown>>;
-  /** The process ended and nobody had asked it to. */
-  onOwnEnd(name: string, code: number | null): void;
+  /** The process ended and nobody had asked it to; `status` is its exit code or signal. */
+  onOwnEnd(name: string, status: string): void;
 }
 
 export interface Program {
@@ -59,9 +59,9 @@
     isExpected = false;
     started.stdout.pipe(log, { end: false });
     started.stderr.pipe(log, { end: false });
-    started.on('exit', (code) => {
+    started.on('exit', (code, signal) => {
       running.delete(started);
-      if (!isExpected && !isOver) options.onOwnEnd(name, code);
+      if (!isExpected && !isOver) options.onOwnEnd(name, signal ?? `code ${code}`);
       ended = asked;
       if (!isOver) restart = setTimeout(start, RESTART_MILLISECONDS);
     });
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -132,7 +132,7 @@
     coldRequestsPerSecond: options.coldRequestsPerSecond,
     network: options.network,
     programs: options.programs ?? BUNDLED,
-    onOwnEnd: (name, code) => violations.push(`own end: ${name} with ${code}`),
+    onOwnEnd: (name, status) => violations.push(`own end: ${name} with ${status}`),
   });
   const callers = createCallers(site, history, random, KEY);
   try {
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -107,7 +107,7 @@
   readonly programs: string;
   /** 1 to 250; keeps the addresses of runs on one machine apart. */
   readonly network: number;
-  onOwnEnd(name: string, code: number | null): void;
+  onOwnEnd(name: string, status: string): void;
 }
 
 const RETRY_LIMITS = { ratio: 0.2, slack: 90, windowMilliseconds: 10_000 };
