Do not count a process that is killed while it stops as a stop that cuts requests off

Trace: terminateEntry at 7.563 s and the second wave of killEntries at 7.675 s struck the same entry; its log has 'stopping' and no 'stopped', and all cut streams ended together with ECONNRESET when it was killed.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -161,7 +161,8 @@
     });
     const after = program.stops();
     // Sent before the stop was asked for, and ended without an answer while it went on.
-    const isInStop = after.asked > before.asked && before.asked === before.ended;
+    const wasKilled = after.killed > before.killed;
+    const isInStop = after.asked > before.asked && before.asked === before.ended && !wasKilled;
     const hasLeft = outcome.hasAbandoned || outcome.hasTimedOut;
     if (outcome.status === 0 && outcome.wasConnected && !hasLeft && isInStop) {
       const waited = Math.round(performance.now() - sentAt);
--- a/packages/soak/src/program.ts
+++ b/packages/soak/src/program.ts
@@ -21,8 +21,8 @@
   start(): void;
   /** Sends a signal; one that ends the process is followed by a start. */
   signal(signal: NodeJS.Signals): void;
-  /** How often it was sent SIGTERM, and has ended since. */
-  stops(): { readonly asked: number; readonly ended: number };
+  /** How often it was sent SIGTERM, has ended since, and was sent SIGKILL. */
+  stops(): { readonly asked: number; readonly ended: number; readonly killed: number };
   /** Ends it for good. */
   end(): Promise<void>;
 }
@@ -47,6 +47,7 @@
   let isExpected = false;
   let asked = 0;
   let ended = 0;
+  let killed = 0;
 
   function start(): void {
     writeFileSync(settingsFile, JSON.stringify(options.settings));
@@ -73,9 +74,10 @@
     signal(signal) {
       if (signal === 'SIGKILL' || signal === 'SIGTERM') isExpected = true;
       if (signal === 'SIGTERM') asked += 1;
+      if (signal === 'SIGKILL') killed += 1;
       child?.kill(signal);
     },
-    stops: () => ({ asked, ended }),
+    stops: () => ({ asked, ended, killed }),
     async end() {
       isOver = true;
       // A start that is due would leave a process behind that takes the addresses of a later run.
