Excuse an entry in the soak's watches whenever a process of it starts; postmortem

Trace: entry-2 got SIGTERM at 12.5 s of the run, was excused then, and was told of the leaving at 14.6 s while it stopped; its next process started at 15.7 s and sent to rank-0 before any answer had told it. The watches excused only at the signal; now also at each start.

--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -39,12 +39,7 @@
 
 /** Sends a signal that ends or holds up a process, which so may not know what it was told. */
 function interrupt(site: Site, program: Program, signal: NodeJS.Signals): void {
-  site.rateLimitWatch.excuse(program.name);
-  site.backoffWatch.excuse(program.name);
-  site.departureWatch.excuse(program.name);
-  site.abandonmentWatch.excuse(program.name);
-  site.crashWatch.excuse(program.name);
-  site.handOverWatch.excuse(program.name);
+  site.excuse(program.name);
   program.signal(signal);
 }
 
--- a/packages/soak/src/program.ts
+++ b/packages/soak/src/program.ts
@@ -12,6 +12,8 @@
   readonly file: string;
   readonly folder: string;
   readonly settings: Readonly<Record<string, unknown>>;
+  /** A process starts that knows nothing of what the one before it was told. */
+  onStart?(name: string): void;
   /** The process ended and nobody had asked it to; `status` is its exit code or signal. */
   onOwnEnd(name: string, status: string): void;
 }
@@ -56,6 +58,7 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     child = started;
+    options.onStart?.(name);
     running.add(started);
     isExpected = false;
     started.stdout.pipe(log, { end: false });
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -75,6 +75,8 @@
   readonly crashWatch: CrashWatch;
   readonly handOverWatch: HandOverWatch;
   readonly retryWatch: RetryWatch;
+  /** An instance was stopped or started again, and may not know what it was told. */
+  excuse(name: string): void;
   /** Entry that most new connections are handed to; undefined while callers choose. */
   receivingEntry(): number | undefined;
   /** Hands most new connections to an entry; returns what ends it. */
@@ -300,12 +302,24 @@
     retryWindowSeconds: RETRY_LIMITS.windowMilliseconds / 1000,
   };
   const { onOwnEnd } = options;
+  const excusing = [
+    rateLimitWatch,
+    backoffWatch,
+    departureWatch,
+    abandonmentWatch,
+    crashWatch,
+    handOverWatch,
+  ];
+  function excuse(name: string): void {
+    for (const watch of excusing) watch.excuse(name);
+  }
   const entries = Array.from({ length: options.entries }, (_, index) => {
     const host = addressOf(Net.Entries, index);
     return createProgram({
       name: `entry-${index}`,
       file: join(options.programs, 'entry.js'),
       folder,
+      onStart: excuse,
       onOwnEnd,
       settings: {
         ...shared,
@@ -351,6 +365,7 @@
     crashWatch,
     handOverWatch,
     retryWatch,
+    excuse,
     receivingEntry: () => receivingEntry,
     handOver(entry) {
       receivingEntry = entry % entries.length;
