--- a/packages/soak/src/restarted-entries.test.ts
+++ b/packages/soak/src/restarted-entries.test.ts
@@ -20,7 +20,7 @@
     faults: [...faults, { kind: FaultKind.KillEntries, at: 2000, lasts: 9000, target: 0 }],
     entries: 7,
     callers: 25,
-    network: 16,
+    network: 20,
   });
   expect(result.violations).toEqual([]);
   expect(result.served).toBeGreaterThan(0);
