Play former and new processes of an entry that serve side by side

The play of the retry budget covered processes that end before the next one starts. A process that drains beside the one that follows it is played now, at many and at few requests: both keep the rule. Tests only; no program changes.

--- a/packages/direct-entry/src/simulate-retries.test.ts
+++ b/packages/direct-entry/src/simulate-retries.test.ts
@@ -77,6 +77,17 @@
   },
 );
 
+it.each([80, 2])(
+  'retries stay within the budget while former and new processes overlap at %i requests a second',
+  (requestsPerSecond) => {
+    for (const seed of SEEDS) {
+      const kills = killAll(3, 7);
+      const excess = excessOf({ kills, requestsPerSecond, overlapMilliseconds: 2500 }, seed);
+      expect(excess, `seed ${seed}`).toBeLessThanOrEqual(0);
+    }
+  },
+);
+
 it.each([
   [2, 80],
   [3, 80],
--- a/packages/direct-entry/src/simulate-retries.ts
+++ b/packages/direct-entry/src/simulate-retries.ts
@@ -45,6 +45,8 @@
   readonly failingFrom: number;
   /** Times at which entries are killed; each starts again half a second later. */
   readonly kills: readonly { readonly at: number; readonly entry: number }[];
+  /** Time for which a killed process goes on serving beside the next one; 0 if absent. */
+  readonly overlapMilliseconds?: number;
   readonly cuts: readonly SimulatedCut[];
   /** Entries of this index and above start at this time. */
   readonly joining?: { readonly from: number; readonly at: number };
@@ -76,6 +78,7 @@
   const retriedAt: number[] = [];
   const lives = new Map<number, Life>();
   const startsAt = new Map<number, number>();
+  const draining: { readonly entry: number; readonly until: number; readonly life: Life }[] = [];
   const kills = [...simulation.kills].sort((left, right) => left.at - right.at);
   let now = 0;
 
@@ -124,6 +127,14 @@
     return held !== undefined && now >= held.from && now < held.to ? held.to : now;
   }
 
+  /** Requests go to the process that drains and to the one that follows it by turns. */
+  function servingLife(entry: number): Life | undefined {
+    const former = draining.findLast((one) => one.entry === entry && one.until > now);
+    const current = lives.get(entry);
+    if (former === undefined) return current;
+    return current === undefined || random() < 0.5 ? former.life : current;
+  }
+
   for (let entry = 0; entry < entries; entry += 1) {
     const { joining } = simulation;
     const isJoining = joining !== undefined && entry >= joining.from;
@@ -132,7 +143,12 @@
   while (now < simulation.milliseconds) {
     for (let kill = kills[0]; kill !== undefined && kill.at <= now; [kill] = kills) {
       kills.shift();
-      if (lives.delete(kill.entry)) startsAt.set(kill.entry, now + RESTART_MILLISECONDS);
+      const { entry } = kill;
+      const ended = lives.get(entry);
+      if (ended === undefined) continue;
+      draining.push({ entry, until: now + (simulation.overlapMilliseconds ?? 0), life: ended });
+      lives.delete(entry);
+      startsAt.set(entry, now + RESTART_MILLISECONDS);
     }
     for (const [entry, at] of startsAt) {
       if (at > now) continue;
@@ -141,7 +157,7 @@
     }
     for (const [entry, life] of lives) hear(entry, life);
     requestedAt.push(now);
-    const life = lives.get(receivingEntry());
+    const life = servingLife(receivingEntry());
     life?.budget.recordRequest();
     if (life !== undefined && now >= simulation.failingFrom) {
       for (let retry = 0; retry < WANTED_RETRIES; retry += 1) {
