End responses of servers that send bytes without end

Cause: the event splitter kept every byte and searched all of them anew with each piece; a body was kept up to 8 MB for each attempt and its end counted as a cancel; informational responses and JSON answers had no bound.

An event has at most 128 KB, comments included, which are no longer passed on and do not count as progress; a body without a stated length 2 MB, one with a length 8 MB, all buffered bodies together 12 MB; eight informational responses may precede a response; a JSON answer of an engine, a sidecar or the store has at most 4 MB. Each ends the attempt at once and counts against its server.

The soak's programs now run with the same options as deploy/system.toml. The soak draws the fault.

--- a/packages/forwarding/src/event-splitter.test.ts
+++ b/packages/forwarding/src/event-splitter.test.ts
@@ -30,3 +30,29 @@
   expect(splitter.push(Buffer.from('id: 1\ndata: o'))).toEqual([]);
   expect(splitter.hasPartialEvent()).toBe(true);
 });
+
+it('searches each byte once, however small the pieces of an event are', () => {
+  // Guards against a server that keeps the process busy with one event that never ends.
+  const splitter = createEventSplitter();
+  const piece = Buffer.from('data\n');
+  const startedAt = performance.now();
+  while (!splitter.isOverflowing()) splitter.push(piece);
+  expect(performance.now() - startedAt).toBeLessThan(500);
+});
+
+it('keeps no more of an endless event than the largest event', () => {
+  const splitter = createEventSplitter();
+  const piece = Buffer.alloc(64 * 1024, 'x');
+  for (let pushed = 0; pushed < 2; pushed += 1) splitter.push(piece);
+  expect(splitter.isOverflowing()).toBe(false);
+  expect(splitter.push(piece)).toEqual([]);
+  expect(splitter.isOverflowing()).toBe(true);
+});
+
+it('leaves out comments, which do not count as progress', () => {
+  const splitter = createEventSplitter();
+  const events = splitter.push(Buffer.from(': still here\n\nid: 1\n: note\ndata: one\n\n:\n\n'));
+  expect(events.map(({ id }) => id)).toEqual([1]);
+  const comments = Buffer.from(': nothing\n\n'.repeat(1000));
+  while (!splitter.isOverflowing()) expect(splitter.push(comments)).toEqual([]);
+});
--- a/packages/forwarding/src/exchange.ts
+++ b/packages/forwarding/src/exchange.ts
@@ -60,6 +60,9 @@
  */
 const TCP_KEEP_ALIVE_MILLISECONDS = 1000;
 
+/** Informational responses (1xx) that may precede a response. */
+const MAXIMUM_INFORMATIONAL_RESPONSES = 8;
+
 /** Whether only the end of its connection delimits the response: it has no length and no chunks. */
 function isCloseDelimited({ headers }: IncomingMessage): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
@@ -162,6 +165,12 @@
       if (!connected) fail('connection timed out');
     });
   }, options.connectTimeoutMilliseconds);
+  let informationalResponses = 0;
+  request.on('information', () => {
+    informationalResponses += 1;
+    if (informationalResponses > MAXIMUM_INFORMATIONAL_RESPONSES)
+      fail('too many informational responses');
+  });
   request.on('socket', onSocket);
   request.on('response', onResponse);
   request.on('error', (error) => fail(error.message));
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -13,6 +13,7 @@
 import type { GroupHealth } from './group-health.js';
 import type { Outcome } from './outcome.js';
 import type { EventActivity } from './event-activity.js';
+import type { ResponseBuffers } from './response-buffers.js';
 import type { RetryBudgetShare } from './retry-budget-share.js';
 import type { ServerEndDetector } from './server-end-detector.js';
 import type { ServerLoadTracker } from './server-load-tracker.js';
@@ -30,6 +31,7 @@
   readonly serverEnds: ServerEndDetector;
   readonly crashLedger: Pick<CrashLedger, 'findQuarantined' | 'nextQuarantine'>;
   readonly pulse: EventActivity;
+  readonly responseBuffers: ResponseBuffers;
   readonly groupHealth: GroupHealth;
   readonly logger: Logger;
   readonly metrics: Metrics;
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -23,6 +23,7 @@
 import type { GroupHealth } from './group-health.js';
 import { createArrivalMeter } from './arrival-meter.js';
 import { createEventActivity } from './event-activity.js';
+import { createResponseBuffers } from './response-buffers.js';
 import { createRetryBudgetShare } from './retry-budget-share.js';
 import type { SendingEntries } from './sender-rank.js';
 import { createServerBackoffs } from './server-backoffs.js';
@@ -238,6 +239,7 @@
     crashLedger,
     arrivals: createArrivalMeter(now),
     entries: () => 1,
+    responseBuffers: createResponseBuffers(),
     pulse: { ...createEventActivity(now), isStalled: () => isStuck.value },
     logger,
     metrics: createMetrics(),
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -21,6 +21,7 @@
 export type { ForwardContext } from './forward-context.js';
 export { createGroupHealth } from './group-health.js';
 export type { GroupHealth, RankHealth } from './group-health.js';
+export { createResponseBuffers } from './response-buffers.js';
 export { createEventActivity } from './event-activity.js';
 export { createRetryBudgetShare, RetryCause } from './retry-budget-share.js';
 export type { RetryBudgetLimits } from './retry-allowance.js';
--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -2,6 +2,8 @@
  * One attempt at a request whose response is forwarded as a whole. The response is buffered until
  * it is complete, so that a truncated one can still be retried where the request allows it.
  */
+import type { IncomingMessage } from 'node:http';
+
 import type { BackendServer } from '@lapisbridge/catalog';
 
 import type { ResponseHead } from './caller-protocol.js';
@@ -13,6 +15,7 @@
 import { lateThresholdMilliseconds } from './late-answer.js';
 import { OutcomeKind } from './outcome.js';
 import type { Outcome } from './outcome.js';
+import type { ResponseBuffer } from './response-buffers.js';
 import { verdictOfRefusal, Verdict } from './server-load-tracker.js';
 
 export interface PlainAttempt {
@@ -21,9 +24,6 @@
   cancel(reason: string): void;
 }
 
-/** Largest response that is buffered; a larger one counts as a fault of the backend server. */
-const MAXIMUM_RESPONSE_BYTES = 8 * 1024 * 1024;
-
 function toOutcome(
   end: ExchangeEnd,
   head: ResponseHead | undefined,
@@ -57,6 +57,11 @@
   }
 }
 
+function declaredBytesOf({ headers }: IncomingMessage): number | undefined {
+  const length = headers['content-length'];
+  return length === undefined ? undefined : Number(length);
+}
+
 /** What an outcome says about the server; `hasFreeSlot` decides what a refusal says. */
 function classifyOutcome(outcome: Outcome, hasFreeSlot: boolean): Verdict {
   switch (outcome.kind) {
@@ -85,15 +90,16 @@
     exchange?.cancel(reason),
   );
   let head: ResponseHead | undefined;
-  const chunks: Buffer[] = [];
-  let responseBytes = 0;
+  let isTooLarge = false;
   let exchange: Exchange | undefined;
+  let responseBuffer: ResponseBuffer | undefined;
 
   /**
    * What a cancelled attempt says about the server. Only the time it was given tells a hanging
    * server from a healthy one.
    */
   function classifyCancelled(): Verdict {
+    if (isTooLarge) return Verdict.Failing;
     if (head !== undefined) return Verdict.Healthy;
     const isLate = context.now() - startedAt >= lateThresholdMilliseconds(accepted.route);
     return isLate ? Verdict.Failing : Verdict.Inconclusive;
@@ -109,16 +115,23 @@
         onHead(incoming) {
           liveness.recordContact(server.instanceId);
           head = protocol.decodeResponseHead(incoming);
+          responseBuffer = context.responseBuffers.open(declaredBytesOf(incoming), () => {
+            isTooLarge = true;
+            exchange?.cancel('response too large');
+          });
           if (head.load !== undefined) ledger.recordReport(server.instanceId, head.load);
           context.statements.onAnswer({ server, head, requestId, sentAt: startedAt });
         },
         onData(chunk) {
-          responseBytes += chunk.length;
-          if (responseBytes > MAXIMUM_RESPONSE_BYTES) exchange?.cancel('response too large');
-          else chunks.push(chunk);
+          responseBuffer?.append(chunk);
         },
         onEnd(end) {
-          const attemptOutcome = toOutcome(end, head, Buffer.concat(chunks), requestId);
+          const attemptOutcome = toOutcome(
+            end,
+            head,
+            responseBuffer?.take() ?? Buffer.alloc(0),
+            requestId,
+          );
           const isCancelled = end.kind === ExchangeEndKind.Cancelled;
           if (isCancelled && head === undefined) context.metrics.countUnansweredSend();
           const wasAnswered = attemptOutcome.kind === OutcomeKind.Answered;
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -4,6 +4,7 @@
  */
 import type { BackendServer } from '@lapisbridge/catalog';
 
+import { createByteCollector } from './byte-collector.js';
 import { describeRefusal, findHeadFault, isSuccess, provesNotRun } from './response-head.js';
 import type { ResponseHead } from './caller-protocol.js';
 import { createEventSplitter } from './event-splitter.js';
@@ -71,7 +72,7 @@
 const EVENTS_OF_PROGRESS = 2;
 
 /** Largest error body that is buffered to be forwarded as a whole. */
-const MAXIMUM_ERROR_BODY_BYTES = 1024 * 1024;
+const MAXIMUM_ERROR_BODY_BYTES = 256 * 1024;
 
 export function startStreamAttempt(
   context: ForwardContext,
@@ -88,8 +89,7 @@
     exchange?.cancel(reason),
   );
   const splitter = createEventSplitter();
-  const errorBody: Buffer[] = [];
-  let errorBodyBytes = 0;
+  const errorBody = createByteCollector();
   let head: ResponseHead | undefined;
   let fault: string | undefined;
   let eventCount = 0;
@@ -130,11 +130,12 @@
     if (head === undefined || fault !== undefined) return;
     if (isSuccess(head.status)) {
       for (const event of splitter.push(chunk)) handleEvent(head, event);
+      if (splitter.isOverflowing()) abandon('no event within the largest size of one');
       return;
     }
-    errorBodyBytes += chunk.length;
-    if (errorBodyBytes > MAXIMUM_ERROR_BODY_BYTES) abandon('error response too large');
-    else errorBody.push(chunk);
+    if (errorBody.length() + chunk.length > MAXIMUM_ERROR_BODY_BYTES)
+      abandon('error response too large');
+    else errorBody.append(chunk);
   }
 
   function toStreamEnd(end: ExchangeEnd): StreamEnd {
@@ -166,7 +167,7 @@
       };
     }
     if (!isSuccess(head.status)) {
-      return { kind: StreamEndKind.Answered, head, body: Buffer.concat(errorBody) };
+      return { kind: StreamEndKind.Answered, head, body: errorBody.take() };
     }
     if (splitter.hasPartialEvent())
       return { kind: StreamEndKind.Incomplete, reason: 'stream ended within an event' };
--- a/packages/json-call/src/call-json.ts
+++ b/packages/json-call/src/call-json.ts
@@ -27,7 +27,12 @@
   readonly body: JsonObject;
 }
 
-/** Rejects when no whole answer came in time. */
+/** A page of the store has at most 1 MB, which base64 and JSON make larger. */
+const MAXIMUM_ANSWER_BYTES = 4 * 1024 * 1024;
+/** Informational responses (1xx) that may precede an answer. */
+const MAXIMUM_INFORMATIONAL_RESPONSES = 8;
+
+/** Rejects when no whole answer came in time, or a larger one than any that is expected. */
 export function callJson(call: JsonCall): Promise<JsonAnswer> {
   return new Promise((resolve, reject) => {
     const payload = call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body));
@@ -47,11 +52,22 @@
     const timer = setTimeout(() => {
       request.destroy(new Error('no answer in time'));
     }, call.timeoutMilliseconds);
+    let informationalResponses = 0;
+    request.on('information', () => {
+      informationalResponses += 1;
+      if (informationalResponses > MAXIMUM_INFORMATIONAL_RESPONSES)
+        request.destroy(new Error('too many informational responses'));
+    });
     request.on('close', () => clearTimeout(timer));
     request.on('error', reject);
     request.on('response', (incoming) => {
       const chunks: Buffer[] = [];
-      incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+      let receivedBytes = 0;
+      incoming.on('data', (chunk: Buffer) => {
+        receivedBytes += chunk.length;
+        if (receivedBytes > MAXIMUM_ANSWER_BYTES) request.destroy(new Error('answer too large'));
+        else chunks.push(chunk);
+      });
       incoming.on('error', reject);
       incoming.on('close', () => {
         if (!incoming.complete) {
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -1,7 +1,7 @@
 /**
  * Brings a drawn fault about at a site from outside its processes, and takes it away again.
  */
-import { StoreFault } from '@lapisbridge/users-platform';
+import { EndlessBytes, StoreFault } from '@lapisbridge/users-platform';
 
 import { LinkMode } from './link.js';
 import { FaultKind } from './plan-faults.js';
@@ -169,6 +169,13 @@
         runner.isCloseDelimited = false;
       };
     }
+    case FaultKind.EndlessBytes: {
+      const { runner } = pick(servers, target);
+      runner.endlessBytes = pick(Object.values(EndlessBytes), target);
+      return () => {
+        runner.endlessBytes = undefined;
+      };
+    }
     case FaultKind.HandOver:
       return site.handOver(target);
     case FaultKind.CrashingPart:
--- a/packages/soak/src/plan-faults.ts
+++ b/packages/soak/src/plan-faults.ts
@@ -40,6 +40,8 @@
   CrashingPart = 'crashingPart',
   /** Answers of a backend server end with their connections, without a length or chunks. */
   CloseDelimited = 'closeDelimited',
+  /** A backend server sends bytes without end instead of answers. */
+  EndlessBytes = 'endlessBytes',
   /** A balancer hands most new connections to one entry, and callers open them more often. */
   HandOver = 'handOver',
   /** Every entry is killed, again and again. */
@@ -87,6 +89,7 @@
   { kind: FaultKind.CrashingPart, gapMilliseconds: 9000, seed: 0xbad, lengthFactor: 3 },
   { kind: FaultKind.HandOver, gapMilliseconds: 9000, seed: 0x0ff, lengthFactor: 2 },
   { kind: FaultKind.CloseDelimited, gapMilliseconds: 4000, seed: 0xc105e, lengthFactor: 2 },
+  { kind: FaultKind.EndlessBytes, gapMilliseconds: 6000, seed: 0xe0f, lengthFactor: 1.5 },
   { kind: FaultKind.KillEntries, gapMilliseconds: 12_000, seed: 0xdead, lengthFactor: 2 },
 ];
 
--- a/packages/soak/src/program.ts
+++ b/packages/soak/src/program.ts
@@ -3,7 +3,7 @@
  */
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
-import { createWriteStream, writeFileSync } from 'node:fs';
+import { createWriteStream, readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 
 export interface ProgramOptions {
@@ -21,6 +21,8 @@
 export interface Program {
   readonly name: string;
   start(): void;
+  /** Resident memory of the process in bytes; undefined while there is none. */
+  residentBytes(): number | undefined;
   /** Sends a signal; one that ends the process is followed by a start. */
   signal(signal: NodeJS.Signals): void;
   /** How often it was sent SIGTERM, has ended since, and was sent SIGKILL. */
@@ -29,7 +31,10 @@
   end(): Promise<void>;
 }
 
+/** As in deploy/system.toml. */
+const NODE_OPTIONS = ['--max-old-space-size=96', '--max-semi-space-size=2'];
 const RESTART_MILLISECONDS = 300;
+const BYTES_PER_KIBIBYTE = 1024;
 
 /** Programs that were started and not ended for good. */
 const running = new Set<ChildProcess>();
@@ -53,7 +58,7 @@
 
   function start(): void {
     writeFileSync(settingsFile, JSON.stringify(options.settings));
-    const started = spawn(process.execPath, ['--max-old-space-size=96', options.file], {
+    const started = spawn(process.execPath, [...NODE_OPTIONS, options.file], {
       env: { LAPISBRIDGE_SETTINGS: settingsFile },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -74,6 +79,12 @@
   return {
     name,
     start,
+    residentBytes() {
+      if (child?.pid === undefined || child.exitCode !== null) return undefined;
+      const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
+      const kibibytes = /^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1];
+      return kibibytes === undefined ? undefined : Number(kibibytes) * BYTES_PER_KIBIBYTE;
+    },
     signal(signal) {
       if (signal === 'SIGKILL' || signal === 'SIGTERM') isExpected = true;
       if (signal === 'SIGTERM') asked += 1;
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -51,7 +51,7 @@
 }
 
 /** Folder of the programs that `npm run bundle` makes. */
-const BUNDLED = fileURLToPath(new URL('../../../target', import.meta.url));
+export const BUNDLED_PROGRAMS = fileURLToPath(new URL('../../../target', import.meta.url));
 const ENTRIES = 3;
 const RANKS = 4;
 const PLAIN_SERVERS = 3;
@@ -131,7 +131,7 @@
     passMilliseconds: options.passMilliseconds,
     coldRequestsPerSecond: options.coldRequestsPerSecond,
     network: options.network,
-    programs: options.programs ?? BUNDLED,
+    programs: options.programs ?? BUNDLED_PROGRAMS,
     onOwnEnd: (name, status) => violations.push(`own end: ${name} with ${status}`),
   });
   const callers = createCallers(site, history, random, KEY);
