Grant half of what the rule allows through a long outage

Cause: a process earned 0.43 of its requests' part at every age, although the retries of its predecessor count only in its first twelve seconds. A settled process now earns 0.478 and spends 0.61 of its part of the slack; 0.425 may be held. A window then contains at most 0.425 and 1.2 times 0.478 of what the requests allow, 0.9986 in all.

--- a/packages/forwarding/src/retry-allowance.ts
+++ b/packages/forwarding/src/retry-allowance.ts
@@ -53,12 +53,15 @@
 
 /**
  * Parts of the budget for requests that are earned with each request, and that may be held at once.
- * Their sum is below one because retries of two seconds may arrive together.
+ * A window may contain what was held before it, and the earnings of twelve seconds, since retries
+ * of two seconds may arrive together.
  */
-const REQUEST_EARNED_SHARE = 0.43;
-const REQUEST_HELD_SHARE = 0.44;
+const REQUEST_EARNED_SHARE = 0.478;
+/** The same for a process whose predecessor's retries may still count. */
+const REQUEST_EARNED_YOUNG_SHARE = 0.43;
+const REQUEST_HELD_SHARE = 0.425;
 /** Part of the entry's slack that a process spends in a window. */
-const SLACK_SHARE = 0.55;
+const SLACK_SHARE = 0.61;
 /** The same for a process that has just started, in proportion to its age; and at its start. */
 const SLACK_YOUNG_SHARE = 0.13;
 const SLACK_OPENING_SHARE = 0.1;
@@ -79,14 +82,22 @@
     return REQUEST_HELD_SHARE * limits().ratio * requests.length;
   }
 
+  /** Age as a share of the one from which the retries of the predecessor no longer count. */
+  function settledShare(): number {
+    const settledAge = limits().windowMilliseconds + ARRIVAL_MARGIN_MILLISECONDS;
+    return (now() - startedAt) / settledAge;
+  }
+
   /** Retries that may be taken from the slack in a window. */
   function slackLimit(): number {
-    const { slack, windowMilliseconds } = limits();
-    const own = slack / Math.max(1, options.entries());
-    const settledAge = windowMilliseconds + ARRIVAL_MARGIN_MILLISECONDS;
-    const age = now() - startedAt;
-    if (age >= settledAge) return SLACK_SHARE * own;
-    return Math.min(1, SLACK_OPENING_SHARE * own) + (SLACK_YOUNG_SHARE * own * age) / settledAge;
+    const own = limits().slack / Math.max(1, options.entries());
+    const settled = settledShare();
+    if (settled >= 1) return SLACK_SHARE * own;
+    return Math.min(1, SLACK_OPENING_SHARE * own) + SLACK_YOUNG_SHARE * own * settled;
+  }
+
+  function earnedShare(): number {
+    return settledShare() >= 1 ? REQUEST_EARNED_SHARE : REQUEST_EARNED_YOUNG_SHARE;
   }
 
   function update(): void {
@@ -121,7 +132,7 @@
     recordRequest() {
       update();
       requests.push(now());
-      fromRequests += REQUEST_EARNED_SHARE * limits().ratio;
+      fromRequests += earnedShare() * limits().ratio;
     },
     trySpend(urgency) {
       if (available() < 1 + reserveFor(urgency)) return false;
