Count a server that keeps a stream waiting in vain as failing

Cause: the attempt ended as a cancel, which says nothing about a server that has sent no event, so the idle server attracted the next stream of each entry again. The attempt is now abandoned and counts against it.

--- a/packages/forwarding/src/silent-server.test.ts
+++ b/packages/forwarding/src/silent-server.test.ts
@@ -143,3 +143,13 @@
   expect(await clock.runUntil(stream('pausing'))).toContain('id: 4');
   expect(fixture.arrivals).toHaveLength(1);
 });
+
+it('sends the next stream elsewhere after a server has kept one waiting in vain', async () => {
+  // Guards against a server that hangs while its sidecar reports it idle, and attracts every stream.
+  await start(sendEventsThenStall(0), streamEvents(EVENTS));
+  fixture.isStuck.value = true;
+  expect(await clock.runUntil(stream('first'))).toBe(ALL_EVENTS);
+  fixture.isStuck.value = false;
+  expect(await clock.runUntil(stream('second'))).toBe(ALL_EVENTS);
+  expect(fixture.arrivals.map(({ instanceId }) => instanceId)).toEqual(['one', 'two', 'two']);
+});
--- a/packages/forwarding/src/stall-watch.ts
+++ b/packages/forwarding/src/stall-watch.ts
@@ -39,7 +39,7 @@
 export async function watchForStall(options: StallWatchOptions): Promise<StreamEnd> {
   const { attempt } = options;
   const timer = setInterval(() => {
-    if (options.mayContinue() && isStalled(options)) attempt.cancel('silent while others answer');
+    if (options.mayContinue() && isStalled(options)) attempt.abandon('silent while others answer');
   }, CHECK_MILLISECONDS);
   const end = await attempt.end;
   clearInterval(timer);
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -50,6 +50,8 @@
 export interface StreamAttempt {
   readonly end: Promise<StreamEnd>;
   cancel(reason: string): void;
+  /** Ends the attempt because its server does not respond, which counts against the server. */
+  abandon(reason: string): void;
 }
 
 /** How an event follows the last one delivered: duplicates are dropped, a gap ends the attempt. */
@@ -232,5 +234,5 @@
       },
     );
   });
-  return { end, cancel: (reason) => exchange?.cancel(reason) };
+  return { end, cancel: (reason) => exchange?.cancel(reason), abandon };
 }
