Let more entries send to each cold server while all entries know each other

Seen on the shifted deployment: a server takes 14 requests a second while cold, and 45 entries rank themselves; 8 of them might send to a server, so each entry had 13 of 72 servers to choose from, one request a second each.

Where every entry that was known within the last hour is known now, and there was time to discover them, nine tenths of the rate are allocated instead of six. Behind a partition and after a start it stays six, so the sums that the tests of partial knowledge check are unchanged.

--- a/packages/direct-entry/src/plan-entries.test.ts
+++ b/packages/direct-entry/src/plan-entries.test.ts
@@ -2,7 +2,12 @@
 import { createRandom, pickSome } from '@lapisbridge/kernel';
 import { expect, it } from 'vitest';
 
-import { createEntryCountPeak, estimateEntryCount, planRetrySharers } from './plan-entries.js';
+import {
+  createEntryCountPeak,
+  estimateEntryCount,
+  knowsAllEntries,
+  planRetrySharers,
+} from './plan-entries.js';
 
 it('assumes a minimum until all entries have had time to be discovered', () => {
   const input = { knownEntries: 2, backendServers: 19 };
@@ -64,6 +69,14 @@
   expect(peak.highest()).toBe(5);
 });
 
+it('knows all entries once there was time to discover them and none is missing', () => {
+  // Guards against shares of cold servers that add up to too much on both sides of a partition.
+  const settled = { knownEntries: 45, sinceStartMilliseconds: 6000 };
+  expect(knowsAllEntries(settled, 45)).toBe(true);
+  expect(knowsAllEntries({ ...settled, sinceStartMilliseconds: 4000 }, 45)).toBe(false);
+  expect(knowsAllEntries({ ...settled, knownEntries: 30 }, 45)).toBe(false);
+});
+
 it('divides the slack by a minimum of entries when few are known', () => {
   expect(planRetrySharers(1, 12)).toBe(8);
   expect(planRetrySharers(1, 90)).toBe(30);
--- a/packages/direct-entry/src/plan-entries.ts
+++ b/packages/direct-entry/src/plan-entries.ts
@@ -33,6 +33,17 @@
   return Math.max(knownEntries, minimumEntries(backendServers));
 }
 
+/**
+ * Whether this entry knows all others: it has had time to discover them, and none that it knew
+ * within the last hour is missing, as behind a partition.
+ */
+export function knowsAllEntries(
+  { knownEntries, sinceStartMilliseconds }: Omit<EntryCountInput, 'backendServers'>,
+  peakEntries: number,
+): boolean {
+  return sinceStartMilliseconds >= DISCOVERY_MILLISECONDS && knownEntries >= peakEntries;
+}
+
 /** The highest number of entries known at once within the last hour. */
 export interface EntryCountPeak {
   /** Records the number of entries that are known now. */
--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -35,7 +35,12 @@
 import { startInstanceListener } from './instance-listener.js';
 import { createCatalogSync } from './catalog-sync.js';
 import type { CatalogSync } from './catalog-sync.js';
-import { createEntryCountPeak, estimateEntryCount, planRetrySharers } from './plan-entries.js';
+import {
+  createEntryCountPeak,
+  estimateEntryCount,
+  knowsAllEntries,
+  planRetrySharers,
+} from './plan-entries.js';
 import { createQuarantineSync } from './quarantine-sync.js';
 import { startFleet } from './start-fleet.js';
 
@@ -93,7 +98,15 @@
 
   const sendingEntries = (): SendingEntries => {
     const names = fleet.entryIds();
-    return { own: settings.instanceId, names, count: estimateEntries(names.length) };
+    const count = estimateEntries(names.length);
+    const isComplete = knowsAllEntries(
+      {
+        knownEntries: names.length,
+        sinceStartMilliseconds: monotonicClock() - startedAt,
+      },
+      entryCountPeak.highest(),
+    );
+    return { own: settings.instanceId, names, count, isComplete };
   };
   const rateLimits = createServerRateLimits({
     logger,
--- a/packages/forwarding/src/cold-start-share.ts
+++ b/packages/forwarding/src/cold-start-share.ts
@@ -41,11 +41,17 @@
  * themselves among the senders too often.
  */
 const ALLOCATED_SHARE = 0.6;
+/** The same while every entry knows all others, so that they rank themselves alike. */
+const COMPLETE_ALLOCATED_SHARE = 0.9;
 /** Part of a rate that is divided evenly; the rest follows the traffic. */
 const EVEN_WEIGHT = 0.25;
 
-function allowedSendersAt(coldRequestsPerSecond: number): number {
-  return Math.max(1, Math.floor(coldRequestsPerSecond * ALLOCATED_SHARE));
+function allowedSendersAt(
+  coldRequestsPerSecond: number,
+  { isComplete = false }: SendingEntries,
+): number {
+  const share = isComplete ? COMPLETE_ALLOCATED_SHARE : ALLOCATED_SHARE;
+  return Math.max(1, Math.floor(coldRequestsPerSecond * share));
 }
 
 /** `startedAt` is when the process started; long ago if absent. */
@@ -74,7 +80,7 @@
     const even = coldRequestsPerSecond / Math.max(1, known.count);
     const byTraffic = (1 - EVEN_WEIGHT) * coldRequestsPerSecond * trafficShare;
     const rank = ranks.rankAt(instanceId, known);
-    const isSender = rank < allowedSendersAt(coldRequestsPerSecond);
+    const isSender = rank < allowedSendersAt(coldRequestsPerSecond, known);
     const own = even < 1 ? Math.floor(byTraffic) : Math.round(EVEN_WEIGHT * even + byTraffic);
     // An entry without traffic must be able to gain some.
     const share = isSender ? Math.max(1, own) : own;
@@ -86,9 +92,9 @@
 
   return {
     senderCount(coldRequestsPerSecond) {
-      const { count } = entries();
-      const mayAllSend = coldRequestsPerSecond <= 0 || coldRequestsPerSecond >= count;
-      return mayAllSend ? count : allowedSendersAt(coldRequestsPerSecond);
+      const known = entries();
+      const mayAllSend = coldRequestsPerSecond <= 0 || coldRequestsPerSecond >= known.count;
+      return mayAllSend ? known.count : allowedSendersAt(coldRequestsPerSecond, known);
     },
     roomInMilliseconds(instanceId, coldRequestsPerSecond, trafficShare) {
       if (coldRequestsPerSecond <= 0) return 0;
--- a/packages/forwarding/src/sender-rank.ts
+++ b/packages/forwarding/src/sender-rank.ts
@@ -13,6 +13,11 @@
    * Number of entries to assume, which is larger than the number of names while not all are known.
    */
   readonly count: number;
+  /**
+   * Whether all entries that were known lately are known now, and there was time to discover them;
+   * false if absent.
+   */
+  readonly isComplete?: boolean;
 }
 
 export interface SenderRanks {
--- a/packages/forwarding/src/shares.test.ts
+++ b/packages/forwarding/src/shares.test.ts
@@ -137,6 +137,27 @@
     }
   });
 
+  it.each([
+    [14, 45],
+    [26, 39],
+    [26, 98],
+  ])('of a cold server that takes %i a second nearly use it up with %i entries', (rate, count) => {
+    // Guards against requests that are held although their servers are well below their limits.
+    const names = Array.from({ length: count }, (_, index) => `entry-${index}`);
+    for (let server = 0; server < 50; server += 1) {
+      let sent = 0;
+      for (const own of names) {
+        const share = createColdStartShare(
+          () => ({ own, names, count, isComplete: true }),
+          () => 0,
+        );
+        if (share.roomInMilliseconds(`server-${server}`, rate, 1 / count) === 0) sent += 1;
+      }
+      expect(sent).toBeLessThanOrEqual(rate);
+      expect(sent).toBeGreaterThan(rate * 0.8);
+    }
+  });
+
   it.each([
     [36, 7],
     [26, 6],
