Plan a map for a slow rank at once, also right after a rollout

Causes: the overviews of the ranks still showed the orders of the ended rollout for 0.6 s, which kept the leader from planning; the slow rank counted as a shift of the demand, so the selections were thrown away and collected anew; its pace was known from the overviews only, which arrive later than the reports that the rollout itself had read. The reports of a rollout are used for half a second after it, and a shift is judged as if all ranks were equally fast.

--- a/packages/group-leader/src/group-leader.ts
+++ b/packages/group-leader/src/group-leader.ts
@@ -71,6 +71,8 @@
 const HELD_FOLLOWER_INTERVAL_MILLISECONDS = 20;
 /** A loop that runs this late was suspended, and another leader may have been elected meanwhile. */
 const STALL_THRESHOLD_MILLISECONDS = 700;
+/** Time for which the reports read in a rollout are newer than the overviews of the ranks. */
+const ROLLOUT_REPORT_LIFETIME_MILLISECONDS = 500;
 /** Reports older than this are not acted on: the longest wait for an answer, and a margin. */
 const MAXIMUM_REPORT_AGE_MILLISECONDS = 800;
 
@@ -91,6 +93,9 @@
   const passDuration = createPassDurationEstimator(now);
   const orderThrottle = createOrderThrottle(now);
   const orderLosses = createLossEstimator(now);
+  /** Paces by rank, as read in the last rollout. */
+  const rolloutPaces = new Map<number, number>();
+  let reportsReadAt = -Infinity;
   let state: RolloutState = initialRolloutState(-1);
   let termFencingNumber: number | undefined;
   let issuedVersions = 0;
@@ -154,16 +159,24 @@
     return composed?.map;
   }
 
+  function recordPaces(reports: readonly (RankReport | undefined)[]): void {
+    reportsReadAt = now();
+    for (const [rank, report] of reports.entries()) {
+      if (report !== undefined) rolloutPaces.set(rank, report.pace);
+    }
+  }
+
   /** Sets a new rollout target when the demand requires one. */
   async function planTarget(fencingNumber: number, ownReport: RankReport): Promise<void> {
     const profile = options.profile();
     if (profile === undefined || !mapPlanner.isDue()) return;
+    if (now() - reportsReadAt > ROLLOUT_REPORT_LIFETIME_MILLISECONDS) rolloutPaces.clear();
     const current = await findActiveMap(ownReport);
     if (current === undefined) return;
     const overviews = options.overviews();
     const slowdownFactors = Array.from(
       { length: ownReport.size },
-      (_, rank) => overviews.get(rank)?.pace ?? 1,
+      (_, rank) => rolloutPaces.get(rank) ?? overviews.get(rank)?.pace ?? 1,
     );
     const map = await mapPlanner.plan({ ownReport, current, profile, slowdownFactors });
     if (map === undefined) return;
@@ -243,10 +256,13 @@
   function needsRolloutStep(ownReport: RankReport): boolean {
     if (state.target !== undefined || !state.isSettled || ownReport.epoch !== state.epoch)
       return true;
+    if (ownReport.heldStep !== undefined || ownReport.armed !== undefined) return true;
+    // Overviews still show the orders of the rollout that has just ended.
+    if (now() - reportsReadAt <= ROLLOUT_REPORT_LIFETIME_MILLISECONDS) return false;
     for (const { hasPendingOrder } of options.overviews().values()) {
       if (hasPendingOrder) return true;
     }
-    return ownReport.heldStep !== undefined || ownReport.armed !== undefined;
+    return false;
   }
 
   /** Logs each change of what keeps this leader from acting. */
@@ -264,6 +280,7 @@
     const requestedAt = now();
     const requestedAtWallClock = Date.now();
     const reports = await readReports(ownReport.size);
+    recordPaces(reports);
     const roundMilliseconds = now() - requestedAt;
     const missing: number[] = [];
     for (const [rank, report] of reports.entries()) if (report === undefined) missing.push(rank);
--- a/packages/group-leader/src/map-planner.test.ts
+++ b/packages/group-leader/src/map-planner.test.ts
@@ -46,12 +46,12 @@
       if (delta === undefined) return;
       for (const one of [demand, recentDemand]) one.add(delta);
     },
-    plan: (epoch: number) =>
+    plan: (epoch: number, slowdownFactors = [1, 1, 1, 1]) =>
       planner.plan({
         ownReport: { ...REPORT, epoch },
         current: { sets: [initialMap(EXPERTS, RANKS)] },
         profile: PROFILE,
-        slowdownFactors: [1, 1, 1, 1],
+        slowdownFactors,
       }),
   };
 }
@@ -78,6 +78,19 @@
     expect(await plan(1)).toBeDefined();
   });
 
+  it('plans a map at once when a rank turns slow', async () => {
+    // Guards against collecting selections anew although the demand is as before: every pass takes
+    // as long as the slow rank meanwhile.
+    const { select, plan, clock } = createFixture();
+    select(1, EVEN);
+    select(1, EVEN);
+    clock.now = 500;
+    await plan(1);
+    clock.now = 600;
+    select(1, EVEN);
+    expect(await plan(1, [1, 1, 1, 3])).toBeDefined();
+  });
+
   it('plans a map at once when the group has formed again', async () => {
     // A rank was disconnected and the group formed again on its initial map. Streams that waited
     // occupy every slot, and each pass takes three times as long until a better map is active.
--- a/packages/group-leader/src/map-planner.ts
+++ b/packages/group-leader/src/map-planner.ts
@@ -113,7 +113,9 @@
     }
     if (!isGathering) {
       const skew = skewUnderMap(demand, current, slowdownFactors, profile.sets);
-      const recentSkew = skewUnderMap(recentDemand, current, slowdownFactors, profile.sets);
+      // A slow rank makes the load uneven, but the demand for experts stays what it was.
+      const usualFactors = slowdownFactors.map(() => 1);
+      const recentSkew = skewUnderMap(recentDemand, current, usualFactors, profile.sets);
       const hasShifted = recentSkew > SHIFT_SKEW && recentDemand.totalChoices() > minimumChoices;
       if (!hasShifted && (skew < REPLAN_SKEW || demand.totalChoices() < minimumChoices))
         return undefined;
@@ -126,6 +128,7 @@
         choice: 'gather',
         reason: hasShifted ? 'expert demand has shifted' : 'expert load is uneven',
         facts: {
+          slowest: Math.max(...slowdownFactors),
           skew: Number(skew.toFixed(3)),
           recentSkew: Number(recentSkew.toFixed(3)),
           activeVersion: ownReport.activeVersion,
