--- a/packages/forwarding/src/plan-queue-admission.ts
+++ b/packages/forwarding/src/plan-queue-admission.ts
@@ -17,6 +17,11 @@
  * callers wait.
  */
 const RETRY_QUEUE_SHARE = 0.75;
+/**
+ * Share of the time that its caller waits for which a late stream is sent to free slots only. In a
+ * queue it would keep streams from being sent to the server that can still be in time.
+ */
+const QUEUEING_DELAY_SHARE = 0.375;
 
 /**
  * Largest typical time to the first event at another server, as a share of the caller's remaining
@@ -57,10 +62,10 @@
     case Urgency.Fresh:
       return 1 + FIRST_ATTEMPT_QUEUE_SHARE;
     case Urgency.Late: {
-      if (!input.isRetry) return 1 + FIRST_ATTEMPT_QUEUE_SHARE;
       const stay = callerPatienceMilliseconds(input.route) - FIRST_EVENT_MILLISECONDS;
-      const left = Math.max(0, 1 - input.idleMilliseconds / stay);
-      return 1 + RETRY_QUEUE_SHARE * left;
+      const waited = input.idleMilliseconds / stay;
+      if (!input.isRetry || waited < QUEUEING_DELAY_SHARE) return 1;
+      return 1 + RETRY_QUEUE_SHARE * Math.max(0, 1 - waited);
     }
     default: {
       const unreachable: never = urgency;
