Tell in logs and reports why streams were late

Operators could not tell streams that waited at a server from those whose group stood still: the report counted both as late. The line of a late answer names its cause, and the report counts by it.

--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -153,6 +153,7 @@
     progress.sends += 1;
     progress.runs += 1;
     progress.tried.add(server.instanceId);
+    record.recordSend();
     const attempt = startStreamAttempt(context, accepted, server, record.sink, state.isMoved);
     state.currentAttempt = attempt;
     state.server = server;
--- a/packages/forwarding/src/stream-record.ts
+++ b/packages/forwarding/src/stream-record.ts
@@ -10,6 +10,21 @@
 import { roundedOrNone } from './rounded-or-none.js';
 import type { StreamSink } from './stream-attempt.js';
 
+/** Why an answer missed the objectives of its route. */
+export enum LateCause {
+  /** The entry held the stream for most of the time until its first event. */
+  Held = 'held',
+  /** The server took most of that time. */
+  Queued = 'queued',
+  /** Its passes took longer than the objective. */
+  SlowPasses = 'slowPasses',
+  /** It sent no event for longer than any pass takes. */
+  Standstill = 'standstill',
+}
+
+/** Passes of a fully loaded group with a slow rank take less than this. */
+const STANDSTILL_MILLISECONDS = 1000;
+
 export interface StreamRecord {
   /** Forwards events to the caller and records them. */
   readonly sink: StreamSink;
@@ -18,6 +33,8 @@
    * while the caller applies backpressure.
    */
   idleMilliseconds(): number;
+  /** Records that the stream is sent to a server. */
+  recordSend(): void;
   /** Whether the first event and the gaps between events met the route's objectives. */
   isOnTime(): boolean;
   /** Log fields. */
@@ -34,6 +51,7 @@
   let isBackpressured = false;
   let firstEventMilliseconds: number | undefined;
   let longestPauseMilliseconds = 0;
+  let sentAt = arrivedAt;
 
   function recordEvent(head: ResponseHead): void {
     const at = context.now();
@@ -47,7 +65,22 @@
     lastEventAt = at;
   }
 
+  function lateCause(): LateCause | undefined {
+    if (firstEventMilliseconds === undefined) return undefined;
+    if (firstEventMilliseconds > route.latencyObjectiveMilliseconds) {
+      const isHeld = sentAt - arrivedAt > firstEventMilliseconds / 2;
+      return isHeld ? LateCause.Held : LateCause.Queued;
+    }
+    if (longestPauseMilliseconds <= route.eventGapObjectiveMilliseconds) return undefined;
+    return longestPauseMilliseconds > STANDSTILL_MILLISECONDS
+      ? LateCause.Standstill
+      : LateCause.SlowPasses;
+  }
+
   return {
+    recordSend() {
+      if (firstEventMilliseconds === undefined) sentAt = context.now();
+    },
     sink: {
       lastEventId: () => lastEventId,
       onEvent(head: ResponseHead, event: StreamEvent) {
@@ -65,14 +98,12 @@
       },
     },
     idleMilliseconds: () => (isBackpressured ? 0 : context.now() - lastEventAt),
-    isOnTime: () =>
-      firstEventMilliseconds !== undefined &&
-      firstEventMilliseconds <= route.latencyObjectiveMilliseconds &&
-      longestPauseMilliseconds <= route.eventGapObjectiveMilliseconds,
+    isOnTime: () => firstEventMilliseconds !== undefined && lateCause() === undefined,
     facts: () => ({
       lastEventId,
       firstEvent: roundedOrNone(firstEventMilliseconds),
       longestPause: Math.round(longestPauseMilliseconds),
+      lateCause: lateCause(),
     }),
   };
 }
--- a/packages/load-report/src/load-report.test.ts
+++ b/packages/load-report/src/load-report.test.ts
@@ -59,6 +59,24 @@
 const IN_TIME = { status: 200, isOnTime: true, firstEvent: 160, longestPause: 70 };
 
 describe('counting ends', () => {
+  it('tells why answers were late', () => {
+    const late = { ...IN_TIME, isOnTime: false };
+    const report = reportOf(
+      end({ id: 'a', kind: 'answer', facts: IN_TIME }),
+      end({ id: 'b', kind: 'answer', facts: { ...late, lateCause: 'queued' } }),
+      end({ id: 'c', kind: 'answer', facts: { ...late, lateCause: 'standstill' } }),
+      end({ id: 'd', kind: 'answer', facts: { ...late, lateCause: 'queued' } }),
+      end({ id: 'e', kind: 'answer', facts: { ...IN_TIME, isRetry: true } }),
+      end({ id: 'f', kind: 'answer', facts: late }),
+    );
+    expect(report.causes.map(({ name, counts }) => [name, counts[EndClass.Late]])).toEqual([
+      ['late: queued', 2],
+      ['late: standstill', 1],
+      ['late: retry', 1],
+      ['late: not told', 1],
+    ]);
+  });
+
   it('tells callers that were in time from those that were late, lost or improper', () => {
     const report = reportOf(
       end({ id: 'a', kind: 'answer', facts: IN_TIME }),
--- a/packages/load-report/src/report-sections.ts
+++ b/packages/load-report/src/report-sections.ts
@@ -112,7 +112,7 @@
     totalSection(report),
     momentSection(report),
     outageSection(report),
-    countedSection('By cause of not being answered', 'cause', report.causes),
+    countedSection('By cause of no answer, or a late one', 'cause', report.causes),
     countedSection('By availability zone', 'zone', report.zones),
     countedSection('By route', 'route', report.routes),
     countedSection('By client account', 'account', report.accounts),
--- a/packages/load-report/src/request-counts.ts
+++ b/packages/load-report/src/request-counts.ts
@@ -37,7 +37,7 @@
   readonly clientAccount: string;
   /** The backend server that answered; undefined where none did. */
   readonly backendServer: string | undefined;
-  /** Why there was no answer; undefined where there was one. */
+  /** Why there was no answer, or a late one; undefined for others. */
   readonly cause: string | undefined;
   /** Milliseconds; undefined where there was none. */
   readonly firstEvent: number | undefined;
@@ -95,6 +95,12 @@
   }
 }
 
+/** Why an answer was late; logs of earlier versions do not tell. */
+function lateCauseOf(end: EndClass, facts: NonNullable<LogLine['facts']>): string | undefined {
+  if (end !== EndClass.Late) return undefined;
+  return `late: ${isRetryIn(facts) ? 'retry' : textIn(facts.lateCause)}`;
+}
+
 /** Reads how a request ended; undefined for lines that end none. */
 export function readEnd(line: LogLine): RequestEnd | undefined {
   const end = classOf(line);
@@ -110,7 +116,7 @@
     route: textIn(facts.route),
     clientAccount: textIn(facts.account),
     backendServer: isAnswer ? textIn(line.choice) : undefined,
-    cause: isAnswer ? undefined : `${line.kind}: ${textIn(line.choice)}`,
+    cause: isAnswer ? lateCauseOf(end, facts) : `${line.kind}: ${textIn(line.choice)}`,
     firstEvent: numberIn(facts.firstEvent),
     longestPause: numberIn(facts.longestPause),
   };
