Load the Prometheus library when metrics are asked for, and keep small histograms

A profile of the real programs showed 3% (entry) and 4% (sidecar) of their busy time in number formats that hdr-histogram-js prepares at load; loading that library takes 15 MB, and prom-client 10 MB, while most instances are never asked for metrics and sidecars record no latency.

--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -1,15 +1,13 @@
 /**
- * Metrics in Prometheus text. Latencies are kept in HDR histograms, whose percentiles stay
- * exact at the far end, and are read out as quantiles when asked for.
+ * Metrics in Prometheus text. Values are collected when the text is asked for. The Prometheus
+ * library is loaded with the first such request, since it takes an instance about 10 MB and most
+ * are never asked.
  */
-import { build } from 'hdr-histogram-js';
-import type { Histogram } from 'hdr-histogram-js';
-import { Counter, Gauge, Registry } from 'prom-client';
+import { createLatencyHistogram } from './latency-histogram.js';
+import type { LatencyHistogram } from './latency-histogram.js';
 
-const QUANTILES = [50, 95, 99, 99.9];
-const MICROSECONDS_PER_MILLISECOND = 1000;
-const MICROSECONDS_PER_SECOND = 1_000_000;
-const HIGHEST_MICROSECONDS = 3_600_000_000;
+const PERCENTILES = [50, 95, 99, 99.9];
+const MILLISECONDS_PER_SECOND = 1000;
 
 export enum LatencyKind {
   FirstToken = 'first_token',
@@ -52,117 +50,153 @@
   readonly bytes: number;
 }
 
-function createHistogram(): Histogram {
-  return build({
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: HIGHEST_MICROSECONDS,
-    numberOfSignificantValueDigits: 2,
-    bitBucketSize: 32,
-  });
+enum MetricKind {
+  Counter = 'counter',
+  Gauge = 'gauge',
 }
 
-export function createMetrics(): Metrics {
+interface Sample {
+  readonly labels: Readonly<Record<string, string>>;
+  readonly value: number;
+}
+
+interface Metric {
+  readonly kind: MetricKind;
+  readonly name: string;
+  readonly help: string;
+  readonly labelNames: readonly string[];
+  read(): Iterable<Sample>;
+}
+
+async function renderMetrics(metrics: readonly Metric[]): Promise<string> {
+  const { Counter, Gauge, Registry } = await import('prom-client');
   const registry = new Registry();
-  const requests = new Counter({
-    name: 'lapisbridge_requests_total',
-    help: 'Requests by kind and result code.',
-    labelNames: ['kind', 'code'],
-    registers: [registry],
-  });
-  const unansweredSends = new Counter({
-    name: 'lapisbridge_unanswered_sends_total',
-    help: 'Sends given up before the backend server answered anything.',
-    registers: [registry],
-  });
-  const histograms = new Map<LatencyKind, Histogram>();
-  for (const kind of Object.values(LatencyKind)) histograms.set(kind, createHistogram());
-  const latency = new Gauge({
-    name: 'lapisbridge_latency_seconds',
-    help: 'Latency quantiles since the start.',
-    labelNames: ['kind', 'quantile'],
-    registers: [registry],
-    collect() {
-      for (const [kind, histogram] of histograms) {
-        for (const quantile of QUANTILES) {
-          const seconds = histogram.getValueAtPercentile(quantile) / MICROSECONDS_PER_SECOND;
-          this.set({ kind, quantile: String(quantile / 100) }, seconds);
-        }
+  for (const { kind, name, help, labelNames, read } of metrics) {
+    const options = { name, help, labelNames: [...labelNames], registers: [registry] };
+    switch (kind) {
+      case MetricKind.Counter: {
+        const counter = new Counter(options);
+        for (const { labels, value } of read()) counter.inc(labels, value);
+        break;
+      }
+      case MetricKind.Gauge: {
+        const gauge = new Gauge(options);
+        for (const { labels, value } of read()) gauge.set(labels, value);
+        break;
+      }
+      default: {
+        const unreachable: never = kind;
+        throw new Error(String(unreachable));
+      }
+    }
+  }
+  return registry.metrics();
+}
+
+export function createMetrics(): Metrics {
+  /** Requests by result code, by kind. */
+  const requests = new Map<string, Map<number, number>>();
+  const histograms = new Map<LatencyKind, LatencyHistogram>();
+  for (const kind of Object.values(LatencyKind)) histograms.set(kind, createLatencyHistogram());
+  let unansweredSends = 0;
+
+  function* readRequests(): Iterable<Sample> {
+    for (const [kind, byCode] of requests) {
+      for (const [code, value] of byCode) yield { labels: { kind, code: String(code) }, value };
+    }
+  }
+
+  function* readLatencies(): Iterable<Sample> {
+    for (const [kind, histogram] of histograms) {
+      for (const percentile of PERCENTILES) {
+        const labels = { kind, quantile: String(percentile / 100) };
+        const value = histogram.valueAtPercentile(percentile) / MILLISECONDS_PER_SECOND;
+        yield { labels, value };
       }
+    }
+  }
+
+  const metrics: Metric[] = [
+    {
+      kind: MetricKind.Counter,
+      name: 'lapisbridge_requests_total',
+      help: 'Requests by kind and result code.',
+      labelNames: ['kind', 'code'],
+      read: readRequests,
+    },
+    {
+      kind: MetricKind.Counter,
+      name: 'lapisbridge_unanswered_sends_total',
+      help: 'Sends given up before the backend server answered anything.',
+      labelNames: [],
+      read: () => [{ labels: {}, value: unansweredSends }],
     },
-  });
-  registry.registerMetric(latency);
+    {
+      kind: MetricKind.Gauge,
+      name: 'lapisbridge_latency_seconds',
+      help: 'Latency quantiles since the start.',
+      labelNames: ['kind', 'quantile'],
+      read: readLatencies,
+    },
+  ];
+
+  function addGauge(
+    name: string,
+    help: string,
+    labelNames: readonly string[],
+    read: () => Iterable<Sample>,
+  ): void {
+    metrics.push({ kind: MetricKind.Gauge, name, help, labelNames, read });
+  }
 
   return {
     countRequest(kind, code) {
-      requests.inc({ kind, code: String(code) });
-    },
-    countUnansweredSend: () => unansweredSends.inc(),
-    observe(kind, milliseconds) {
-      const microseconds = Math.max(1, Math.round(milliseconds * MICROSECONDS_PER_MILLISECOND));
-      histograms.get(kind)?.recordValue(Math.min(microseconds, HIGHEST_MICROSECONDS));
+      const byCode = requests.get(kind) ?? new Map<number, number>();
+      byCode.set(code, (byCode.get(code) ?? 0) + 1);
+      requests.set(kind, byCode);
     },
-    gauge(name, help, read) {
-      const gauge = new Gauge({
-        name,
-        help,
-        registers: [registry],
-        collect() {
-          this.set(read());
-        },
-      });
-      registry.registerMetric(gauge);
+    countUnansweredSend() {
+      unansweredSends += 1;
     },
+    observe: (kind, milliseconds) => histograms.get(kind)?.record(milliseconds),
+    gauge: (name, help, read) => addGauge(name, help, [], () => [{ labels: {}, value: read() }]),
     serverGauge(name, help, read) {
-      const gauge = new Gauge({
-        name,
-        help,
-        labelNames: ['server'],
-        registers: [registry],
-        collect() {
-          this.reset();
-          for (const [server, value] of read()) this.set({ server }, value);
-        },
+      addGauge(name, help, ['server'], function* readServers() {
+        for (const [server, value] of read()) yield { labels: { server }, value };
       });
-      registry.registerMetric(gauge);
     },
     datagrams(read) {
-      const sent = new Gauge({
-        name: 'lapisbridge_datagrams_sent_total',
-        help: 'Datagrams sent to other instances, by kind.',
-        labelNames: ['kind'],
-        registers: [registry],
-        collect() {
-          for (const [kind, { datagrams }] of read()) this.set({ kind }, datagrams);
+      addGauge(
+        'lapisbridge_datagrams_sent_total',
+        'Datagrams sent to other instances, by kind.',
+        ['kind'],
+        function* readDatagrams() {
+          for (const [kind, { datagrams }] of read()) yield { labels: { kind }, value: datagrams };
         },
-      });
-      const bytes = new Gauge({
-        name: 'lapisbridge_datagram_bytes_sent_total',
-        help: 'Bytes of datagrams sent to other instances, by kind.',
-        labelNames: ['kind'],
-        registers: [registry],
-        collect() {
-          for (const [kind, { bytes: sum }] of read()) this.set({ kind }, sum);
+      );
+      addGauge(
+        'lapisbridge_datagram_bytes_sent_total',
+        'Bytes of datagrams sent to other instances, by kind.',
+        ['kind'],
+        function* readBytes() {
+          for (const [kind, { bytes }] of read()) yield { labels: { kind }, value: bytes };
         },
-      });
-      registry.registerMetric(sent);
-      registry.registerMetric(bytes);
+      );
     },
     retries(read) {
-      const retries = new Gauge({
-        name: 'lapisbridge_retries_total',
-        help: 'Retries that the budget granted or denied, by service and cause.',
-        labelNames: ['service', 'cause', 'result'],
-        registers: [registry],
-        collect() {
+      addGauge(
+        'lapisbridge_retries_total',
+        'Retries that the budget granted or denied, by service and cause.',
+        ['service', 'cause', 'result'],
+        function* readRetries() {
           for (const { service, cause, granted, returned, denied } of read()) {
-            this.set({ service, cause, result: 'granted' }, granted);
-            this.set({ service, cause, result: 'returned' }, returned);
-            this.set({ service, cause, result: 'denied' }, denied);
+            yield { labels: { service, cause, result: 'granted' }, value: granted };
+            yield { labels: { service, cause, result: 'returned' }, value: returned };
+            yield { labels: { service, cause, result: 'denied' }, value: denied };
           }
         },
-      });
-      registry.registerMetric(retries);
+      );
     },
-    text: () => registry.metrics(),
+    text: () => renderMetrics(metrics),
   };
 }
