--- a/packages/forwarding/src/simulate-group-load.ts
+++ b/packages/forwarding/src/simulate-group-load.ts
@@ -44,6 +44,14 @@
   readonly countedFromMilliseconds?: number;
 }
 
+/** What a caller got. */
+enum Outcome {
+  InTime = 'inTime',
+  Late = 'late',
+  Lost = 'lost',
+}
+
+/** Numbers of callers, of refusals, and of decisions in which every server was limited. */
 export interface GroupLoadResult {
   asked: number;
   inTime: number;
@@ -170,7 +178,7 @@
     };
   }
 
-  function end(caller: Caller, outcome: 'inTime' | 'late' | 'lost'): void {
+  function end(caller: Caller, outcome: Outcome): void {
     caller.isOver = true;
     if (caller.firstAt >= countedFrom) result[outcome] += 1;
   }
@@ -187,7 +195,7 @@
   function comeBack(caller: Caller, at: number): void {
     leaveServer(caller);
     if (caller.isRetry) {
-      end(caller, 'lost');
+      end(caller, Outcome.Lost);
       return;
     }
     Object.assign(caller, {
@@ -299,7 +307,7 @@
     caller.lastEventAt = now;
     if (caller.eventsSent < caller.events) return;
     leaveServer(caller);
-    end(caller, caller.isLate ? 'late' : 'inTime');
+    end(caller, caller.isLate ? Outcome.Late : Outcome.InTime);
   }
 
   function runPass(): void {
@@ -349,7 +357,7 @@
   function expire(caller: Caller): void {
     if (now - caller.firstAt >= DEADLINE_MILLISECONDS) {
       leaveServer(caller);
-      end(caller, 'lost');
+      end(caller, Outcome.Lost);
       return;
     }
     if (now < caller.attemptAt) return;
