Name the requests that were lost with an ended server in logs

'backend server ended' named prompt parts only, and attempts have ids of their own, so logs could not tell one request that is repeated from several. Lost requests are now named by a digest of their content, which is computed only for them. No decision uses it.

--- a/packages/forwarding/src/caller-listener.ts
+++ b/packages/forwarding/src/caller-listener.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
 import { RequestKind } from '@lapisbridge/catalog';
+import { createRequestDigest } from '@lapisbridge/crash-attribution';
 import { LatencyKind } from '@lapisbridge/metrics';
 
 import { AdmissionKind, decideAdmission, RejectionReason } from './accept-request.js';
@@ -183,6 +184,7 @@
           configuration: configuration as NonNullable<typeof configuration>,
           body,
           sharedParts: [...new Set(request.promptParts.slice(0, -1))],
+          digest: createRequestDigest({ ...request, body }),
           arrivedAt,
           expiresAt: arrivedAt + admission.timeoutMilliseconds,
           response: callerResponse,
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -1,7 +1,7 @@
 /**
  * Services that forwarding uses, and the state of one request.
  */
-import type { CrashLedger } from '@lapisbridge/crash-attribution';
+import type { CrashLedger, RequestDigest } from '@lapisbridge/crash-attribution';
 import type { Catalog, ClientAccount, Configuration, Route } from '@lapisbridge/catalog';
 import type { Logger } from '@lapisbridge/logger';
 import type { Metrics } from '@lapisbridge/metrics';
@@ -54,6 +54,8 @@
   readonly body: Buffer;
   /** Ids of the prompt parts that other requests may share. */
   readonly sharedParts: readonly string[];
+  /** Tells whether another attempt is of the same request. */
+  readonly digest: RequestDigest;
   readonly arrivedAt: number;
   /**
    * Latest time of a response, on the clock of `now`: at the route's timeout or shortly before the
--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -86,9 +86,7 @@
   const { ledger, liveness, protocol } = context;
   const { request, requestId } = accepted;
   const startedAt = context.now();
-  const watched = context.serverEnds.watch(server, accepted.sharedParts, (reason) =>
-    exchange?.cancel(reason),
-  );
+  const watched = context.serverEnds.watch(server, accepted, (reason) => exchange?.cancel(reason));
   let head: ResponseHead | undefined;
   let isTooLarge = false;
   let exchange: Exchange | undefined;
--- a/packages/forwarding/src/serve-plain.ts
+++ b/packages/forwarding/src/serve-plain.ts
@@ -297,6 +297,7 @@
     reason: outcome.reason,
     facts: {
       outcome: outcome.kind,
+      content: outcome.kind === OutcomeKind.Unknown ? accepted.digest.full() : undefined,
       silence: roundedOrNone(context.liveness.silenceMilliseconds(attempt.server.instanceId)),
     },
   });
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -174,6 +174,7 @@
         ...record.facts(),
         silence: roundedOrNone(context.liveness.silenceMilliseconds(server.instanceId)),
         sends: progress.sends,
+        content: end.kind === StreamEndKind.Incomplete ? accepted.digest.full() : undefined,
         outcome: end.kind,
         milliseconds: Math.round(context.now() - accepted.arrivedAt),
       },
--- a/packages/forwarding/src/server-end-detector.test.ts
+++ b/packages/forwarding/src/server-end-detector.test.ts
@@ -1,3 +1,4 @@
+import { createRequestDigest } from '@lapisbridge/crash-attribution';
 import { createSilentLogger } from '@lapisbridge/logger';
 import { sleep } from '@lapisbridge/kernel';
 import { describe, expect, it } from 'vitest';
@@ -5,10 +6,21 @@
 import { serverWith } from './backend-server-fixture.js';
 import { ProbeResult } from './connection-probe.js';
 import { createServerEndDetector } from './server-end-detector.js';
-import type { ServerEnd, ServerEndDetector, WatchedAttempt } from './server-end-detector.js';
+import type {
+  AttemptContent,
+  ServerEnd,
+  ServerEndDetector,
+  WatchedAttempt,
+} from './server-end-detector.js';
 
 const PROBE_MILLISECONDS = 40;
 
+/** Content of a request that is told from others by its parts. */
+function contentOf(sharedParts: readonly string[]): AttemptContent {
+  const content = { method: 'POST', host: 'host', target: '/', promptParts: sharedParts };
+  return { sharedParts, digest: createRequestDigest({ ...content, body: Buffer.alloc(0) }) };
+}
+
 function ignoreCancel(): void {
   // These attempts end by themselves.
 }
@@ -30,10 +42,10 @@
 
   it('is reported with the shared parts of lost requests without progress', async () => {
     const watched = detector(ProbeResult.Refused);
-    const started = watched.watch(server, ['a', 'b'], ignoreCancel);
+    const started = watched.watch(server, contentOf(['a', 'b']), ignoreCancel);
     started.onProgress();
-    const waiting = watched.watch(server, ['a', 'c'], ignoreCancel);
-    const cancelled = watched.watch(server, ['d'], ignoreCancel);
+    const waiting = watched.watch(server, contentOf(['a', 'c']), ignoreCancel);
+    const cancelled = watched.watch(server, contentOf(['d']), ignoreCancel);
     for (const lost of [started, waiting]) lost.onEnd(true);
     cancelled.onEnd(false);
     await sleep(PROBE_MILLISECONDS);
@@ -42,11 +54,24 @@
     expect(watched.endedServers()).toBe(1);
   });
 
+  it('names the lost requests, also those whose answers had begun', async () => {
+    const watched = detector(ProbeResult.Refused);
+    const contents = [contentOf(['a', 'b']), contentOf(['c'])];
+    for (const content of contents) {
+      const attempt = watched.watch(server, content, ignoreCancel);
+      attempt.onProgress();
+      attempt.onEnd(true);
+    }
+    await sleep(PROBE_MILLISECONDS);
+    expect(ends[0]?.suspects).toEqual([]);
+    expect(ends[0]?.requests).toEqual(contents.map(({ digest }) => digest.full()));
+  });
+
   it('is reported again when more requests are found to be lost with it', async () => {
     const watched = detector(ProbeResult.Refused);
-    watched.watch(server, ['a'], ignoreCancel).onEnd(true);
+    watched.watch(server, contentOf(['a']), ignoreCancel).onEnd(true);
     await sleep(PROBE_MILLISECONDS);
-    watched.watch(server, ['b'], ignoreCancel).onEnd(true);
+    watched.watch(server, contentOf(['b']), ignoreCancel).onEnd(true);
     expect(ends.map(({ suspects }) => suspects)).toEqual([['a'], ['a', 'b']]);
     expect(watched.endedServers()).toBe(1);
   });
@@ -56,7 +81,7 @@
     async (result) => {
       // Guards against blaming requests for cut links and lost answers.
       const watched = detector(result);
-      watched.watch(server, ['a'], ignoreCancel).onEnd(true);
+      watched.watch(server, contentOf(['a']), ignoreCancel).onEnd(true);
       await sleep(PROBE_MILLISECONDS);
       watched.keepOnly(new Map());
       expect(ends).toEqual([]);
@@ -65,7 +90,7 @@
 
   it('is inferred from another process at its address', async () => {
     const watched = detector(ProbeResult.Inconclusive);
-    watched.watch(server, ['a'], ignoreCancel).onEnd(true);
+    watched.watch(server, contentOf(['a']), ignoreCancel).onEnd(true);
     await sleep(PROBE_MILLISECONDS);
     watched.keepOnly(new Map([['server', serverWith({ startedAt: 2 })]]));
     expect(ends).toHaveLength(1);
@@ -74,7 +99,7 @@
   it('is not reported for a server that drains', async () => {
     const watched = detector(ProbeResult.Refused);
     watched.keepOnly(new Map([['server', serverWith({ draining: true })]]));
-    watched.watch(server, ['a'], ignoreCancel).onEnd(true);
+    watched.watch(server, contentOf(['a']), ignoreCancel).onEnd(true);
     await sleep(PROBE_MILLISECONDS);
     expect(ends).toEqual([]);
   });
@@ -83,7 +108,7 @@
     const watched = detector(ProbeResult.Accepted);
     const cancelled: string[] = [];
     const watch = (id: string, ...parts: string[]): WatchedAttempt =>
-      watched.watch(server, parts, () => cancelled.push(id));
+      watched.watch(server, contentOf(parts), () => cancelled.push(id));
     watch('pending', 'a', 'bad');
     watch('other', 'a');
     watch('answered', 'bad').onProgress();
--- a/packages/forwarding/src/server-end-detector.ts
+++ b/packages/forwarding/src/server-end-detector.ts
@@ -5,6 +5,7 @@
  * process is listed at its address.
  */
 import type { BackendServer } from '@lapisbridge/catalog';
+import type { RequestDigest } from '@lapisbridge/crash-attribution';
 import type { Logger } from '@lapisbridge/logger';
 
 import { ProbeResult } from './connection-probe.js';
@@ -19,6 +20,14 @@
   readonly lostRequests: number;
   /** Shared prompt parts of those requests of whose answers too little had arrived. */
   readonly suspects: readonly string[];
+  /** Digests of the lost requests. */
+  readonly requests: readonly string[];
+}
+
+/** What an attempt asks of its server. */
+export interface AttemptContent {
+  readonly sharedParts: readonly string[];
+  readonly digest: RequestDigest;
 }
 
 /** What an attempt reports while it is at a server. */
@@ -32,7 +41,7 @@
   /** `cancel` is called if a shared part is quarantined before the attempt makes progress. */
   watch(
     server: BackendServer,
-    sharedParts: readonly string[],
+    content: AttemptContent,
     cancel: (reason: string) => void,
   ): WatchedAttempt;
   /** Cancels the attempts with this shared part, except those that servers go on answering. */
@@ -53,8 +62,7 @@
   now(): number;
 }
 
-interface PendingAttempt {
-  readonly sharedParts: readonly string[];
+interface PendingAttempt extends AttemptContent {
   readonly cancel: (reason: string) => void;
 }
 
@@ -62,6 +70,7 @@
   readonly server: BackendServer;
   readonly firstLossAt: number;
   readonly suspects: Set<string>;
+  readonly requests: Set<string>;
   lostRequests: number;
   hasEnded: boolean;
 }
@@ -89,12 +98,13 @@
   let listedServers: ReadonlyMap<string, BackendServer> = new Map();
   let endedServers = 0;
 
-  function report({ server, firstLossAt, lostRequests, suspects }: LossRecord): void {
+  function report({ server, firstLossAt, lostRequests, suspects, requests }: LossRecord): void {
     options.onServerEnd({
       server,
       endedAt: firstLossAt,
       lostRequests,
       suspects: [...suspects].slice(0, MAXIMUM_SUSPECTS),
+      requests: [...requests].slice(0, MAXIMUM_SUSPECTS),
     });
   }
 
@@ -107,6 +117,7 @@
       evidence,
       lostRequests: record.lostRequests,
       suspects: [...record.suspects].join(','),
+      requests: [...record.requests].slice(0, MAXIMUM_SUSPECTS).join(','),
       milliseconds: Math.round(now() - record.firstLossAt),
     });
     report(record);
@@ -130,7 +141,11 @@
     }
   }
 
-  function recordLoss(server: BackendServer, suspects: readonly string[]): void {
+  function recordLoss(
+    server: BackendServer,
+    suspects: readonly string[],
+    digest: RequestDigest,
+  ): void {
     // A planned end may cut off requests that took too long.
     if (server.draining || listedServers.get(server.instanceId)?.draining === true) return;
     const key = processKeyOf(server);
@@ -140,6 +155,7 @@
         server,
         firstLossAt: now(),
         suspects: new Set(),
+        requests: new Set(),
         lostRequests: 0,
         hasEnded: false,
       };
@@ -148,15 +164,17 @@
       setTimeout(() => void probe(key, created), PROBE_DELAY_MILLISECONDS);
     }
     record.lostRequests += 1;
-    const before = record.suspects.size;
+    const before = record.suspects.size + record.requests.size;
     for (const part of suspects) record.suspects.add(part);
-    if (record.hasEnded && record.suspects.size > before) report(record);
+    record.requests.add(digest.full());
+    const after = record.suspects.size + record.requests.size;
+    if (record.hasEnded && after > before) report(record);
   }
 
   return {
-    watch(server, sharedParts, cancel) {
+    watch(server, { sharedParts, digest }, cancel) {
       let hasProgress = false;
-      const attempt = { sharedParts, cancel };
+      const attempt = { sharedParts, digest, cancel };
       if (sharedParts.length > 0) pending.add(attempt);
       return {
         onProgress() {
@@ -167,7 +185,7 @@
         },
         onEnd(isConnectionLost) {
           pending.delete(attempt);
-          if (isConnectionLost) recordLoss(server, hasProgress ? [] : sharedParts);
+          if (isConnectionLost) recordLoss(server, hasProgress ? [] : sharedParts, digest);
         },
       };
     },
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -87,9 +87,7 @@
   const { request, requestId } = accepted;
   const { promptTokens } = request;
   const startedAt = context.now();
-  const watched = context.serverEnds.watch(server, accepted.sharedParts, (reason) =>
-    exchange?.cancel(reason),
-  );
+  const watched = context.serverEnds.watch(server, accepted, (reason) => exchange?.cancel(reason));
   const splitter = createEventSplitter();
   const errorBody = createByteCollector();
   let head: ResponseHead | undefined;
