--- a/packages/history/src/checkers.test.ts
+++ b/packages/history/src/checkers.test.ts
@@ -88,6 +88,11 @@
     [{ kind: EventKind.RetryLoad, service: 'a', retries: 12, allowed: 11.8 }],
   ],
   ['work for callers that have left', 'abandonment', Array.from({ length: 4 }, () => abandoned)],
+  [
+    'a crashing request that is sent on',
+    'crashing request',
+    [{ kind: EventKind.CrashingRequestArrival, instanceId: 'a', target: '/t' }],
+  ],
   ['work for a crashing part', 'crashing part', Array.from({ length: 4 }, () => crashingArrival)],
   [
     'sound requests lost beside a crashing part',
--- a/packages/history/src/checkers.ts
+++ b/packages/history/src/checkers.ts
@@ -222,6 +222,20 @@
   return violations;
 };
 
+/** A request that has crashed three servers reaches no other. */
+export const checkCrashingRequest: Checker = (events) => {
+  const counts = new Map<string, number>();
+  for (const { target } of select(events, EventKind.CrashingRequestArrival)) {
+    counts.set(target, (counts.get(target) ?? 0) + 1);
+  }
+  const violations: Violation[] = [];
+  for (const [target, count] of counts) {
+    const detail = `${target} reached servers ${count} times after it had crashed three`;
+    violations.push({ promise: 'crashing request', detail });
+  }
+  return violations;
+};
+
 /** Below this number of requests a share says little. */
 const MINIMUM_SHARE_REQUESTS = 20;
 const MINIMUM_SOUND_RATIO = 0.5;
@@ -295,6 +309,7 @@
   checkDeparture,
   checkBackoff,
   checkCrashingPart,
+  checkCrashingRequest,
   checkSoundRequests,
   checkBlame,
   checkHandOver,
--- a/packages/history/src/events.ts
+++ b/packages/history/src/events.ts
@@ -39,6 +39,8 @@
   BackoffLoad = 'backoffLoad',
   /** A request with a prompt part that has crashed five servers reached one more, too late. */
   CrashingArrival = 'crashingArrival',
+  /** A request that has crashed three servers reached one more. */
+  CrashingRequestArrival = 'crashingRequestArrival',
   /** First attempts of sound requests while requests with a crashing part came, or before. */
   SoundShare = 'soundShare',
   /** First attempts while most connections were handed to one entry, and before. */
@@ -128,6 +130,11 @@
       readonly instanceId: string;
       readonly part: string;
     }
+  | {
+      readonly kind: EventKind.CrashingRequestArrival;
+      readonly instanceId: string;
+      readonly target: string;
+    }
   | {
       readonly kind: EventKind.SoundShare;
       readonly part: string;
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -60,7 +60,10 @@
 const FIRST_PART = 'aa';
 const SUBJECT_PREFIX = 'c';
 const SUBJECTS = 7;
+/** Last part of a prompt that is sent more than once. */
+const REPEATED_PART = 'dead';
 const CRASHING_PAUSE_MILLISECONDS = 300;
+const RETRY_MILLISECONDS = 1;
 const CRASHING_KINDS: Readonly<Record<Kind.Stream | Kind.LookUp, CrashingKind>> = {
   [Kind.Stream]: CrashingKind.Stream,
   [Kind.LookUp]: CrashingKind.LookUp,
@@ -123,13 +126,37 @@
     }
   }
 
+  /** One caller repeats the crashing request elsewhere as soon as an attempt has failed. */
+  async function repeatCrashingRequest(until: number): Promise<void> {
+    let entry = 0;
+    while (performance.now() < until) {
+      const request = site.crashingRequest();
+      if (request === undefined) {
+        await sleep(CRASHING_PAUSE_MILLISECONDS);
+        continue;
+      }
+      const { target } = request;
+      const kind = request.kind === CrashingKind.Stream ? Kind.Stream : Kind.LookUp;
+      const sharedParts = request.hasParts ? [FIRST_PART] : [];
+      entry = (entry + 1) % site.entries.length;
+      const isServed = await send(entry, kind, sharedParts, target);
+      await sleep(isServed ? CRASHING_PAUSE_MILLISECONDS : RETRY_MILLISECONDS);
+    }
+  }
+
   /** Sound requests share a first part, and some of them a second one. */
   function sharedPartsOf(kind: Kind): readonly string[] {
     if (kind === Kind.Booking) return [];
     return [FIRST_PART, `${SUBJECT_PREFIX}${sent % SUBJECTS}`];
   }
 
-  async function send(entry: number, kind: Kind, sharedParts: readonly string[]): Promise<boolean> {
+  /** `repeated` is the target of a request that is sent more than once. */
+  async function send(
+    entry: number,
+    kind: Kind,
+    sharedParts: readonly string[],
+    repeated?: string,
+  ): Promise<boolean> {
     sent += 1;
     const requestId = `${kind}-${sent}`;
     const sentAt = performance.now();
@@ -143,10 +170,13 @@
     const outcome = await sendCallerRequest({
       ...site.callersAt(entry),
       requestId,
-      path: `${PREFIXES[kind]}${requestId}`,
+      path: repeated ?? `${PREFIXES[kind]}${requestId}`,
       method: kind === Kind.LookUp ? 'GET' : 'POST',
       key,
-      promptParts: sharedParts.length === 0 ? [] : [...sharedParts, sent.toString(16)],
+      promptParts:
+        sharedParts.length === 0
+          ? []
+          : [...sharedParts, repeated === undefined ? sent.toString(16) : REPEATED_PART],
       timeoutMilliseconds: PATIENCE_MILLISECONDS,
       abandonAfterPauseMilliseconds: kind === Kind.Stream ? STREAM_GAP_MILLISECONDS : undefined,
       agent: site.receivingEntry() === undefined ? agent : newConnections,
@@ -170,6 +200,7 @@
       history.record({ kind: EventKind.Stopped, instanceId: program.name, cutOff: 1, reason });
     }
     const isServed = check(requestId, kind, outcome);
+    if (repeated !== undefined) return isServed;
     const isSound = !sharedParts.some((part) => site.crashWatch.isCrashing(part));
     if (isSound && outcome.wasConnected) {
       site.handOverWatch.onEnd(program.name, kind, sentAt, outcome.status === 200);
@@ -208,6 +239,7 @@
       await Promise.all([
         ...Array.from({ length: count }, () => callAlways(until)),
         callWithCrashingParts(until),
+        repeatCrashingRequest(until),
       ]);
     },
     tally: () => ({ served, sent }),
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -180,6 +180,8 @@
       return site.handOver(target);
     case FaultKind.CrashingPart:
       return site.beginCrashingPart(target);
+    case FaultKind.CrashingRequest:
+      return site.beginCrashingRequest(target);
     case FaultKind.DrainServer: {
       const server = pick(site.plainServers, target);
       server.isDraining = true;
--- a/packages/soak/src/plan-faults.ts
+++ b/packages/soak/src/plan-faults.ts
@@ -38,6 +38,8 @@
   EndServer = 'endServer',
   /** Requests come with a prompt part that crashes each server that begins to answer them. */
   CrashingPart = 'crashingPart',
+  /** A caller repeats one request that crashes each server which runs it. */
+  CrashingRequest = 'crashingRequest',
   /** Answers of a backend server end with their connections, without a length or chunks. */
   CloseDelimited = 'closeDelimited',
   /** A backend server sends bytes without end instead of answers. */
@@ -90,6 +92,7 @@
   { kind: FaultKind.HandOver, gapMilliseconds: 9000, seed: 0x0ff, lengthFactor: 2 },
   { kind: FaultKind.CloseDelimited, gapMilliseconds: 4000, seed: 0xc105e, lengthFactor: 2 },
   { kind: FaultKind.EndlessBytes, gapMilliseconds: 6000, seed: 0xe0f, lengthFactor: 1.5 },
+  { kind: FaultKind.CrashingRequest, gapMilliseconds: 8000, seed: 0xa6a1, lengthFactor: 2 },
   { kind: FaultKind.KillEntries, gapMilliseconds: 12_000, seed: 0xdead, lengthFactor: 2 },
 ];
 
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -44,6 +44,8 @@
   readonly violations: readonly string[];
   readonly sent: number;
   readonly served: number;
+  /** Servers that ended under each request that crashes them. */
+  readonly crashesByRequest: ReadonlyMap<string, number>;
   /** Highest map version at any rank: 0 when no map was ever changed. */
   readonly mapVersion: number;
   /** Where the programs' logs are. */
@@ -157,7 +159,15 @@
     }
     violations.push(...callers.violations);
     const mapVersion = Math.max(...site.group.ranks.map(({ version }) => version));
-    return { seed, faults, violations, ...callers.tally(), mapVersion, folder: site.folder };
+    return {
+      seed,
+      faults,
+      violations,
+      ...callers.tally(),
+      crashesByRequest: site.crashingRequestWatch.crashes(),
+      mapVersion,
+      folder: site.folder,
+    };
   } finally {
     callers.close();
     await site.stop();
--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -12,17 +12,28 @@
 import type { Random } from '@lapisbridge/kernel';
 import {
   configurationRow,
+  CrashCauseKind,
+  CrashMoment,
   createRankGroup,
   createRunnerStandIn,
   createStoreStandIn,
+  LOOK_UP_PREFIX,
   MODEL_SERVICE,
   PLAIN_SERVICE,
   serverRow,
+  STREAM_PREFIX,
+} from '@lapisbridge/users-platform';
+import type {
+  CrashCause,
+  RankGroup,
+  RunnerStandIn,
+  StoreStandIn,
 } from '@lapisbridge/users-platform';
-import type { RankGroup, RunnerStandIn, StoreStandIn } from '@lapisbridge/users-platform';
 
 import { createAbandonmentWatch } from './abandonment-watch.js';
 import type { AbandonmentWatch } from './abandonment-watch.js';
+import { createCrashingRequestWatch } from './crashing-request-watch.js';
+import type { CrashingRequestWatch } from './crashing-request-watch.js';
 import { createCrashWatch } from './crash-watch.js';
 import type { CrashWatch } from './crash-watch.js';
 import { createHandOverWatch } from './hand-over-watch.js';
@@ -59,6 +70,13 @@
   LookUp = 'look-up',
 }
 
+/** A request that crashes every server which runs it. */
+export interface CrashingRequest {
+  readonly target: string;
+  readonly kind: CrashingKind;
+  readonly hasParts: boolean;
+}
+
 export interface Site {
   /** Programs' logs and settings are here. */
   readonly folder: string;
@@ -73,6 +91,7 @@
   readonly departureWatch: DepartureWatch;
   readonly abandonmentWatch: AbandonmentWatch;
   readonly crashWatch: CrashWatch;
+  readonly crashingRequestWatch: CrashingRequestWatch;
   readonly handOverWatch: HandOverWatch;
   readonly retryWatch: RetryWatch;
   /** An instance was stopped or started again, and may not know what it was told. */
@@ -85,6 +104,10 @@
   crashingPart(kind: CrashingKind): string | undefined;
   /** Lets requests with a new crashing part come; returns what ends them. */
   beginCrashingPart(target: number): () => void;
+  /** Crashing request that a caller sends now, again and again; undefined for none. */
+  crashingRequest(): CrashingRequest | undefined;
+  /** Lets a crashing request come; returns what ends it. */
+  beginCrashingRequest(target: number): () => void;
   /** Ends the process of a server; returns what starts another one at its address. */
   endServer(server: SiteServer): () => void;
   /** Notes that a request for a service is sent to an entry. */
@@ -117,6 +140,8 @@
 const HEARTBEAT_MILLISECONDS = 400;
 /** How long a crashed server is away. */
 const CRASH_MILLISECONDS = 1500;
+/** Streams with prompt parts, streams without, and look-ups. */
+const CRASHING_REQUEST_SHAPES = 3;
 const CALLERS_PORT = 21_001;
 const READINESS_PORT = 21_002;
 const PEER_PORT = 21_003;
@@ -163,6 +188,11 @@
   const crashWatch = createCrashWatch(history, () => performance.now());
   const crashingParts = new Map<CrashingKind, string>();
   let crashingPartCount = 0;
+  const crashingRequestWatch = createCrashingRequestWatch(history, () => performance.now());
+  let crashingRequest: CrashingRequest | undefined;
+  let crashingRequestCount = 0;
+  /** Whether servers that a request crashes fall silent, instead of closing their connections. */
+  let isSilentCrash = false;
   const abandonmentWatch = createAbandonmentWatch(history, () => performance.now());
   const retryWatch = createRetryWatch(history, RETRY_LIMITS, () => performance.now());
   const entryOf = new Map<string, string>();
@@ -170,9 +200,9 @@
   await listen(store.server, addressOf(Net.Store, 0), STORE_PORT);
   servers.push(store.server);
 
-  function endServer(server: SiteServer): () => void {
+  function endServer(server: SiteServer, mode = LinkMode.Refusing): () => void {
     server.endCount += 1;
-    server.link.setMode(LinkMode.Refusing);
+    server.link.setMode(mode);
     const rank = ranks.indexOf(server);
     if (rank >= 0) group.crash(rank);
     return () => {
@@ -181,16 +211,31 @@
       server.startedAt += 1;
       server.runner.isLeaving = false;
       departureWatch.onReplaced(server.instanceId);
+      // The new process knows none of the old connections.
+      server.link.setMode(LinkMode.Refusing);
       server.link.setMode(LinkMode.Passing);
       if (rank >= 0) group.restart(rank);
     };
   }
 
-  function crashOn(server: SiteServer, part: string): void {
+  function onCrash(server: SiteServer, cause: CrashCause): void {
     // Requests that begin together crash the server once.
     if (server.endCount > 0) return;
-    crashWatch.onCrash(part);
-    setTimeout(endServer(server), CRASH_MILLISECONDS * (0.75 + 0.5 * random()));
+    let mode = LinkMode.Refusing;
+    switch (cause.kind) {
+      case CrashCauseKind.Part:
+        crashWatch.onCrash(cause.part);
+        break;
+      case CrashCauseKind.Request:
+        crashingRequestWatch.onCrash(cause.target);
+        if (isSilentCrash) mode = LinkMode.Silent;
+        break;
+      default: {
+        const unreachable: never = cause;
+        throw new Error(String(unreachable));
+      }
+    }
+    setTimeout(endServer(server, mode), CRASH_MILLISECONDS * (0.75 + 0.5 * random()));
   }
 
   async function startServer(index: number, rank: number | undefined): Promise<SiteServer> {
@@ -204,19 +249,17 @@
         const isOnce = requestId.startsWith('booking');
         if (isOnce) history.record({ kind: EventKind.Effect, callKey: requestId });
       },
-      onArrival(requestId, sharedParts) {
-        crashWatch.onArrival(instanceId, entryOf.get(requestId) ?? '', sharedParts);
+      onArrival(requestId, sharedParts, target) {
         const entry = entryOf.get(requestId) ?? '';
+        crashWatch.onArrival(instanceId, entry, sharedParts);
+        crashingRequestWatch.onArrival(instanceId, entry, target);
         rateLimitWatch.onArrival(instanceId, entry, runner.rateLimit);
         backoffWatch.onArrival(instanceId, entry);
         departureWatch.onArrival(instanceId, entry, sentAt.get(requestId) ?? 0);
         abandonmentWatch.onArrival(instanceId, entry, requestId);
         retryWatch.onArrival(service, requestId);
       },
-      onCrash() {
-        const { crashingPart } = runner;
-        if (crashingPart !== undefined) crashOn(server, crashingPart);
-      },
+      onCrash: (cause) => onCrash(server, cause),
       onRateLimitStated(requestId) {
         rateLimitWatch.onStated(instanceId, entryOf.get(requestId) ?? '');
       },
@@ -308,6 +351,7 @@
     departureWatch,
     abandonmentWatch,
     crashWatch,
+    crashingRequestWatch,
     handOverWatch,
   ];
   function excuse(name: string): void {
@@ -363,6 +407,7 @@
     departureWatch,
     abandonmentWatch,
     crashWatch,
+    crashingRequestWatch,
     handOverWatch,
     retryWatch,
     excuse,
@@ -390,6 +435,30 @@
         crashWatch.onFinish(part);
       };
     },
+    crashingRequest: () => crashingRequest,
+    beginCrashingRequest(target) {
+      crashingRequestCount += 1;
+      const manners = [...Object.values(CrashMoment), undefined];
+      const manner = manners[Math.floor(target / CRASHING_REQUEST_SHAPES) % manners.length];
+      const shape = target % CRASHING_REQUEST_SHAPES;
+      const isStream = shape < 2;
+      const path = `${isStream ? STREAM_PREFIX : LOOK_UP_PREFIX}again-${crashingRequestCount}`;
+      const begun = {
+        target: path,
+        kind: isStream ? CrashingKind.Stream : CrashingKind.LookUp,
+        hasParts: shape === 0,
+      };
+      isSilentCrash = manner === undefined;
+      const trigger = { target: path, moment: manner ?? CrashMoment.BeforeHead };
+      const crashed = [...ranks, ...plainServers];
+      for (const { runner } of crashed) runner.crashingRequest = trigger;
+      crashingRequest = begun;
+      return () => {
+        if (crashingRequest !== begun) return;
+        crashingRequest = undefined;
+        for (const { runner } of crashed) runner.crashingRequest = undefined;
+      };
+    },
     endServer,
     noteRequest(requestId, entry, service) {
       retryWatch.onRequest(service);
