--- a/packages/crash-attribution/src/crash-ledger.test.ts
+++ b/packages/crash-attribution/src/crash-ledger.test.ts
@@ -6,6 +6,8 @@
 import { createCrashLedger, StatementScope } from './crash-ledger.js';
 import type { CrashLedger } from './crash-ledger.js';
 import { decodeCrashStatements, encodeCrashStatements } from './crash-statements.js';
+import type { CrashStatements } from './crash-statements.js';
+import { createRequestDigest } from './request-digest.js';
 
 let now = 0;
 let blames: string[] = [];
@@ -32,7 +34,7 @@
 }
 
 function crash(ledger: CrashLedger, server: string, ...suspects: string[]): void {
-  ledger.recordCrash({ server, endedAt: now, suspects });
+  ledger.recordCrash({ server, endedAt: now, suspects, requests: [], isSilent: false });
 }
 
 describe('the crashes that entries know of', () => {
@@ -172,7 +174,12 @@
   it('are decoded without what is not valid', () => {
     const decoded = decodeCrashStatements({
       crashes: [
-        { server: 's', age: 5, suspects: ['ab', 'XY', 7, 'a'.repeat(33)] },
+        {
+          server: 's',
+          age: 5,
+          suspects: ['ab', 'XY', 7, 'a'.repeat(33)],
+          requests: [['rab', 2], ['ab', 1], ['rcd', 'x'], ['ref', -4], 7],
+        },
         { server: 's' },
         'crash',
       ],
@@ -180,8 +187,20 @@
       quarantined: 'none',
     });
     expect(decoded).toEqual({
-      crashes: [{ server: 's', ageMilliseconds: 5, suspects: ['ab'] }],
-      cleared: [{ part: 'ab', ageMilliseconds: 5 }],
+      crashes: [
+        {
+          server: 's',
+          ageMilliseconds: 5,
+          suspects: ['ab'],
+          requests: [
+            { digest: 'rab', generation: 2 },
+            { digest: 'ref', generation: 1 },
+          ],
+          isSilent: false,
+          hasSurvived: false,
+        },
+      ],
+      cleared: [{ cause: 'ab', ageMilliseconds: 5 }],
       quarantined: [],
       released: [],
     });
@@ -197,6 +216,104 @@
   });
 });
 
+describe('the requests that are lost with servers', () => {
+  const request = createRequestDigest({
+    method: 'GET',
+    host: 'host',
+    target: '/popular',
+    promptParts: [],
+    body: Buffer.alloc(0),
+  });
+  const digest = request.full();
+
+  function lose(ledger: CrashLedger, server: string, isSilent = false): void {
+    const generation = 1 + ledger.generationOf(request);
+    const requests = [{ digest, generation }];
+    ledger.recordCrash({ server, endedAt: now, suspects: [], requests, isSilent });
+  }
+
+  it('are quarantined after the second end, for a while', () => {
+    const ledger = createLedger();
+    lose(ledger, 'server-1');
+    expect(ledger.findQuarantined([], request)).toBeUndefined();
+    now = 25;
+    lose(ledger, 'server-2');
+    expect(ledger.findQuarantined([], request)).toBe(digest);
+    expect(ledger.quarantinedRequests()).toEqual([digest]);
+    expect(ledger.quarantinedParts()).toEqual([]);
+    now = 5000;
+    expect(ledger.findQuarantined([], request)).toBe(digest);
+    now = 700_000;
+    expect(ledger.findQuarantined([], request)).toBeUndefined();
+    lose(ledger, 'server-3');
+    expect(ledger.findQuarantined([], request)).toBeUndefined();
+  });
+
+  it('are not quarantined if one is answered in between, here or elsewhere', () => {
+    const [one, two] = [createLedger(), createLedger()];
+    lose(one, 'server-1');
+    tell(one, two);
+    now = 20;
+    two.recordRequestAnswered(request);
+    tell(two, one);
+    now = 25;
+    lose(one, 'server-2');
+    expect(one.findQuarantined([], request)).toBeUndefined();
+    expect(one.generationOf(request)).toBe(1);
+  });
+
+  it('are quarantined after ends that follow an answer', () => {
+    const ledger = createLedger();
+    lose(ledger, 'server-1');
+    now = 20;
+    ledger.recordRequestAnswered(request);
+    for (const server of ['server-2', 'server-3']) {
+      now += 5000;
+      lose(ledger, server);
+    }
+    expect(ledger.findQuarantined([], request)).toBe(digest);
+  });
+
+  it('do not count at a silent server that is heard again', () => {
+    const [one, two] = [createLedger(), createLedger()];
+    lose(one, 'server-1', true);
+    tell(one, two);
+    two.recordSurvivor('server-1');
+    tell(two, one);
+    now = 25;
+    lose(one, 'server-2');
+    expect(one.findQuarantined([], request)).toBeUndefined();
+    expect(one.generationOf(request)).toBe(1);
+  });
+
+  it('count at a confirmed end, also if the server is heard later', () => {
+    // Guards against bytes that were still on their way when the server ended.
+    const ledger = createLedger();
+    lose(ledger, 'server-1');
+    ledger.recordSurvivor('server-1');
+    now = 25;
+    lose(ledger, 'server-2');
+    expect(ledger.findQuarantined([], request)).toBe(digest);
+  });
+
+  it('are told from those at a process that has started there meanwhile', () => {
+    const ledger = createLedger();
+    lose(ledger, 'server-1');
+    now = 2000;
+    lose(ledger, ledger.currentProcess('server-1'));
+    expect(ledger.findQuarantined([], request)).toBe(digest);
+  });
+
+  it('are announced once', () => {
+    const [one, two] = [createLedger(), createLedger()];
+    lose(one, 'server-1');
+    two.merge(one.takeUnannounced() as CrashStatements, 'peer');
+    expect(one.takeUnannounced()).toBeUndefined();
+    expect(two.takeUnannounced()).toBeUndefined();
+    expect(two.generationOf(request)).toBe(1);
+  });
+});
+
 describe('a day of crashes without a crashing part', () => {
   const ENTRIES = 4;
   const SUBJECTS = 400;
--- a/packages/crash-attribution/src/crash-ledger.ts
+++ b/packages/crash-attribution/src/crash-ledger.ts
@@ -1,21 +1,33 @@
 /**
- * Keeps what one entry knows of crashed servers and the prompt parts under suspicion: its own
- * observations and those of other entries, which it passes on. Observations only ever add up, so
- * their order and repetition do not matter.
+ * Keeps what one entry knows of crashed servers, and of the prompt parts and requests under
+ * suspicion: its own observations and those of other entries, which it passes on. Observations only
+ * ever add up, so their order and repetition do not matter.
  */
 import type { Logger } from '@lapisbridge/logger';
 
 import { createClearedParts } from './cleared-parts.js';
-import type { CrashStatements, PartStatement } from './crash-statements.js';
+import type { Blame, Crash } from './crash.js';
+import type {
+  CauseStatement,
+  CrashStatement,
+  CrashStatements,
+  LostRequest,
+} from './crash-statements.js';
 import { CLEARANCE_TIME_MILLISECONDS, planQuarantine } from './plan-quarantine.js';
-import type { Crash } from './plan-quarantine.js';
+import { planRequestQuarantine } from './plan-request-quarantine.js';
+import { DIGEST_HEAD_LENGTH, isRequestDigest } from './request-digest.js';
+import type { RequestDigest } from './request-digest.js';
 
 /** A crash as an entry observes it. */
 export interface ObservedCrash {
   /** Identifies the process that ended. */
   readonly server: string;
   readonly endedAt: number;
+  /** Shared prompt parts of the requests that were lost unanswered. */
   readonly suspects: readonly string[];
+  readonly requests: readonly LostRequest[];
+  /** Whether its silence is all that shows the end. */
+  readonly isSilent: boolean;
 }
 
 export interface CrashLedger {
@@ -27,14 +39,29 @@
   merge(statements: CrashStatements, source: string): void;
   /** What is to be passed on: everything, or only what is recent enough to be news. */
   statements(scope: StatementScope): CrashStatements;
-  /** The first of the parts that is quarantined; undefined if none is. */
-  findQuarantined(sharedParts: readonly string[]): string | undefined;
-  /** Resolves when the next part is quarantined. */
+  /** The first of the parts, or else the request, if it is quarantined; undefined otherwise. */
+  findQuarantined(sharedParts: readonly string[], request?: RequestDigest): string | undefined;
+  /** Records that a server has answered the whole request, so that it does not end servers. */
+  recordRequestAnswered(request: RequestDigest): void;
+  /** Highest generation of the attempts at the request that were lost with servers; 0 for none. */
+  generationOf(request: RequestDigest): number;
+  /**
+   * Identifies the process that takes requests now at a server whose process is listed as `server`:
+   * another one may have started there before it is listed.
+   */
+  currentProcess(server: string): string;
+  /** Records that a server was heard; it has not ended if only its silence showed that. */
+  recordSurvivor(server: string): void;
+  /** Crashes of this entry's own that no other was told yet, for an announcement now. */
+  takeUnannounced(): CrashStatements | undefined;
+  /** Resolves when the next part or request is quarantined. */
   nextQuarantine(): Promise<void>;
-  /** Ends the quarantine of a part, and forgets the crashes that led to it. */
-  release(part: string): void;
+  /** Ends the quarantine of a part or request, and forgets the crashes that led to it. */
+  release(cause: string): void;
   /** Quarantined parts, oldest first. */
   quarantinedParts(): readonly string[];
+  /** Digests of the quarantined requests, oldest first. */
+  quarantinedRequests(): readonly string[];
 }
 
 export enum StatementScope {
@@ -46,8 +73,8 @@
   readonly logger: Logger;
   /** Called when this entry knows something that others may not know. */
   onChange(): void;
-  /** Called once for each part that is quarantined. */
-  onQuarantine(part: string): void;
+  /** Called once for each part or request that is quarantined. */
+  onQuarantine(cause: string): void;
   now(): number;
 }
 
@@ -55,25 +82,36 @@
   /** Who reported it first. */
   readonly source: string;
   readonly suspects: Set<string>;
+  readonly requests: Map<string, number>;
+  isSilent: boolean;
+  hasSurvived: boolean;
 }
 
 /** How long a crash counts as evidence, and an answered request clears its parts. */
 const EVIDENCE_MILLISECONDS = 600_000;
 /** Source of this entry's own observations. */
 const OWN_SOURCE = 'this entry';
-const QUARANTINE_MILLISECONDS = 24 * 3_600_000;
+const PART_QUARANTINE_MILLISECONDS = 24 * 3_600_000;
+/** A request that was merely unlucky is served again soon. */
+const REQUEST_QUARANTINE_MILLISECONDS = EVIDENCE_MILLISECONDS;
 /** Long enough to reach every entry through relays and lost messages. */
 const RECENT_MILLISECONDS = 15_000;
 /** Bounds on what callers can make an entry keep and send. */
 const MAXIMUM_CRASHES = 64;
 const MAXIMUM_SUSPECTS = 32;
+const MAXIMUM_REQUESTS = 32;
 const MAXIMUM_QUARANTINED = 256;
 const MAXIMUM_RELEASED = 256;
 const MAXIMUM_RECENT_CRASHES = 8;
-const MAXIMUM_RECENT_PARTS = 16;
+const MAXIMUM_RECENT_CAUSES = 16;
 /** A relayed statement is the same one if it differs by less. */
 const RELAY_TOLERANCE_MILLISECONDS = 1000;
 
+/** How long a prompt part or a request stays quarantined, in milliseconds. */
+export function quarantineMilliseconds(cause: string): number {
+  return isRequestDigest(cause) ? REQUEST_QUARANTINE_MILLISECONDS : PART_QUARANTINE_MILLISECONDS;
+}
+
 /** Removes the entries that were added first until so many are left. */
 function limitSize<Value>(map: Map<string, Value>, maximum: number): void {
   for (const key of map.keys()) {
@@ -86,16 +124,20 @@
   const { logger, now } = options;
   const answered = createClearedParts();
   const crashes = new Map<string, KnownCrash>();
-  /** Parts of known crashes that are known to be sound, whoever saw it. */
+  /** Parts and requests of known crashes that are known to be sound, whoever saw it. */
   const clearedAt = new Map<string, number>();
   const quarantinedAt = new Map<string, number>();
   const releasedAt = new Map<string, number>();
-  /** When suspects are judged again without further news. */
+  /** When suspects are judged again, or a quarantine lapses, without further news. */
   let evaluateAt = Infinity;
   let resolveQuarantine: () => void = () => undefined;
   let pendingQuarantine = nextPromise();
   /** Whether there is something that others may not know. */
   let hasNews = false;
+  /** Servers of this entry's own crashes whose requests were not announced yet. */
+  const unannounced = new Set<string>();
+  /** Heads of the requests that were lost with servers or are quarantined, and their digests. */
+  let listedRequests: ReadonlyMap<string, readonly string[]> | undefined;
 
   function nextPromise(): Promise<void> {
     return new Promise((resolve) => {
@@ -108,76 +150,102 @@
     pendingQuarantine = nextPromise();
   }
 
-  function clearanceOf(part: string): number | undefined {
-    const own = answered.answeredAt(part);
-    const known = clearedAt.get(part);
+  function clearanceOf(cause: string): number | undefined {
+    const own = answered.answeredAt(cause);
+    const known = clearedAt.get(cause);
     if (own === undefined || known === undefined) return own ?? known;
     return Math.max(own, known);
   }
 
-  function isCleared(part: string, crash: Pick<Crash, 'endedAt'>): boolean {
-    if ((releasedAt.get(part) ?? -Infinity) >= crash.endedAt) return true;
-    return (clearanceOf(part) ?? -Infinity) > crash.endedAt - EVIDENCE_MILLISECONDS;
+  function isCleared(cause: string, { endedAt }: Pick<Crash, 'endedAt'>): boolean {
+    if ((releasedAt.get(cause) ?? -Infinity) >= endedAt) return true;
+    // Parts come with many requests; a request that has once been answered may still change.
+    const validity = isRequestDigest(cause) ? 0 : EVIDENCE_MILLISECONDS;
+    return (clearanceOf(cause) ?? -Infinity) > endedAt - validity;
+  }
+
+  function crashesUnder(cause: string): KnownCrash[] {
+    return [...crashes.values()].filter(
+      ({ suspects, requests }) => suspects.has(cause) || requests.has(cause),
+    );
   }
 
-  function isSuspect(part: string): boolean {
-    for (const { suspects } of crashes.values()) if (suspects.has(part)) return true;
+  function isSuspect(cause: string): boolean {
+    for (const { suspects, requests } of crashes.values()) {
+      if (suspects.has(cause) || requests.has(cause)) return true;
+    }
     return false;
   }
 
-  function recordCleared(part: string, at: number): void {
-    const before = clearedAt.get(part);
-    if (before !== undefined && before + EVIDENCE_MILLISECONDS / 2 > at) return;
-    clearedAt.set(part, at);
+  function recordCleared(cause: string, at: number): void {
+    const before = clearedAt.get(cause);
+    const isKnown = isRequestDigest(cause)
+      ? crashesUnder(cause).every((crash) => isCleared(cause, crash))
+      : before !== undefined && before + EVIDENCE_MILLISECONDS / 2 > at;
+    if (isKnown || (before ?? -Infinity) >= at) return;
+    clearedAt.set(cause, at);
     hasNews = true;
   }
 
-  /** Evidence up to that time no longer counts against the part. */
-  function release(part: string, at: number, reason: string): void {
-    releasedAt.delete(part);
-    releasedAt.set(part, at);
+  /** Evidence up to that time no longer counts against the part or request. */
+  function release(cause: string, at: number, reason: string): void {
+    releasedAt.delete(cause);
+    releasedAt.set(cause, at);
     hasNews = true;
-    if (!quarantinedAt.delete(part)) return;
-    logger.info('prompt part released', { part, reason });
+    if (!quarantinedAt.delete(cause)) return;
+    listedRequests = undefined;
+    if (isRequestDigest(cause)) logger.info('request released', { request: cause, reason });
+    else logger.info('prompt part released', { part: cause, reason });
   }
 
-  function quarantine(part: string, at: number, facts: Readonly<Record<string, unknown>>): void {
-    if (quarantinedAt.has(part)) return;
+  function quarantine(cause: string, at: number, facts: Readonly<Record<string, unknown>>): void {
+    if (quarantinedAt.has(cause)) return;
+    const isRequest = isRequestDigest(cause);
     if (quarantinedAt.size >= MAXIMUM_QUARANTINED) {
-      logger.warn('prompt part not quarantined', { part, quarantined: quarantinedAt.size });
+      logger.warn('quarantine full', { cause, quarantined: quarantinedAt.size });
       return;
     }
-    quarantinedAt.set(part, at);
+    quarantinedAt.set(cause, at);
     hasNews = true;
-    logger.warn('prompt part quarantined', { part, ...facts });
-    options.onQuarantine(part);
+    listedRequests = undefined;
+    if (isRequest) logger.warn('request quarantined', { request: cause, ...facts });
+    else logger.warn('prompt part quarantined', { part: cause, ...facts });
+    options.onQuarantine(cause);
     announceQuarantine();
   }
 
   function removeExpired(): void {
+    const before = crashes.size + quarantinedAt.size;
     for (const [server, { endedAt }] of crashes) {
       if (now() - endedAt > EVIDENCE_MILLISECONDS) crashes.delete(server);
     }
     limitSize(crashes, MAXIMUM_CRASHES);
-    for (const part of clearedAt.keys()) if (!isSuspect(part)) clearedAt.delete(part);
-    for (const [part, at] of quarantinedAt) {
-      if (now() - at > QUARANTINE_MILLISECONDS) quarantinedAt.delete(part);
+    for (const server of unannounced) if (!crashes.has(server)) unannounced.delete(server);
+    for (const cause of clearedAt.keys()) if (!isSuspect(cause)) clearedAt.delete(cause);
+    for (const [cause, at] of quarantinedAt) {
+      if (now() - at > quarantineMilliseconds(cause)) quarantinedAt.delete(cause);
     }
     limitSize(releasedAt, MAXIMUM_RELEASED);
+    if (crashes.size + quarantinedAt.size !== before) listedRequests = undefined;
+  }
+
+  function quarantineEach(blames: readonly Blame[]): void {
+    for (const { cause, servers } of blames) {
+      const reports = servers.map((server) => `${server} by ${crashes.get(server)?.source}`);
+      quarantine(cause, now(), { crashes: servers.length, servers: reports.join(', ') });
+    }
   }
 
   function evaluate(): void {
-    evaluateAt = Infinity;
     removeExpired();
-    const blames = planQuarantine({
-      crashes: [...crashes.values()],
-      quarantined: new Set(quarantinedAt.keys()),
-      isCleared,
-      now: now(),
-    });
-    for (const { part, servers } of blames) {
-      const reports = servers.map((server) => `${server} by ${crashes.get(server)?.source}`);
-      quarantine(part, now(), { crashes: servers.length, servers: reports.join(', ') });
+    const known = [...crashes.values()].filter(({ hasSurvived }) => !hasSurvived);
+    for (const plan of [planRequestQuarantine, planQuarantine]) {
+      const quarantined = new Set(quarantinedAt.keys());
+      quarantineEach(plan({ crashes: known, quarantined, isCleared, now: now() }));
+    }
+    evaluateAt = Infinity;
+    for (const [cause, at] of quarantinedAt) {
+      evaluateAt = Math.min(evaluateAt, at + quarantineMilliseconds(cause) + 1);
     }
   }
 
@@ -198,33 +266,110 @@
     options.onChange();
   }
 
-  /** Adds the suspects to the crash; returns those that were not known. */
-  function addCrash({ server, endedAt, suspects }: ObservedCrash, source: string): string[] {
+  function addSuspects(crash: KnownCrash, suspects: readonly string[]): string[] {
     const added: string[] = [];
-    const known = crashes.get(server);
-    const all = known?.suspects ?? new Set<string>();
     for (const part of suspects) {
-      if (all.has(part) || all.size >= MAXIMUM_SUSPECTS) continue;
-      all.add(part);
+      if (crash.suspects.has(part) || crash.suspects.size >= MAXIMUM_SUSPECTS) continue;
+      crash.suspects.add(part);
       added.push(part);
     }
-    if (added.length === 0) return added;
-    if (known === undefined) crashes.set(server, { server, source, endedAt, suspects: all });
+    return added;
+  }
+
+  /** Several attempts at a request may be lost at once; the first of them counts. */
+  function addRequests(crash: KnownCrash, requests: readonly LostRequest[]): string[] {
+    const added: string[] = [];
+    for (const { digest, generation } of requests) {
+      const before = crash.requests.get(digest);
+      if (before === undefined && crash.requests.size >= MAXIMUM_REQUESTS) continue;
+      if (before !== undefined && before <= generation) continue;
+      crash.requests.set(digest, generation);
+      added.push(digest);
+    }
+    return added;
+  }
+
+  /** Adds what the crash is blamed on; returns what was not known. */
+  function addCrash(
+    { server, endedAt, suspects, requests, isSilent }: ObservedCrash,
+    source: string,
+  ): string[] {
+    let crash = crashes.get(server);
+    // A server that has survived its silence may end later, under other requests.
+    if (crash === undefined || (crash.hasSurvived && !isSilent)) {
+      crash = {
+        server,
+        source,
+        endedAt,
+        suspects: new Set(),
+        requests: new Map(),
+        isSilent,
+        hasSurvived: false,
+      };
+    }
+    const added = [...addSuspects(crash, suspects), ...addRequests(crash, requests)];
+    const isConfirmed = crash.isSilent && !isSilent;
+    if (added.length === 0 && !isConfirmed) return added;
+    if (isConfirmed) crash.isSilent = false;
+    crashes.set(server, crash);
+    listedRequests = undefined;
     hasNews = true;
     return added;
   }
 
+  function markSurvivor(server: string): void {
+    const crash = crashes.get(server);
+    if (crash === undefined || !crash.isSilent || crash.hasSurvived) return;
+    crash.hasSurvived = true;
+    hasNews = true;
+    logger.info('silent backend server survived', { server });
+  }
+
+  /** The digest of the request if it is listed; hashes its body only if its head is. */
+  function findListed(request: RequestDigest): string | undefined {
+    if (crashes.size === 0 && quarantinedAt.size === 0) return undefined;
+    listedRequests ??= listRequests();
+    if (listedRequests.size === 0) return undefined;
+    const listed = listedRequests.get(request.head());
+    return listed?.includes(request.full()) === true ? request.full() : undefined;
+  }
+
+  function listRequests(): Map<string, readonly string[]> {
+    const listed = new Map<string, readonly string[]>();
+    const digests = new Set([...quarantinedAt.keys()].filter(isRequestDigest));
+    for (const { requests } of crashes.values()) {
+      for (const digest of requests.keys()) digests.add(digest);
+    }
+    for (const digest of digests) {
+      const head = digest.slice(0, DIGEST_HEAD_LENGTH);
+      listed.set(head, [...(listed.get(head) ?? []), digest]);
+    }
+    return listed;
+  }
+
   /** Clears the parts that this entry itself has seen answered. */
-  function clearOwn(parts: readonly string[]): void {
-    for (const part of parts) {
-      const at = answered.answeredAt(part);
-      if (at !== undefined && now() - at < EVIDENCE_MILLISECONDS) recordCleared(part, at);
+  function clearOwn(causes: readonly string[]): void {
+    for (const cause of causes) {
+      const at = answered.answeredAt(cause);
+      if (at !== undefined && now() - at < EVIDENCE_MILLISECONDS) recordCleared(cause, at);
     }
   }
 
-  function agesOf(times: ReadonlyMap<string, number>, maximum: number): PartStatement[] {
+  function agesOf(times: ReadonlyMap<string, number>, maximum: number): CauseStatement[] {
     const newest = [...times].slice(-maximum);
-    return newest.map(([part, at]) => ({ part, ageMilliseconds: now() - at }));
+    return newest.map(([cause, at]) => ({ cause, ageMilliseconds: now() - at }));
+  }
+
+  function stateCrash(crash: KnownCrash): CrashStatement {
+    const { server, endedAt, suspects, requests, isSilent, hasSurvived } = crash;
+    return {
+      server,
+      ageMilliseconds: now() - endedAt,
+      suspects: [...suspects],
+      requests: [...requests].map(([digest, generation]) => ({ digest, generation })),
+      isSilent,
+      hasSurvived,
+    };
   }
 
   return {
@@ -236,35 +381,57 @@
       }
       settle();
     },
-    recordCrash({ server, endedAt, suspects }) {
-      const uncleared = suspects.filter((part) => !isCleared(part, { endedAt }));
-      addCrash({ server, endedAt, suspects: uncleared }, OWN_SOURCE);
+    recordRequestAnswered(request) {
+      const digest = findListed(request);
+      if (digest === undefined) return;
+      if (quarantinedAt.has(digest)) release(digest, now(), 'answered');
+      recordCleared(digest, now());
+      settle();
+    },
+    recordCrash(observed) {
+      const { server, endedAt } = observed;
+      const suspects = observed.suspects.filter((part) => !isCleared(part, { endedAt }));
+      const added = addCrash({ ...observed, suspects }, OWN_SOURCE);
+      if (added.some(isRequestDigest)) unannounced.add(server);
+      settle();
+    },
+    currentProcess(server) {
+      let process = server;
+      for (let ends = 1; crashes.get(process)?.hasSurvived === false; ends += 1) {
+        process = `${server}+${ends}`;
+      }
+      return process;
+    },
+    recordSurvivor(server) {
+      markSurvivor(server);
       settle();
     },
     merge(statements, source) {
-      for (const { part, ageMilliseconds } of statements.released) {
+      for (const { cause, ageMilliseconds } of statements.released) {
         const at = now() - ageMilliseconds;
-        if (at <= (releasedAt.get(part) ?? -Infinity) + RELAY_TOLERANCE_MILLISECONDS) continue;
-        release(part, at, source);
+        if (at <= (releasedAt.get(cause) ?? -Infinity) + RELAY_TOLERANCE_MILLISECONDS) continue;
+        release(cause, at, source);
       }
-      for (const { server, ageMilliseconds, suspects } of statements.crashes) {
+      for (const stated of statements.crashes) {
+        const { server, ageMilliseconds } = stated;
         if (ageMilliseconds > EVIDENCE_MILLISECONDS) continue;
-        const added = addCrash({ server, endedAt: now() - ageMilliseconds, suspects }, source);
+        const added = addCrash({ ...stated, endedAt: now() - ageMilliseconds }, source);
+        if (stated.hasSurvived) markSurvivor(server);
         if (added.length === 0) continue;
-        logger.info('crash reported', { server, suspects: added.join(','), source });
+        logger.info('crash reported', { server, causes: added.join(','), source });
         clearOwn(added);
       }
-      for (const { part, ageMilliseconds } of statements.cleared) {
-        if (ageMilliseconds < EVIDENCE_MILLISECONDS && isSuspect(part))
-          recordCleared(part, now() - ageMilliseconds);
+      for (const { cause, ageMilliseconds } of statements.cleared) {
+        if (ageMilliseconds < EVIDENCE_MILLISECONDS && isSuspect(cause))
+          recordCleared(cause, now() - ageMilliseconds);
       }
-      for (const { part, ageMilliseconds } of statements.quarantined) {
+      for (const { cause, ageMilliseconds } of statements.quarantined) {
         const at = now() - ageMilliseconds;
-        if (ageMilliseconds > QUARANTINE_MILLISECONDS || quarantinedAt.has(part)) continue;
-        if (at <= (releasedAt.get(part) ?? -Infinity)) continue;
+        if (ageMilliseconds > quarantineMilliseconds(cause) || quarantinedAt.has(cause)) continue;
+        if (at <= (releasedAt.get(cause) ?? -Infinity)) continue;
         // The others may have been unable to learn of the answer.
-        if (isCleared(part, { endedAt: at })) release(part, now(), 'answered');
-        else quarantine(part, at, { source });
+        if (isCleared(cause, { endedAt: at })) release(cause, now(), 'answered');
+        else quarantine(cause, at, { source });
       }
       settle();
     },
@@ -275,29 +442,49 @@
       const listed = [...crashes.values()]
         .filter(({ endedAt }) => now() - endedAt <= maximumAge)
         .slice(isAll ? 0 : -MAXIMUM_RECENT_CRASHES);
-      const suspects = new Set(listed.flatMap((crash) => [...crash.suspects]));
+      const causes = new Set(
+        listed.flatMap(({ suspects, requests }) => [...suspects, ...requests.keys()]),
+      );
       return {
-        crashes: listed.map((crash) => ({
-          server: crash.server,
-          ageMilliseconds: now() - crash.endedAt,
-          suspects: [...crash.suspects],
-        })),
-        cleared: agesOf(clearedAt, clearedAt.size).filter(({ part }) => suspects.has(part)),
-        quarantined: agesOf(quarantinedAt, isAll ? MAXIMUM_QUARANTINED : MAXIMUM_RECENT_PARTS),
-        released: agesOf(releasedAt, isAll ? MAXIMUM_RELEASED : MAXIMUM_RECENT_PARTS),
+        crashes: listed.map(stateCrash),
+        cleared: agesOf(clearedAt, clearedAt.size).filter(({ cause }) => causes.has(cause)),
+        quarantined: agesOf(quarantinedAt, isAll ? MAXIMUM_QUARANTINED : MAXIMUM_RECENT_CAUSES),
+        released: agesOf(releasedAt, isAll ? MAXIMUM_RELEASED : MAXIMUM_RECENT_CAUSES),
       };
     },
-    findQuarantined(sharedParts) {
+    takeUnannounced() {
+      const listed: KnownCrash[] = [];
+      for (const server of [...unannounced].slice(-MAXIMUM_RECENT_CRASHES)) {
+        const crash = crashes.get(server);
+        if (crash !== undefined) listed.push(crash);
+      }
+      unannounced.clear();
+      if (listed.length === 0) return undefined;
+      return { crashes: listed.map(stateCrash), cleared: [], quarantined: [], released: [] };
+    },
+    findQuarantined(sharedParts, request) {
       evaluateIfDue();
       if (quarantinedAt.size === 0) return undefined;
       for (const part of sharedParts) if (quarantinedAt.has(part)) return part;
-      return undefined;
+      const digest = request === undefined ? undefined : findListed(request);
+      return digest !== undefined && quarantinedAt.has(digest) ? digest : undefined;
+    },
+    generationOf(request) {
+      const digest = findListed(request);
+      if (digest === undefined) return 0;
+      let generation = 0;
+      for (const crash of crashesUnder(digest)) {
+        if (crash.hasSurvived || isCleared(digest, crash)) continue;
+        generation = Math.max(generation, crash.requests.get(digest) ?? 0);
+      }
+      return generation;
     },
-    release(part) {
-      release(part, now(), 'operator');
+    release(cause) {
+      release(cause, now(), 'operator');
       settle();
     },
     nextQuarantine: () => pendingQuarantine,
-    quarantinedParts: () => [...quarantinedAt.keys()],
+    quarantinedParts: () => [...quarantinedAt.keys()].filter((cause) => !isRequestDigest(cause)),
+    quarantinedRequests: () => [...quarantinedAt.keys()].filter(isRequestDigest),
   };
 }
--- a/packages/crash-attribution/src/plan-quarantine.test.ts
+++ b/packages/crash-attribution/src/plan-quarantine.test.ts
@@ -1,13 +1,13 @@
 import { describe, expect, it } from 'vitest';
 
 import { planQuarantine } from './plan-quarantine.js';
-import type { Crash } from './plan-quarantine.js';
+import type { Crash } from './crash.js';
 
 let count = 0;
 
 function crashAt(endedAt: number, ...suspects: string[]): Crash {
   count += 1;
-  return { server: `server-${count}`, endedAt, suspects: new Set(suspects) };
+  return { server: `server-${count}`, endedAt, suspects: new Set(suspects), requests: new Map() };
 }
 
 function blamed(
@@ -21,7 +21,7 @@
     isCleared: (part) => cleared.includes(part),
     now,
   });
-  return blames.map(({ part }) => part);
+  return blames.map(({ cause }) => cause);
 }
 
 describe('a prompt part is blamed', () => {
--- a/packages/crash-attribution/src/plan-quarantine.ts
+++ b/packages/crash-attribution/src/plan-quarantine.ts
@@ -7,31 +7,8 @@
  * times add up to one. Pure.
  */
 
-/** What is known of the end of one process of a backend server. */
-export interface Crash {
-  /** Identifies the process. */
-  readonly server: string;
-  /** Milliseconds on the clock of `now`. */
-  readonly endedAt: number;
-  /** Shared parts of the requests that were lost unanswered. */
-  readonly suspects: ReadonlySet<string>;
-}
-
-export interface QuarantineInput {
-  readonly crashes: readonly Crash[];
-  /** Parts that are already blamed; their crashes are explained. */
-  readonly quarantined: ReadonlySet<string>;
-  /** Whether the part cannot have caused the crash. */
-  isCleared(part: string, crash: Crash): boolean;
-  readonly now: number;
-}
-
-/** A part to blame. */
-export interface Blame {
-  readonly part: string;
-  /** Processes that ended under it. */
-  readonly servers: readonly string[];
-}
+import { blameEach, hasBlamedPart } from './crash.js';
+import type { Blame, Crash, QuarantineInput } from './crash.js';
 
 /**
  * Servers that end within this time count as one event: a power failure ends many at once, under
@@ -49,7 +26,7 @@
 /** Age at which an event counts: other entries have reported it and cleared suspects of it. */
 export const CLEARANCE_TIME_MILLISECONDS = 1000;
 
-/** Crashes at about the same time, without those that a blamed part explains. */
+/** Crashes at about the same time, without those that are explained. */
 interface CrashEvent {
   readonly startedAt: number;
   readonly crashes: { readonly server: string; readonly suspects: readonly string[] }[];
@@ -64,12 +41,27 @@
   weight: number;
 }
 
-function groupByEvent(input: QuarantineInput, explaining: ReadonlySet<string>): CrashEvent[] {
+/**
+ * The crashes that no part explains, in order of time. The repeats of one request say no more about
+ * its parts than its first crash does.
+ */
+function selectUnexplained(input: QuarantineInput, blamed: ReadonlySet<string>): Crash[] {
+  const counted = new Set<string>();
+  const sorted = [...input.crashes].sort((left, right) => left.endedAt - right.endedAt);
+  return sorted.filter((crash) => {
+    if (hasBlamedPart(crash, blamed)) return false;
+    const repeated = [...crash.requests.keys()].filter((digest) => blamed.has(digest));
+    const isCounted = repeated.some((digest) => counted.has(digest));
+    for (const digest of repeated) counted.add(digest);
+    return !isCounted;
+  });
+}
+
+function groupByEvent(input: QuarantineInput, blamed: ReadonlySet<string>): CrashEvent[] {
   const events: CrashEvent[] = [];
   let event: CrashEvent | undefined;
-  for (const crash of [...input.crashes].sort((left, right) => left.endedAt - right.endedAt)) {
+  for (const crash of selectUnexplained(input, blamed)) {
     const { server, endedAt } = crash;
-    if ([...crash.suspects].some((part) => explaining.has(part))) continue;
     const suspects = [...crash.suspects].filter((part) => !input.isCleared(part, crash));
     if (event === undefined || endedAt - event.startedAt > EVENT_MILLISECONDS) {
       event = { startedAt: endedAt, crashes: [] };
@@ -124,14 +116,11 @@
 
 /** Returns the parts to blame beyond those that already are. */
 export function planQuarantine(input: QuarantineInput): Blame[] {
-  const blames: Blame[] = [];
-  const explaining = new Set(input.quarantined);
-  for (;;) {
-    const evidence = collectEvidence(groupByEvent(input, explaining));
+  return blameEach(input, (blamed) => {
+    const evidence = collectEvidence(groupByEvent(input, blamed));
     const part = findCulprit(evidence);
-    if (part === undefined) return blames;
-    blames.push({ part, servers: evidence.get(part)?.servers ?? [] });
-    // The crashes of a culprit say nothing about the requests that were lost beside it.
-    explaining.add(part);
-  }
+    return part === undefined
+      ? undefined
+      : { cause: part, servers: evidence.get(part)?.servers ?? [] };
+  });
 }
--- a/packages/crash-attribution/src/request-digest.ts
+++ b/packages/crash-attribution/src/request-digest.ts
@@ -22,7 +22,9 @@
 
 /** Sets digests apart from ids of prompt parts, which are hexadecimal. */
 export const REQUEST_PREFIX = 'r';
-const HEAD_LENGTH = 12;
+const HEAD_HASH_LENGTH = 12;
+/** Characters of the digest that cover everything but the body. */
+export const DIGEST_HEAD_LENGTH = REQUEST_PREFIX.length + HEAD_HASH_LENGTH;
 const BODY_LENGTH = 16;
 
 function shortHash(content: string | Buffer, length: number): string {
@@ -36,7 +38,7 @@
 
   function headOf(): string {
     const fields = [method, host, target, promptParts.join(','), String(body.length)];
-    head ??= REQUEST_PREFIX + shortHash(fields.join('\n'), HEAD_LENGTH);
+    head ??= REQUEST_PREFIX + shortHash(fields.join('\n'), HEAD_HASH_LENGTH);
     return head;
   }
 
--- a/packages/direct-entry/src/plan-quarantine-rows.ts
+++ b/packages/direct-entry/src/plan-quarantine-rows.ts
@@ -1,6 +1,6 @@
 /**
  * Plans what an entry writes to the store about crashed servers: one row with the evidence, and one
- * row for each quarantined prompt part, which an operator may remove. Rows hold times of the store's
+ * row for each quarantined prompt part or request, which an operator may remove. Rows hold times of the store's
  * clock, since entries have clocks of their own. Pure.
  */
 import type { RowWrite, StoreRow } from '@lapisbridge/catalog';
@@ -8,8 +8,13 @@
   covers,
   decodeCrashStatements,
   encodeCrashStatements,
+  quarantineMilliseconds,
+} from '@lapisbridge/crash-attribution';
+import type {
+  CauseStatement,
+  CrashStatement,
+  CrashStatements,
 } from '@lapisbridge/crash-attribution';
-import type { CrashStatements, PartStatement } from '@lapisbridge/crash-attribution';
 import { numberOf, parseObject } from '@lapisbridge/json-call';
 
 /** The rows as last read, decoded. */
@@ -17,18 +22,18 @@
   /** Ages as of the reading. */
   readonly statements: CrashStatements;
   readonly evidenceRevision: number;
-  /** Revisions of the rows of quarantined parts. */
-  readonly revisionByPart: ReadonlyMap<string, number>;
+  /** Revisions of the rows of quarantined parts and requests. */
+  readonly revisionByCause: ReadonlyMap<string, number>;
 }
 
 export const EMPTY_QUARANTINE: StoredQuarantine = {
   statements: { crashes: [], cleared: [], quarantined: [], released: [] },
   evidenceRevision: 0,
-  revisionByPart: new Map(),
+  revisionByCause: new Map(),
 };
 
 const EVIDENCE_KEY = 'evidence';
-const PART_PREFIX = 'quarantined/';
+const CAUSE_PREFIX = 'quarantined/';
 
 function addAge(statements: CrashStatements, ageMilliseconds: number): CrashStatements {
   const older = <Statement extends { readonly ageMilliseconds: number }>(
@@ -53,34 +58,54 @@
 ): StoredQuarantine {
   let evidence = EMPTY_QUARANTINE.statements;
   let evidenceRevision = 0;
-  const quarantined: PartStatement[] = [];
-  const revisionByPart = new Map<string, number>();
+  const quarantined: CauseStatement[] = [];
+  const revisionByCause = new Map<string, number>();
   for (const { key, value, revision } of rows.values()) {
     const body = (value === undefined ? undefined : parseObject(value)) ?? {};
     const at = numberOf(body, 'at');
     if (key === EVIDENCE_KEY) {
       evidenceRevision = revision;
       if (at !== undefined) evidence = addAge(decodeCrashStatements(body), ageOf(at));
-    } else if (key.startsWith(PART_PREFIX)) {
-      const part = key.slice(PART_PREFIX.length);
-      revisionByPart.set(part, revision);
-      if (at !== undefined) quarantined.push({ part, ageMilliseconds: ageOf(at) });
+    } else if (key.startsWith(CAUSE_PREFIX)) {
+      const cause = key.slice(CAUSE_PREFIX.length);
+      revisionByCause.set(cause, revision);
+      if (at !== undefined) quarantined.push({ cause, ageMilliseconds: ageOf(at) });
     }
   }
-  return { statements: { ...evidence, quarantined }, evidenceRevision, revisionByPart };
+  return { statements: { ...evidence, quarantined }, evidenceRevision, revisionByCause };
+}
+
+/** Requests that were lost with two servers or more; the others need not outlast the entries. */
+function findRepeated(crashes: readonly CrashStatement[]): ReadonlySet<string> {
+  const seen = new Set<string>();
+  const repeated = new Set<string>();
+  for (const { digest } of crashes.flatMap(({ requests }) => requests)) {
+    if (seen.has(digest)) repeated.add(digest);
+    seen.add(digest);
+  }
+  return repeated;
 }
 
 /** Crashes that still need an explanation or are stored, and what clears their suspects. */
 function selectEvidence(known: CrashStatements, stored: CrashStatements): CrashStatements {
   const resolved = new Set<string>();
-  for (const { part } of [...known.cleared, ...known.quarantined]) resolved.add(part);
+  for (const { cause } of [...known.cleared, ...known.quarantined]) resolved.add(cause);
   const storedServers = new Set(stored.crashes.map(({ server }) => server));
-  const crashes = known.crashes.filter(
-    ({ server, suspects }) =>
-      storedServers.has(server) || suspects.some((part) => !resolved.has(part)),
-  );
-  const suspects = new Set(crashes.flatMap((crash) => crash.suspects));
-  const cleared = known.cleared.filter(({ part }) => suspects.has(part));
+  const repeated = findRepeated(known.crashes);
+  const crashes: CrashStatement[] = [];
+  for (const crash of known.crashes) {
+    const requests = crash.requests.filter(({ digest }) => repeated.has(digest));
+    const isOpen =
+      crash.suspects.some((part) => !resolved.has(part)) ||
+      requests.some(({ digest }) => !resolved.has(digest));
+    if (isOpen || storedServers.has(crash.server)) crashes.push({ ...crash, requests });
+  }
+  const causes = new Set<string>();
+  for (const { suspects, requests } of crashes) {
+    for (const part of suspects) causes.add(part);
+    for (const { digest } of requests) causes.add(digest);
+  }
+  const cleared = known.cleared.filter(({ cause }) => causes.has(cause));
   return { crashes, cleared, quarantined: [], released: [] };
 }
 
@@ -103,20 +128,21 @@
       expectedRevision: stored.evidenceRevision,
     });
   }
-  for (const { part, ageMilliseconds } of known.quarantined) {
-    if (stored.revisionByPart.has(part)) continue;
+  for (const { cause, ageMilliseconds } of known.quarantined) {
+    if (stored.revisionByCause.has(cause)) continue;
     writes.push({
-      key: `${PART_PREFIX}${part}`,
+      key: `${CAUSE_PREFIX}${cause}`,
       value: encodeRow({ at: Math.round(storeTime - ageMilliseconds) }),
       expectedRevision: 0,
     });
   }
-  const releasedAge = new Map(known.released.map((released) => [released.part, released]));
-  for (const { part, ageMilliseconds } of stored.statements.quarantined) {
-    const released = releasedAge.get(part);
-    if (released === undefined || released.ageMilliseconds >= ageMilliseconds) continue;
-    const expectedRevision = stored.revisionByPart.get(part);
-    writes.push({ key: `${PART_PREFIX}${part}`, value: undefined, expectedRevision });
+  const releasedAge = new Map(known.released.map((released) => [released.cause, released]));
+  for (const { cause, ageMilliseconds } of stored.statements.quarantined) {
+    const releasedFor = releasedAge.get(cause)?.ageMilliseconds ?? Infinity;
+    const hasLapsed = ageMilliseconds > quarantineMilliseconds(cause);
+    if (releasedFor >= ageMilliseconds && !hasLapsed) continue;
+    const expectedRevision = stored.revisionByCause.get(cause);
+    writes.push({ key: `${CAUSE_PREFIX}${cause}`, value: undefined, expectedRevision });
   }
   return writes;
 }
--- a/packages/direct-entry/src/quarantine-simulation.ts
+++ b/packages/direct-entry/src/quarantine-simulation.ts
@@ -8,6 +8,7 @@
 import {
   createCrashLedger,
   decodeCrashStatements,
+  DIGEST_HEAD_LENGTH,
   encodeCrashStatements,
   StatementScope,
 } from '@lapisbridge/crash-attribution';
@@ -35,6 +36,8 @@
   ledgerOf(entry: number): CrashLedger;
   /** An entry observes the end of a server under requests with these parts. */
   crash(entry: number, server: string, suspects: readonly string[]): void;
+  /** An entry loses an attempt at the request with a server that ends, and tells the others. */
+  loseRequest(entry: number, server: string, digest: string): void;
   run(milliseconds: number): Promise<void>;
   /** Cuts all zones off from each other, or mends them. */
   cutZones(isCut: boolean): void;
@@ -49,6 +52,7 @@
 
 interface RunningEntry {
   readonly ledger: CrashLedger;
+  now(): number;
   readonly sync: QuarantineSync;
 }
 
@@ -169,7 +173,7 @@
       now,
       isDelegate: () => entry.fleet.isDelegate(),
     });
-    running.set(entry.name.instanceId, { ledger, sync });
+    running.set(entry.name.instanceId, { ledger, now, sync });
     sync.start();
   }
 
@@ -179,6 +183,10 @@
     return entry.ledger;
   }
 
+  function clockOf(index: number): number {
+    return running.get(`entry-${index}`)?.now() ?? 0;
+  }
+
   for (const index of fleet.entries.keys()) start(index);
   return {
     fleet,
@@ -190,7 +198,16 @@
       // The ledger's clock is that of its process.
       ledger.merge(
         {
-          crashes: [{ server, ageMilliseconds: 0, suspects }],
+          crashes: [
+            {
+              server,
+              ageMilliseconds: 0,
+              suspects,
+              requests: [],
+              isSilent: false,
+              hasSurvived: false,
+            },
+          ],
           cleared: [],
           quarantined: [],
           released: [],
@@ -198,6 +215,21 @@
         'test',
       );
     },
+    loseRequest(index, server, digest) {
+      const ledger = ledgerOf(index);
+      const entry = fleet.entries[index];
+      const request = { head: () => digest.slice(0, DIGEST_HEAD_LENGTH), full: () => digest };
+      const generation = 1 + ledger.generationOf(request);
+      ledger.recordCrash({
+        server,
+        endedAt: clockOf(index),
+        suspects: [],
+        requests: [{ digest, generation }],
+        isSilent: false,
+      });
+      const crashes = ledger.takeUnannounced();
+      if (crashes !== undefined) entry?.fleet.announceCrashes(encodeCrashStatements(crashes));
+    },
     async run(milliseconds) {
       for (let elapsed = 0; elapsed < milliseconds; elapsed += STEP_MILLISECONDS) {
         fleet.run(STEP_MILLISECONDS);
--- a/packages/direct-entry/src/quarantine-sync.test.ts
+++ b/packages/direct-entry/src/quarantine-sync.test.ts
@@ -118,6 +118,81 @@
   });
 });
 
+const REQUEST = `r${'a'.repeat(12)}${'b'.repeat(16)}`;
+
+/** Number of entries that refuse the request. */
+function countRefusing(simulation: QuarantineSimulation): number {
+  let refusing = 0;
+  for (const index of simulation.fleet.entries.keys()) {
+    if (simulation.ledgerOf(index).quarantinedRequests().includes(REQUEST)) refusing += 1;
+  }
+  return refusing;
+}
+
+describe('a request that ends servers', () => {
+  it.each([
+    ['a small fleet', SMALL],
+    ['a large fleet', LARGE],
+  ])('is refused by every entry within milliseconds: %s', async (_what, options) => {
+    // Guards against a caller who asks another entry at once.
+    const simulation = simulateQuarantine(options);
+    await simulation.run(SETTLE_MILLISECONDS);
+    simulation.loseRequest(0, 'server-1', REQUEST);
+    await simulation.run(10);
+    simulation.loseRequest(options.entries - 1, 'server-2', REQUEST);
+    await simulation.run(10);
+    expect(countRefusing(simulation)).toBe(options.entries);
+  });
+
+  it('is refused after all entries have started anew', async () => {
+    const simulation = simulateQuarantine(SMALL);
+    await simulation.run(SETTLE_MILLISECONDS);
+    simulation.loseRequest(0, 'server-1', REQUEST);
+    await simulation.run(10);
+    simulation.loseRequest(1, 'server-2', REQUEST);
+    await simulation.run(CONTACT_MILLISECONDS);
+    simulation.restartAll();
+    await simulation.run(SETTLE_MILLISECONDS);
+    expect(countRefusing(simulation)).toBe(SMALL.entries);
+  });
+
+  it('ends at most two servers on each side of a cut that the store spans', async () => {
+    const simulation = simulateQuarantine(SMALL);
+    await simulation.run(SETTLE_MILLISECONDS);
+    simulation.cutZones(true);
+    for (const entry of [0, 1]) {
+      for (const attempt of [1, 2]) {
+        simulation.loseRequest(entry, `server-${entry}-${attempt}`, REQUEST);
+        await simulation.run(10);
+      }
+      expect(simulation.ledgerOf(entry).quarantinedRequests()).toEqual([REQUEST]);
+    }
+    await simulation.run(CONTACT_MILLISECONDS);
+    expect(countRefusing(simulation)).toBe(SMALL.entries);
+  });
+
+  it('is served again where its row is removed', async () => {
+    const simulation = simulateQuarantine(SMALL);
+    await simulation.run(SETTLE_MILLISECONDS);
+    simulation.loseRequest(0, 'server-1', REQUEST);
+    await simulation.run(10);
+    simulation.loseRequest(1, 'server-2', REQUEST);
+    await simulation.run(CONTACT_MILLISECONDS);
+    simulation.removeRow(`quarantined/${REQUEST}`);
+    await simulation.run(CONTACT_MILLISECONDS);
+    expect(countRefusing(simulation)).toBe(0);
+  });
+
+  it('costs the store nothing while it was lost once', async () => {
+    const simulation = simulateQuarantine(SMALL);
+    await simulation.run(SETTLE_MILLISECONDS);
+    const before = simulation.calls().writes;
+    simulation.loseRequest(0, 'server-1', REQUEST);
+    await simulation.run(CONTACT_MILLISECONDS);
+    expect(simulation.calls().writes).toBe(before);
+  });
+});
+
 describe('a sound part', () => {
   it('is cleared by an answer in a zone that cannot be reached', async () => {
     // Guards against blaming what most requests share while zones are apart.
--- a/packages/direct-entry/src/quarantine-sync.ts
+++ b/packages/direct-entry/src/quarantine-sync.ts
@@ -58,8 +58,8 @@
   /** The rows as of now: they were decoded some time ago. */
   function planWrites(): ReturnType<typeof planQuarantineRows> {
     const sinceRead = now() - storedAt;
-    const quarantined = stored.statements.quarantined.map(({ part, ageMilliseconds }) => ({
-      part,
+    const quarantined = stored.statements.quarantined.map(({ cause, ageMilliseconds }) => ({
+      cause,
       ageMilliseconds: ageMilliseconds + sinceRead,
     }));
     return planQuarantineRows(
@@ -101,9 +101,9 @@
     stored = decodeQuarantineRows(rows, (storeTime) => clock.ageMilliseconds(storeTime));
     storedAt = now();
     isLoaded = true;
-    for (const part of before.revisionByPart.keys()) {
-      // Whoever removes the row releases the part.
-      if (!stored.revisionByPart.has(part)) ledger.release(part);
+    for (const cause of before.revisionByCause.keys()) {
+      // Whoever removes the row releases the part or request.
+      if (!stored.revisionByCause.has(cause)) ledger.release(cause);
     }
     ledger.merge(stored.statements, 'store');
     scheduleWrite(WRITE_DELAY_MILLISECONDS);
--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -5,7 +5,7 @@
 import { createServer } from 'node:http';
 
 import { createCatalog } from '@lapisbridge/catalog';
-import { createCrashLedger } from '@lapisbridge/crash-attribution';
+import { createCrashLedger, encodeCrashStatements } from '@lapisbridge/crash-attribution';
 import {
   createArrivalMeter,
   createCallerListener,
@@ -22,7 +22,6 @@
   createServerRateLimits,
   createServerStatements,
   probeConnection,
-  processKeyOf,
 } from '@lapisbridge/forwarding';
 import type { ForwardContext, SendingEntries, ActiveStatement } from '@lapisbridge/forwarding';
 import type { Address } from '@lapisbridge/json-call';
@@ -122,15 +121,28 @@
       fleet.expediteDigests();
       quarantineSync.onLedgerChange();
     },
-    onQuarantine: (part) => serverEnds.cancelWith(part),
+    onQuarantine: (cause) => serverEnds.cancelWith(cause),
     now: monotonicClock,
   });
+  function announceCrashes(): void {
+    const crashes = crashLedger.takeUnannounced();
+    if (crashes !== undefined) fleet.announceCrashes(encodeCrashStatements(crashes));
+  }
+
   const serverEnds = createServerEndDetector({
     logger,
     probe: probeConnection,
-    onServerEnd: ({ server, endedAt, suspects }) =>
-      crashLedger.recordCrash({ server: processKeyOf(server), endedAt, suspects }),
+    onServerEnd({ process, endedAt, suspects, requests, isSilent }) {
+      const crash = { server: process, endedAt, suspects, requests, isSilent };
+      crashLedger.recordCrash(crash);
+      // Callers leave a silent server before their requests fail.
+      if (isSilent) announceCrashes();
+    },
     onProgress: (sharedParts) => crashLedger.recordAnswered(sharedParts),
+    onAnswered: (digest) => crashLedger.recordRequestAnswered(digest),
+    onContact: (process) => crashLedger.recordSurvivor(process),
+    currentProcess: (listed) => crashLedger.currentProcess(listed),
+    isRankSilent: (server) => liveness.isSilent(server),
     now: monotonicClock,
   });
   const statements = createServerStatements({ rateLimits, backoffs, departures });
@@ -217,6 +229,12 @@
     () => crashLedger.quarantinedParts().length,
   );
 
+  metrics.gauge(
+    'lapisbridge_quarantined_requests',
+    'Requests that are refused because they end backend servers.',
+    () => crashLedger.quarantinedRequests().length,
+  );
+
   metrics.serverGauge(
     'lapisbridge_server_backoff_seconds',
     'Time since a backend server that backs off asked for it.',
@@ -257,6 +275,7 @@
     statements,
     serverEnds,
     crashLedger,
+    announceCrashes,
     arrivals: createArrivalMeter(monotonicClock),
     entries,
     pulse,
--- a/packages/fleet/src/entry-fleet.ts
+++ b/packages/fleet/src/entry-fleet.ts
@@ -62,6 +62,8 @@
   tick(): number;
   /** Sends digests ahead of schedule after a change, if this entry is a delegate. */
   expediteDigests(): void;
+  /** Tells all known entries of crashes at once, whatever the digests' schedule. */
+  announceCrashes(crashes: JsonObject): void;
   /** Whether the fleet is large enough for delegates to relay messages. */
   isDelegating(): boolean;
   /** Whether this entry is a delegate; in a small fleet every entry is. */
@@ -405,6 +407,9 @@
         case MessageKind.Digest:
           handleDigest(from, message);
           return;
+        case MessageKind.Crashes:
+          options.onCrashes(from, message.crashes);
+          return;
         case MessageKind.RankState:
           handleReport(from, message);
           return;
@@ -441,6 +446,9 @@
       return isDelegate ? TICK_INTERVAL_MILLISECONDS : DIGEST_INTERVAL_MILLISECONDS;
     },
     expediteDigests,
+    announceCrashes(crashes) {
+      for (const { host } of members.known()) send(host, { kind: MessageKind.Crashes, crashes });
+    },
     isDelegating: () => duties().isDelegating,
     isDelegate: () => duties().isDelegate,
     readingRole: () => duties().readingRole,
--- a/packages/fleet/src/message.test.ts
+++ b/packages/fleet/src/message.test.ts
@@ -44,6 +44,7 @@
     ],
     crashes: { quarantined: [['ab', 5]] },
   },
+  { kind: MessageKind.Crashes, crashes: { crashes: [{ server: 'a', age: 3, suspects: [] }] } },
   {
     kind: MessageKind.Announcement,
     wantsEveryReport: true,
--- a/packages/fleet/src/message.ts
+++ b/packages/fleet/src/message.ts
@@ -29,6 +29,8 @@
   Roster = 'roster',
   /** Periodic state update from an entry to another entry. */
   Digest = 'digest',
+  /** Crashes that an entry tells all others at once. */
+  Crashes = 'crashes',
   /** An entry's request that a sidecar report to it. */
   Announcement = 'announcement',
   /** A sidecar's report to an entry. */
@@ -120,6 +122,11 @@
       /** What the sender knows of crashed servers; read by the entry program. */
       readonly crashes: JsonObject;
     }
+  | {
+      readonly kind: MessageKind.Crashes;
+      /** As in a digest. */
+      readonly crashes: JsonObject;
+    }
   | {
       readonly kind: MessageKind.Announcement;
       /** Whether to send every report; a standby gets only some, in case the primary fails. */
@@ -362,6 +369,8 @@
       return decodeRoster(body);
     case MessageKind.Digest:
       return decodeDigest(body);
+    case MessageKind.Crashes:
+      return { kind: MessageKind.Crashes, crashes: isObject(body.crashes) ? body.crashes : {} };
     case MessageKind.Announcement:
       return {
         kind: MessageKind.Announcement,
--- a/packages/fleet/src/sidecar-fleet.ts
+++ b/packages/fleet/src/sidecar-fleet.ts
@@ -235,6 +235,7 @@
         case MessageKind.Hello:
         case MessageKind.Roster:
         case MessageKind.Digest:
+        case MessageKind.Crashes:
         case MessageKind.RankState:
           // Meant for entries; may still arrive at an address that an entry used before.
           return;
--- a/packages/forwarding/src/caller-fixture.ts
+++ b/packages/forwarding/src/caller-fixture.ts
@@ -22,6 +22,7 @@
     const headers = { 'request-id': requestId, 'prompt-parts': promptParts.join(',') };
     const outgoing = request({ host: '127.0.0.1', port, method: 'POST', headers }, (incoming) => {
       incoming.resume();
+      incoming.on('error', reject);
       incoming.on('end', () =>
         resolve({
           status: incoming.statusCode ?? 0,
--- a/packages/forwarding/src/describe-end.ts
+++ b/packages/forwarding/src/describe-end.ts
@@ -1,11 +1,17 @@
 /**
  * Describes for the log why a request ends without an answer.
  */
-import { findQuarantinedPart } from './forward-context.js';
+import { isRequestDigest } from '@lapisbridge/crash-attribution';
+
+import { findQuarantinedCause } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext, RequestProgress } from './forward-context.js';
 import { describeOutcome } from './outcome.js';
 import { RefusalCause } from './plan-retry-after.js';
 
+function nameOf(cause: string): string {
+  return isRequestDigest(cause) ? `request ${cause}` : `prompt part ${cause}`;
+}
+
 export function describeEnd(
   context: ForwardContext,
   accepted: AcceptedRequest,
@@ -13,8 +19,8 @@
   cause: RefusalCause,
 ): string {
   const reasons = outcomes.map(describeOutcome);
-  const part = findQuarantinedPart(context, accepted);
-  if (part !== undefined) reasons.push(`prompt part ${part} is quarantined`);
+  const quarantined = findQuarantinedCause(context, accepted);
+  if (quarantined !== undefined) reasons.push(`${nameOf(quarantined)} is quarantined`);
   if (cause === RefusalCause.BudgetSpent) reasons.push('retry budget spent');
   return reasons.join('; ') || cause;
 }
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -15,7 +15,7 @@
 import type { EventActivity } from './event-activity.js';
 import type { ResponseBuffers } from './response-buffers.js';
 import type { RetryBudgetShare } from './retry-budget-share.js';
-import type { ServerEndDetector } from './server-end-detector.js';
+import type { AttemptContent, ServerEndDetector } from './server-end-detector.js';
 import type { ServerLoadTracker } from './server-load-tracker.js';
 import type { ServerLiveness } from './server-liveness.js';
 import type { ServerStatements } from './server-statements.js';
@@ -29,7 +29,7 @@
   readonly coldShare: ColdStartShare;
   readonly statements: ServerStatements;
   readonly serverEnds: ServerEndDetector;
-  readonly crashLedger: Pick<CrashLedger, 'findQuarantined' | 'nextQuarantine'>;
+  readonly crashLedger: Pick<CrashLedger, 'findQuarantined' | 'generationOf' | 'nextQuarantine'>;
   readonly pulse: EventActivity;
   readonly responseBuffers: ResponseBuffers;
   readonly groupHealth: GroupHealth;
@@ -37,6 +37,8 @@
   readonly metrics: Metrics;
   readonly arrivals: ArrivalMeter;
   readonly ownZone: string;
+  /** Tells other entries at once which requests were lost with ended servers. */
+  announceCrashes(): void;
   /** Number of entries that send to the same servers, including this one. */
   entries(): number;
   now(): number;
@@ -76,18 +78,30 @@
   /** Attempts that are in progress or may have run, without proof that they did not run. */
   runs: number;
   sends: number;
+  /** Each resolves once it is known whether the server of an attempt has ended under it. */
+  readonly settlements: Promise<void>[];
 }
 
 export function createProgress(): RequestProgress {
-  return { tried: new Set(), outcomes: [], runs: 0, sends: 0 };
+  return { tried: new Set(), outcomes: [], runs: 0, sends: 0, settlements: [] };
 }
 
-/** Prompt part because of which the request may reach no server; undefined for any other. */
-export function findQuarantinedPart(
+/** Prompt part or digest because of which the request may reach no server; undefined for none. */
+export function findQuarantinedCause(
   context: ForwardContext,
-  { sharedParts }: AcceptedRequest,
+  { sharedParts, digest }: AcceptedRequest,
 ): string | undefined {
-  return sharedParts.length === 0 ? undefined : context.crashLedger.findQuarantined(sharedParts);
+  return context.crashLedger.findQuarantined(sharedParts, digest);
+}
+
+/** What the next attempt asks of its server, apart from the request itself. */
+export function describeAttempt(
+  context: ForwardContext,
+  { sharedParts, digest }: AcceptedRequest,
+  { runs }: RequestProgress,
+): AttemptContent {
+  const generation = 1 + Math.max(context.crashLedger.generationOf(digest), runs);
+  return { sharedParts, digest, generation };
 }
 
 export function computeRemainingMilliseconds(
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -10,7 +10,7 @@
 import type { BackendServer, Catalog, Configuration, GroupRank, Route } from '@lapisbridge/catalog';
 import { createSilentLogger } from '@lapisbridge/logger';
 import { createCrashLedger } from '@lapisbridge/crash-attribution';
-import type { CrashLedger } from '@lapisbridge/crash-attribution';
+import type { CrashLedger, CrashStatements } from '@lapisbridge/crash-attribution';
 import type { Logger } from '@lapisbridge/logger';
 import { createMetrics } from '@lapisbridge/metrics';
 
@@ -28,7 +28,7 @@
 import type { SendingEntries } from './sender-rank.js';
 import { createServerBackoffs } from './server-backoffs.js';
 import { createServerDepartures } from './server-departures.js';
-import { createServerEndDetector, processKeyOf } from './server-end-detector.js';
+import { createServerEndDetector } from './server-end-detector.js';
 import { createServerLoadTracker } from './server-load-tracker.js';
 import { createServerLiveness } from './server-liveness.js';
 import type { ServerLiveness } from './server-liveness.js';
@@ -54,6 +54,8 @@
   readonly liveness: ServerLiveness;
   /** Records the decisions about each request. */
   readonly logger: Logger;
+  /** What was announced to other entries. */
+  readonly announcements: readonly CrashStatements[];
   /** Ends the process of a backend server: it closes its connections and refuses new ones. */
   end(instanceId: string): void;
   close(): Promise<void>;
@@ -148,6 +150,7 @@
 
 export async function startFixture(options: FixtureOptions): Promise<Fixture> {
   const arrivals: ReceivedRequest[] = [];
+  const announcements: CrashStatements[] = [];
   const running: Server[] = [];
   const serversById = new Map<string, Server>();
   const sockets = new Set<Socket>();
@@ -207,9 +210,15 @@
   const serverEnds = createServerEndDetector({
     logger,
     probe: probeConnection,
-    onServerEnd: ({ server, endedAt, suspects }) =>
-      crashLedger.recordCrash({ server: processKeyOf(server), endedAt, suspects }),
+    onServerEnd({ process, endedAt, suspects, requests, isSilent }) {
+      const crash = { server: process, endedAt, suspects, requests, isSilent };
+      crashLedger.recordCrash(crash);
+    },
     onProgress: (sharedParts) => crashLedger.recordAnswered(sharedParts),
+    onAnswered: (digest) => crashLedger.recordRequestAnswered(digest),
+    onContact: (process) => crashLedger.recordSurvivor(process),
+    currentProcess: (listed) => crashLedger.currentProcess(listed),
+    isRankSilent: (server) => liveness.isSilent(server),
     now,
   });
   const context: ForwardContext = {
@@ -237,6 +246,10 @@
     }),
     serverEnds,
     crashLedger,
+    announceCrashes() {
+      const announced = crashLedger.takeUnannounced();
+      if (announced !== undefined) announcements.push(announced);
+    },
     arrivals: createArrivalMeter(now),
     entries: () => 1,
     responseBuffers: createResponseBuffers(),
@@ -261,6 +274,7 @@
   return {
     port,
     arrivals,
+    announcements,
     catalog,
     isStuck,
     groupHealth,
--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -8,6 +8,7 @@
 
 import type { ResponseHead } from './caller-protocol.js';
 import { describeRefusal, findHeadFault, provesNotRun } from './response-head.js';
+import { toAttemptEnd } from './attempt-end.js';
 import { ExchangeEndKind } from './exchange.js';
 import type { Exchange, ExchangeEnd } from './exchange.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
@@ -15,12 +16,15 @@
 import { lateThresholdMilliseconds } from './late-answer.js';
 import { OutcomeKind } from './outcome.js';
 import type { Outcome } from './outcome.js';
+import type { AttemptContent } from './server-end-detector.js';
 import type { ResponseBuffer } from './response-buffers.js';
 import { verdictOfRefusal, Verdict } from './server-load-tracker.js';
 
 export interface PlainAttempt {
   readonly server: BackendServer;
   readonly outcome: Promise<Outcome>;
+  /** See `WatchedAttempt`. */
+  readonly settled: Promise<void>;
   cancel(reason: string): void;
 }
 
@@ -82,11 +86,12 @@
   context: ForwardContext,
   accepted: AcceptedRequest,
   server: BackendServer,
+  content: AttemptContent,
 ): PlainAttempt {
   const { ledger, liveness, protocol } = context;
   const { request, requestId } = accepted;
   const startedAt = context.now();
-  const watched = context.serverEnds.watch(server, accepted, (reason) => exchange?.cancel(reason));
+  const watched = context.serverEnds.watch(server, content, (reason) => exchange?.cancel(reason));
   let head: ResponseHead | undefined;
   let isTooLarge = false;
   let exchange: Exchange | undefined;
@@ -112,6 +117,7 @@
       {
         onHead(incoming) {
           liveness.recordContact(server.instanceId);
+          watched.onContact();
           head = protocol.decodeResponseHead(incoming);
           responseBuffer = context.responseBuffers.open(declaredBytesOf(incoming), () => {
             isTooLarge = true;
@@ -138,12 +144,20 @@
             ? classifyCancelled()
             : classifyOutcome(attemptOutcome, ledger.hasFreeSlot(server));
           ledger.recordEnd(server.instanceId, verdict, 0, wasAnswered);
-          if (wasAnswered) watched.onProgress();
-          watched.onEnd(end.kind === ExchangeEndKind.Incomplete);
+          if (wasAnswered) {
+            watched.onProgress();
+            watched.onAnswered();
+          }
+          watched.onEnd(toAttemptEnd(end.kind));
           resolve(attemptOutcome);
         },
       },
     );
   });
-  return { server, outcome, cancel: (reason) => exchange?.cancel(reason) };
+  return {
+    server,
+    outcome,
+    settled: watched.settled,
+    cancel: (reason) => exchange?.cancel(reason),
+  };
 }
--- a/packages/forwarding/src/plan-retry-after.ts
+++ b/packages/forwarding/src/plan-retry-after.ts
@@ -18,7 +18,7 @@
   GroupBroken = 'groupBroken',
   /** Sending the request again would exceed the retry budget. */
   BudgetSpent = 'budgetSpent',
-  /** A part of its prompt crashes the servers that answer it. */
+  /** The request or a part of its prompt crashes the servers that run it. */
   Quarantined = 'quarantined',
   /** The request expired before it could be sent. */
   Expired = 'expired',
--- a/packages/forwarding/src/quarantine.test.ts
+++ b/packages/forwarding/src/quarantine.test.ts
@@ -13,13 +13,13 @@
 
 afterEach(() => fixture.close());
 
-const SUSPECTS = ['bad'];
+const EVIDENCE = { suspects: ['bad'], requests: [], isSilent: false };
 
 /** Makes the entry blame the part. */
 async function quarantine(): Promise<void> {
   const now = performance.now();
-  fixture.crashLedger.recordCrash({ server: 'ended-1', endedAt: now - 9000, suspects: SUSPECTS });
-  fixture.crashLedger.recordCrash({ server: 'ended-2', endedAt: now - 5000, suspects: SUSPECTS });
+  fixture.crashLedger.recordCrash({ server: 'ended-1', endedAt: now - 9000, ...EVIDENCE });
+  fixture.crashLedger.recordCrash({ server: 'ended-2', endedAt: now - 5000, ...EVIDENCE });
   await sleep(0);
 }
 
--- a/packages/forwarding/src/serve-plain.ts
+++ b/packages/forwarding/src/serve-plain.ts
@@ -11,7 +11,8 @@
 import {
   computeRemainingMilliseconds,
   createProgress,
-  findQuarantinedPart,
+  describeAttempt,
+  findQuarantinedCause,
 } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
 import { lateThresholdMilliseconds } from './late-answer.js';
@@ -26,6 +27,7 @@
 import { planRoomWait } from './plan-wait.js';
 import { createRetryAccount } from './retry-account.js';
 import { RetryCause, retryCauseAfter } from './retry-budget-share.js';
+import { mayEndServers, settleLosses } from './settle-losses.js';
 import { roundedOrNone } from './rounded-or-none.js';
 
 /** Maximum sends of one request, including refused ones; beyond it the service counts as full. */
@@ -147,7 +149,7 @@
 
   /** Starts one more attempt, or returns why none can be started. */
   function startNextAttempt(): StartResult {
-    if (findQuarantinedPart(context, accepted) !== undefined) {
+    if (findQuarantinedCause(context, accepted) !== undefined) {
       return cannotStart(RefusalCause.Quarantined);
     }
     if (progress.sends >= MAXIMUM_SENDS) return cannotStart(RefusalCause.Full);
@@ -161,10 +163,13 @@
     if (!retries.tryBegin(retryCause())) {
       return cannotStart(RefusalCause.BudgetSpent);
     }
+    const content = describeAttempt(context, accepted, progress);
     progress.sends += 1;
     progress.runs += 1;
     progress.tried.add(server.instanceId);
-    running.add(startPlainAttempt(context, accepted, server));
+    const attempt = startPlainAttempt(context, accepted, server, content);
+    progress.settlements.push(attempt.settled);
+    running.add(attempt);
     return { kind: StartKind.Started };
   }
 
@@ -203,15 +208,17 @@
     response.send(outcome.head.status, outcome.head.headers, outcome.body);
   }
 
-  function conclude(
+  async function conclude(
     cause: RefusalCause,
     lastAttempt: PlainAttempt | undefined,
     expectedWaitMilliseconds?: number,
-  ): void {
+  ): Promise<void> {
     if (errorResponse !== undefined && lastAttempt !== undefined) {
       sendToCaller(errorResponse, lastAttempt);
       return;
     }
+    if (progress.runs > 0) await settleLosses(context, progress);
+    if (response.isEnded) return;
     const reason = describeEnd(context, accepted, progress, cause);
     const proof = proveNotRun(progress.outcomes, reason);
     if (proof === undefined) failRequest(context, accepted, reason, isExpired);
@@ -224,9 +231,10 @@
     for (;;) {
       if (response.isEnded) return;
       if (running.size === 0) {
+        if (mayEndServers(context, accepted, progress)) await settleLosses(context, progress);
         const start = startNextAttempt();
         if (start.kind === StartKind.None) {
-          conclude(start.cause, lastAttempt, start.expectedWaitMilliseconds);
+          await conclude(start.cause, lastAttempt, start.expectedWaitMilliseconds);
           return;
         }
         if (start.kind === StartKind.Delayed) {
@@ -242,7 +250,8 @@
         const unsettled: Outcome = { kind: OutcomeKind.Unknown, reason: 'no response in time' };
         if (isExpired) {
           progress.outcomes.push(unsettled);
-          conclude(RefusalCause.Expired, undefined);
+          cancelAll('request expired');
+          await conclude(RefusalCause.Expired, undefined);
           return;
         }
         continue;
@@ -273,7 +282,7 @@
           if (!outcome.wasSent) retries.onNotSent();
         } else if (!isIdempotent || progress.runs >= route.maximumAttempts) {
           if (running.size > 0) continue;
-          conclude(RefusalCause.Full, errorResponse === undefined ? undefined : attempt);
+          await conclude(RefusalCause.Full, errorResponse === undefined ? undefined : attempt);
           return;
         }
       }
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -10,7 +10,8 @@
 import {
   computeRemainingMilliseconds,
   createProgress,
-  findQuarantinedPart,
+  describeAttempt,
+  findQuarantinedCause,
 } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
 import { logRequestEnd, RequestEndKind } from './request-end.js';
@@ -26,6 +27,7 @@
 import type { StreamDelay } from './stream-delay.js';
 import { createRetryAccount } from './retry-account.js';
 import { RetryCause, retryCauseAfter } from './retry-budget-share.js';
+import { mayEndServers, settleLosses } from './settle-losses.js';
 import { startStreamAttempt, StreamEndKind } from './stream-attempt.js';
 import type { StreamAttempt, StreamEnd } from './stream-attempt.js';
 import { createStreamRecord } from './stream-record.js';
@@ -137,7 +139,7 @@
   /** Starts one more attempt, or returns why none can be started. */
   function startNextAttempt(): StartResult {
     if (state.timeout !== undefined) return { kind: StartKind.None, cause: state.timeout };
-    if (findQuarantinedPart(context, accepted) !== undefined) {
+    if (findQuarantinedCause(context, accepted) !== undefined) {
       return { kind: StartKind.None, cause: RefusalCause.Quarantined };
     }
     if (progress.sends - state.groupRefusals >= MAXIMUM_SENDS) {
@@ -150,11 +152,20 @@
     if (!retries.tryBegin(retryCause())) {
       return { kind: StartKind.None, cause: RefusalCause.BudgetSpent };
     }
+    const content = describeAttempt(context, accepted, progress);
     progress.sends += 1;
     progress.runs += 1;
     progress.tried.add(server.instanceId);
     record.recordSend();
-    const attempt = startStreamAttempt(context, accepted, server, record.sink, state.isMoved);
+    const attempt = startStreamAttempt(
+      context,
+      accepted,
+      server,
+      content,
+      record.sink,
+      state.isMoved,
+    );
+    progress.settlements.push(attempt.settled);
     state.currentAttempt = attempt;
     state.server = server;
     return { kind: StartKind.Started, server, attempt };
@@ -215,7 +226,9 @@
   }
 
   /** Ends the stream with a refusal or a failure. `delay` is what prevented the last send. */
-  function conclude(cause: RefusalCause, delay?: StreamDelay): void {
+  async function conclude(cause: RefusalCause, delay?: StreamDelay): Promise<void> {
+    if (progress.runs > 0) await settleLosses(context, progress);
+    if (response.isEnded) return;
     const reason = describeEnd(context, accepted, progress, cause);
     const proof = response.hasBegun ? undefined : proveNotRun(progress.outcomes, reason);
     if (proof === undefined) {
@@ -264,6 +277,7 @@
   try {
     for (;;) {
       if (response.isEnded) return;
+      if (mayEndServers(context, accepted, progress)) await settleLosses(context, progress);
       const start = startNextAttempt();
       if (start.kind === StartKind.Delayed) {
         const { delay } = start;
@@ -273,7 +287,7 @@
         };
         const mustGiveUp = !(await waitForServer(context, accepted, delay, waitSituation));
         if (mustGiveUp || state.timeout !== undefined) {
-          conclude(REFUSAL_CAUSE_BY_DELAY[delay.kind], delay);
+          await conclude(REFUSAL_CAUSE_BY_DELAY[delay.kind], delay);
           return;
         }
         // Ranks that refused because of their group may accept requests again.
@@ -281,7 +295,7 @@
         continue;
       }
       if (start.kind === StartKind.None) {
-        conclude(start.cause);
+        await conclude(start.cause);
         return;
       }
       const { server, attempt } = start;
@@ -306,7 +320,7 @@
           return;
         case StreamEndKind.Answered:
           if (response.hasBegun) {
-            conclude(RefusalCause.Full);
+            await conclude(RefusalCause.Full);
             return;
           }
           logResponse(server, end.head.status);
@@ -322,7 +336,7 @@
           break;
         case StreamEndKind.Incomplete:
           if (state.timeout !== undefined || !canResume()) {
-            conclude(state.timeout ?? RefusalCause.Expired);
+            await conclude(state.timeout ?? RefusalCause.Expired);
             return;
           }
           break;
--- a/packages/forwarding/src/server-end-detector.test.ts
+++ b/packages/forwarding/src/server-end-detector.test.ts
@@ -5,6 +5,7 @@
 
 import { serverWith } from './backend-server-fixture.js';
 import { ProbeResult } from './connection-probe.js';
+import { AttemptEnd } from './attempt-end.js';
 import { createServerEndDetector } from './server-end-detector.js';
 import type {
   AttemptContent,
@@ -18,7 +19,11 @@
 /** Content of a request that is told from others by its parts. */
 function contentOf(sharedParts: readonly string[]): AttemptContent {
   const content = { method: 'POST', host: 'host', target: '/', promptParts: sharedParts };
-  return { sharedParts, digest: createRequestDigest({ ...content, body: Buffer.alloc(0) }) };
+  return {
+    sharedParts,
+    digest: createRequestDigest({ ...content, body: Buffer.alloc(0) }),
+    generation: 1,
+  };
 }
 
 function ignoreCancel(): void {
@@ -36,6 +41,10 @@
       probe: () => Promise.resolve(result),
       onServerEnd: (end) => ends.push(end),
       onProgress: () => undefined,
+      onAnswered: () => undefined,
+      onContact: () => undefined,
+      currentProcess: (listed) => listed,
+      isRankSilent: () => false,
       now: () => performance.now(),
     });
   }
@@ -46,8 +55,8 @@
     started.onProgress();
     const waiting = watched.watch(server, contentOf(['a', 'c']), ignoreCancel);
     const cancelled = watched.watch(server, contentOf(['d']), ignoreCancel);
-    for (const lost of [started, waiting]) lost.onEnd(true);
-    cancelled.onEnd(false);
+    for (const lost of [started, waiting]) lost.onEnd(AttemptEnd.ConnectionLost);
+    cancelled.onEnd(AttemptEnd.Cancelled);
     await sleep(PROBE_MILLISECONDS);
     expect(ends).toHaveLength(1);
     expect(ends[0]).toMatchObject({ server, lostRequests: 2, suspects: ['a', 'c'] });
@@ -60,18 +69,20 @@
     for (const content of contents) {
       const attempt = watched.watch(server, content, ignoreCancel);
       attempt.onProgress();
-      attempt.onEnd(true);
+      attempt.onEnd(AttemptEnd.ConnectionLost);
     }
     await sleep(PROBE_MILLISECONDS);
     expect(ends[0]?.suspects).toEqual([]);
-    expect(ends[0]?.requests).toEqual(contents.map(({ digest }) => digest.full()));
+    expect(ends[0]?.requests.map(({ digest }) => digest)).toEqual(
+      contents.map(({ digest }) => digest.full()),
+    );
   });
 
   it('is reported again when more requests are found to be lost with it', async () => {
     const watched = detector(ProbeResult.Refused);
-    watched.watch(server, contentOf(['a']), ignoreCancel).onEnd(true);
+    watched.watch(server, contentOf(['a']), ignoreCancel).onEnd(AttemptEnd.ConnectionLost);
     await sleep(PROBE_MILLISECONDS);
-    watched.watch(server, contentOf(['b']), ignoreCancel).onEnd(true);
+    watched.watch(server, contentOf(['b']), ignoreCancel).onEnd(AttemptEnd.ConnectionLost);
     expect(ends.map(({ suspects }) => suspects)).toEqual([['a'], ['a', 'b']]);
     expect(watched.endedServers()).toBe(1);
   });
@@ -81,7 +92,7 @@
     async (result) => {
       // Guards against blaming requests for cut links and lost answers.
       const watched = detector(result);
-      watched.watch(server, contentOf(['a']), ignoreCancel).onEnd(true);
+      watched.watch(server, contentOf(['a']), ignoreCancel).onEnd(AttemptEnd.ConnectionLost);
       await sleep(PROBE_MILLISECONDS);
       watched.keepOnly(new Map());
       expect(ends).toEqual([]);
@@ -90,7 +101,7 @@
 
   it('is inferred from another process at its address', async () => {
     const watched = detector(ProbeResult.Inconclusive);
-    watched.watch(server, contentOf(['a']), ignoreCancel).onEnd(true);
+    watched.watch(server, contentOf(['a']), ignoreCancel).onEnd(AttemptEnd.ConnectionLost);
     await sleep(PROBE_MILLISECONDS);
     watched.keepOnly(new Map([['server', serverWith({ startedAt: 2 })]]));
     expect(ends).toHaveLength(1);
@@ -99,7 +110,7 @@
   it('is not reported for a server that drains', async () => {
     const watched = detector(ProbeResult.Refused);
     watched.keepOnly(new Map([['server', serverWith({ draining: true })]]));
-    watched.watch(server, contentOf(['a']), ignoreCancel).onEnd(true);
+    watched.watch(server, contentOf(['a']), ignoreCancel).onEnd(AttemptEnd.ConnectionLost);
     await sleep(PROBE_MILLISECONDS);
     expect(ends).toEqual([]);
   });
@@ -112,7 +123,7 @@
     watch('pending', 'a', 'bad');
     watch('other', 'a');
     watch('answered', 'bad').onProgress();
-    watch('ended', 'bad').onEnd(false);
+    watch('ended', 'bad').onEnd(AttemptEnd.Cancelled);
     watched.cancelWith('bad');
     expect(cancelled).toEqual(['pending']);
   });
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -4,6 +4,7 @@
  */
 import type { BackendServer } from '@lapisbridge/catalog';
 
+import { toAttemptEnd } from './attempt-end.js';
 import { createByteCollector } from './byte-collector.js';
 import { describeRefusal, findHeadFault, isSuccess, provesNotRun } from './response-head.js';
 import type { ResponseHead } from './caller-protocol.js';
@@ -13,6 +14,7 @@
 import type { Exchange, ExchangeEnd } from './exchange.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
 import { openForwardExchange } from './open-forward.js';
+import type { AttemptContent } from './server-end-detector.js';
 import { verdictOfRefusal, Verdict } from './server-load-tracker.js';
 
 export enum StreamEndKind {
@@ -49,6 +51,8 @@
 
 export interface StreamAttempt {
   readonly end: Promise<StreamEnd>;
+  /** See `WatchedAttempt`. */
+  readonly settled: Promise<void>;
   cancel(reason: string): void;
   /** Ends the attempt because its server does not respond, which counts against the server. */
   abandon(reason: string): void;
@@ -80,6 +84,7 @@
   context: ForwardContext,
   accepted: AcceptedRequest,
   server: BackendServer,
+  content: AttemptContent,
   sink: StreamSink,
   isMoved: boolean,
 ): StreamAttempt {
@@ -87,7 +92,8 @@
   const { request, requestId } = accepted;
   const { promptTokens } = request;
   const startedAt = context.now();
-  const watched = context.serverEnds.watch(server, accepted, (reason) => exchange?.cancel(reason));
+  const resumedAfter = sink.lastEventId();
+  const watched = context.serverEnds.watch(server, content, (reason) => exchange?.cancel(reason));
   const splitter = createEventSplitter();
   const errorBody = createByteCollector();
   let head: ResponseHead | undefined;
@@ -104,6 +110,7 @@
     if (fault !== undefined) return;
     pulse.recordEvent(accepted.service, server.instanceId);
     liveness.recordContact(server.instanceId);
+    watched.onContact();
     switch (classifyEventId(sink.lastEventId(), event.id)) {
       case EventOrder.Duplicate:
         return;
@@ -176,6 +183,12 @@
     return { kind: StreamEndKind.Complete };
   }
 
+  /** A server that only resumed the stream has not run what ended others before it. */
+  function isWholeAnswer({ kind }: StreamEnd): boolean {
+    if (kind === StreamEndKind.Answered) return true;
+    return kind === StreamEndKind.Complete && resumedAfter === undefined;
+  }
+
   /** A cancelled stream says nothing about a server with a queue, unless the server is silent. */
   function classifyIncomplete(exchangeEnd: ExchangeEnd): Verdict {
     if (exchangeEnd.kind !== ExchangeEndKind.Cancelled || fault !== undefined)
@@ -207,10 +220,11 @@
   context.statements.recordSent(server.instanceId);
   const end = new Promise<StreamEnd>((resolve) => {
     exchange = openForwardExchange(
-      { context, accepted, server, lastEventId: sink.lastEventId(), isMoved },
+      { context, accepted, server, lastEventId: resumedAfter, isMoved },
       {
         onHead(incoming) {
           liveness.recordContact(server.instanceId);
+          watched.onContact();
           head = protocol.decodeResponseHead(incoming);
           if (head.load !== undefined) ledger.recordReport(server.instanceId, head.load);
           context.statements.onAnswer({ server, head, requestId, sentAt: startedAt });
@@ -226,11 +240,12 @@
           const verdict = classifyEnd(streamEnd, exchangeEnd);
           ledger.recordEnd(server.instanceId, verdict, promptTokens, eventCount > 0);
           if (streamEnd.kind === StreamEndKind.Complete) watched.onProgress();
-          watched.onEnd(exchangeEnd.kind === ExchangeEndKind.Incomplete);
+          if (isWholeAnswer(streamEnd)) watched.onAnswered();
+          watched.onEnd(toAttemptEnd(exchangeEnd.kind));
           resolve(streamEnd);
         },
       },
     );
   });
-  return { end, cancel: (reason) => exchange?.cancel(reason), abandon };
+  return { end, settled: watched.settled, cancel: (reason) => exchange?.cancel(reason), abandon };
 }
