Show quarantined requests in explain and incident; limit them apart from parts

Operators saw requests refused as quarantined, without the quarantine among the beliefs and periods that explain and incident tell. Requests and prompt parts now have limits of their own, so that neither fills the other's, and what a silent server leaves unanswered is kept only where a report may need it.

--- a/packages/crash-attribution/src/crash-ledger.ts
+++ b/packages/crash-attribution/src/crash-ledger.ts
@@ -198,11 +198,20 @@
     else logger.info('prompt part released', { part: cause, reason });
   }
 
+  /** Parts and requests are limited apart, so that neither prevents the other's quarantine. */
+  function countQuarantined(isRequest: boolean): number {
+    let count = 0;
+    for (const cause of quarantinedAt.keys()) if (isRequestDigest(cause) === isRequest) count += 1;
+    return count;
+  }
+
   function quarantine(cause: string, at: number, facts: Readonly<Record<string, unknown>>): void {
     if (quarantinedAt.has(cause)) return;
     const isRequest = isRequestDigest(cause);
-    if (quarantinedAt.size >= MAXIMUM_QUARANTINED) {
-      logger.warn('quarantine full', { cause, quarantined: quarantinedAt.size });
+    const quarantined = countQuarantined(isRequest);
+    if (quarantined >= MAXIMUM_QUARANTINED) {
+      if (isRequest) logger.warn('request not quarantined', { request: cause, quarantined });
+      else logger.warn('prompt part not quarantined', { part: cause, quarantined });
       return;
     }
     quarantinedAt.set(cause, at);
@@ -448,7 +457,7 @@
       return {
         crashes: listed.map(stateCrash),
         cleared: agesOf(clearedAt, clearedAt.size).filter(({ cause }) => causes.has(cause)),
-        quarantined: agesOf(quarantinedAt, isAll ? MAXIMUM_QUARANTINED : MAXIMUM_RECENT_CAUSES),
+        quarantined: agesOf(quarantinedAt, isAll ? 2 * MAXIMUM_QUARANTINED : MAXIMUM_RECENT_CAUSES),
         released: agesOf(releasedAt, isAll ? MAXIMUM_RELEASED : MAXIMUM_RECENT_CAUSES),
       };
     },
--- a/packages/forwarding/src/silence-watch.ts
+++ b/packages/forwarding/src/silence-watch.ts
@@ -68,13 +68,13 @@
   let timer: NodeJS.Timeout | undefined;
 
   function check(): void {
-    let pendingCount = 0;
+    let count = 0;
     for (const watched of watchedServers.values()) {
-      pendingCount += watched.pending.size;
       checkServer(watched);
       removeExpired(watched);
+      count += watched.pending.size + watched.unanswered.size;
     }
-    if (pendingCount > 0) return;
+    if (count > 0) return;
     clearInterval(timer);
     timer = undefined;
   }
@@ -89,6 +89,13 @@
     return sentAt.length === 0 ? undefined : Math.max(lastContactAt, Math.min(...sentAt));
   }
 
+  /** Keeps only what a report needs, since the content of a request may be large. */
+  function isPossibleCause(watched: WatchedServer, { sentAt }: PendingSend): boolean {
+    const silentSince = silentSinceOf(watched);
+    if (silentSince === undefined || sentAt < watched.lastContactAt) return false;
+    return sentAt <= silentSince + CONCURRENT_MILLISECONDS;
+  }
+
   function report(watched: WatchedServer, silentSince: number, isReplaced: boolean): void {
     const sends = [...watched.unanswered, ...watched.pending].filter(
       ({ sentAt }) => sentAt <= silentSince + CONCURRENT_MILLISECONDS,
@@ -167,7 +174,7 @@
         case AttemptEnd.Cancelled:
           checkServer(watched);
           // The server may be found to have ended later.
-          if (sent.sentAt >= watched.lastContactAt) watched.unanswered.add(sent);
+          if (isPossibleCause(watched, sent)) watched.unanswered.add(sent);
           break;
         case AttemptEnd.Other:
           break;
--- a/packages/log-story/src/draw-timeline.ts
+++ b/packages/log-story/src/draw-timeline.ts
@@ -57,6 +57,12 @@
   readonly lastsMilliseconds?: number;
 }
 
+function describeQuarantine({ servers, source }: LogLine['fields']): string {
+  return servers === undefined
+    ? `reported by ${String(source)}`
+    : `servers ended: ${String(servers)}`;
+}
+
 function describeSuspects(suspects: unknown): string {
   return suspects === '' ? 'no prompt part under suspicion' : `suspects ${String(suspects)}`;
 }
@@ -106,10 +112,14 @@
       return {
         matter: `quarantine of prompt part ${String(fields.part)}`,
         begins: event === 'prompt part quarantined',
-        cause:
-          fields.servers === undefined
-            ? `reported by ${String(fields.source)}`
-            : `servers ended: ${String(fields.servers)}`,
+        cause: describeQuarantine(fields),
+      };
+    case 'request quarantined':
+    case 'request released':
+      return {
+        matter: `quarantine of request ${String(fields.request)}`,
+        begins: event === 'request quarantined',
+        cause: describeQuarantine(fields),
       };
     case 'server backoff':
       return {
--- a/packages/log-story/src/log-story.test.ts
+++ b/packages/log-story/src/log-story.test.ts
@@ -217,6 +217,24 @@
     ]);
   });
 
+  it('shows which request is quarantined', () => {
+    const request = { request: 'r0d' };
+    const servers = 'i-1 by this entry, i-2 by entry-2';
+    const lines = linesOf(
+      { second: 1, event: 'request quarantined', ...request, servers },
+      { second: 2, kind: 'refusal', subject: 'id', choice: 'quarantined', reason: 'x' },
+      { second: 4, event: 'request released', ...request, reason: 'operator' },
+    );
+    expect(drawTimeline(lines).periods).toMatchObject([
+      {
+        matter: 'quarantine of request r0d',
+        milliseconds: 3000,
+        cause: `servers ended: ${servers}`,
+        refused: 1,
+      },
+    ]);
+  });
+
   it('leaves open what was not regained', () => {
     const lines = linesOf({ second: 1, event: 'group lost', group: 'g', cause: 'refused' });
     expect(drawTimeline(lines).periods).toMatchObject([
--- a/packages/log-story/src/tell-story.ts
+++ b/packages/log-story/src/tell-story.ts
@@ -62,6 +62,9 @@
     case 'prompt part quarantined':
     case 'prompt part released':
       return { matter: `prompt part ${String(fields.part)}`, state: event };
+    case 'request quarantined':
+    case 'request released':
+      return { matter: `request ${String(fields.request)}`, state: event };
     case 'copy taken from a peer':
       return { matter: `copy of ${String(fields.table)}`, state: `from ${String(fields.host)}` };
     case 'started':
