--- a/packages/crash-attribution/src/crash-ledger.ts
+++ b/packages/crash-attribution/src/crash-ledger.ts
@@ -99,7 +99,7 @@
 /** Bounds on what callers can make an entry keep and send. */
 const MAXIMUM_CRASHES = 64;
 const MAXIMUM_SUSPECTS = 32;
-const MAXIMUM_REQUESTS = 32;
+const MAXIMUM_REQUESTS = 16;
 const MAXIMUM_QUARANTINED = 256;
 const MAXIMUM_RELEASED = 256;
 const MAXIMUM_RECENT_CRASHES = 8;
--- a/packages/direct-entry/src/plan-quarantine-rows.ts
+++ b/packages/direct-entry/src/plan-quarantine-rows.ts
@@ -33,6 +33,8 @@
 };
 
 const EVIDENCE_KEY = 'evidence';
+/** Of each crash; a full ledger has to fit into one row of 64 KB. */
+const MAXIMUM_STORED_REQUESTS = 8;
 const CAUSE_PREFIX = 'quarantined/';
 
 function addAge(statements: CrashStatements, ageMilliseconds: number): CrashStatements {
@@ -94,7 +96,9 @@
   const repeated = findRepeated(known.crashes);
   const crashes: CrashStatement[] = [];
   for (const crash of known.crashes) {
-    const requests = crash.requests.filter(({ digest }) => repeated.has(digest));
+    const requests = crash.requests
+      .filter(({ digest }) => repeated.has(digest))
+      .slice(0, MAXIMUM_STORED_REQUESTS);
     const isOpen =
       crash.suspects.some((part) => !resolved.has(part)) ||
       requests.some(({ digest }) => !resolved.has(digest));
