--- a/packages/soak/src/site.ts
+++ b/packages/soak/src/site.ts
@@ -211,8 +211,8 @@
       server.startedAt += 1;
       server.runner.isLeaving = false;
       departureWatch.onReplaced(server.instanceId);
-      // The new process knows none of the old connections.
-      server.link.setMode(LinkMode.Refusing);
+      // The new process knows none of the connections that its predecessor left open.
+      if (mode === LinkMode.Silent) server.link.setMode(LinkMode.Resetting);
       server.link.setMode(LinkMode.Passing);
       if (rank >= 0) group.restart(rank);
     };
