--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -234,15 +234,10 @@
   sidecar: ['--max-old-space-size=64', '--max-semi-space-size=2', 'target/sidecar.js'],
 };
 
-/** Starts one of the project's programs as its own process. */
-export function startProgram(role, settings) {
-  const folder = mkdtempSync(join(tmpdir(), 'lapisbridge-review-'));
-  folders.push(folder);
-  const file = join(folder, 'settings.json');
-  writeFileSync(file, JSON.stringify({ role, ...settings }));
-  const child = spawn(process.execPath, COMMANDS[role], {
+function startProcess(command, environment) {
+  const child = spawn(process.execPath, command, {
     cwd: ROOT,
-    env: { PATH: process.env.PATH, HOME: process.env.HOME, LAPISBRIDGE_SETTINGS: file },
+    env: { PATH: process.env.PATH, HOME: process.env.HOME, ...environment },
     stdio: ['ignore', 'pipe', 'inherit'],
   });
   children.add(child);
@@ -268,6 +263,20 @@
   return { child, lines, exited };
 }
 
+/** Starts a stand-in of this review as its own process. */
+export function startStandIn(file, ...words) {
+  return startProcess([file, ...words], {});
+}
+
+/** Starts one of the project's programs as its own process. */
+export function startProgram(role, settings) {
+  const folder = mkdtempSync(join(tmpdir(), 'lapisbridge-review-'));
+  folders.push(folder);
+  const file = join(folder, 'settings.json');
+  writeFileSync(file, JSON.stringify({ role, ...settings }));
+  return startProcess(COMMANDS[role], { LAPISBRIDGE_SETTINGS: file });
+}
+
 /** Ends what was started, and removes the temporary folders. */
 export function cleanUp() {
   for (const child of children) {
