--- a/review/lib/site.mjs
+++ b/review/site.mjs
@@ -12,7 +12,7 @@
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-export const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
+export const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..');
 /** Whether the disruption takes place; `TROUBLE=0` is the same run without it. */
 export const TROUBLE = process.env.TROUBLE !== '0';
 
