--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -179,7 +179,8 @@
   );
   const wasReady = await waitUntil(() => isReady(`${HOST}:${readiness}`), 15_000);
   if (!wasReady) throw new Error('the entry was not ready in time');
-  await sleep(1500);
+  // In touch: longer than `contact_ms` after the start.
+  await sleep(4000);
 
   const agent = new Agent({ keepAlive: true });
   const base = { port: front, path: '/order/form', method: 'POST', agent, record };
