--- a/review/5/case.mjs
+++ b/review/earlier/5/case.mjs
@@ -21,7 +21,7 @@
   startStore,
   TROUBLE,
   waitUntil,
-} from '../site.mjs';
+} from '../../site.mjs';
 
 const HOST = '127.0.0.1';
 const RUNNERS = 3;
