Log when an entry assumes an outage of the store and which unlisted servers it keeps

The logs said when an entry lost and regained the store, but neither that it took this for an outage of the store, on which evidence, nor which servers it kept and for how long, so four hypotheses could not be told apart:

1. an entry's own silence counts as an outage of the store; 2. the time for which servers are kept runs from the entry's first answer, not from the store's return; 3. the timer that ends it fires early, and the servers stay until the table changes next; 4. copies from peers bring a removed server back.

What tells them apart: whether calls of this entry failed and how long ago the last of them began (2), how long servers were kept (3), whether a copy of a peer precedes a server that comes back (4).

--- a/packages/catalog/src/follow-table.ts
+++ b/packages/catalog/src/follow-table.ts
@@ -31,8 +31,17 @@
   now(): number;
   /** Called with all rows, as of a revision, after every change. */
   onRows(rows: ReadonlyMap<string, StoreRow>, revision: number): void;
-  /** Called after each call to the store; the reason is empty after a success. */
-  onStoreResult(succeeded: boolean, reason: string): void;
+  /** Called after each call to the store. */
+  onStoreResult(result: StoreCallResult): void;
+}
+
+/** Outcome of a call to the store. */
+export interface StoreCallResult {
+  readonly succeeded: boolean;
+  /** Why the call failed; empty after a success. */
+  readonly reason: string;
+  /** When the call was made: milliseconds of the local clock. */
+  readonly requestedAt: number;
 }
 
 /** A response of the store showing that the copy was up to date. */
@@ -140,13 +149,15 @@
       return;
     }
     let pause = options.pauseMilliseconds();
+    const requestedAt = options.now();
     try {
       if (isLoaded) await pollChanges();
       else await loadAllRows();
       failures = 0;
-      options.onStoreResult(true, '');
+      options.onStoreResult({ succeeded: true, reason: '', requestedAt });
     } catch (thrown) {
-      options.onStoreResult(false, thrown instanceof Error ? thrown.message : String(thrown));
+      const reason = thrown instanceof Error ? thrown.message : String(thrown);
+      options.onStoreResult({ succeeded: false, reason, requestedAt });
       const maximumPause = Math.min(
         options.maximumRetryMilliseconds(),
         INITIAL_RETRY_MILLISECONDS * 2 ** Math.min(failures, 6),
--- a/packages/catalog/src/index.ts
+++ b/packages/catalog/src/index.ts
@@ -19,7 +19,7 @@
   WeightedService,
 } from './types.js';
 export { followTable } from './follow-table.js';
-export type { FollowTableOptions, TableFollower } from './follow-table.js';
+export type { FollowTableOptions, StoreCallResult, TableFollower } from './follow-table.js';
 export { FeedKind, TransactionKind } from './store.js';
 export type {
   Feed,
--- a/packages/direct-entry/src/catalog-sync.ts
+++ b/packages/direct-entry/src/catalog-sync.ts
@@ -16,6 +16,7 @@
   FreshnessReport,
   ServerList,
   Store,
+  StoreCallResult,
   TableFollower,
 } from '@lapisbridge/catalog';
 import { ReadingRole } from '@lapisbridge/fleet';
@@ -49,6 +50,8 @@
 const FETCH_STAGGER_MILLISECONDS = 150;
 /** Shortest interval between two log lines about failed fetches. */
 const FETCH_LOG_INTERVAL_MILLISECONDS = 1000;
+/** Most instance ids in one log line. */
+const MAXIMUM_LOGGED_SERVERS = 20;
 /** Upper bounds of the backoff while calls to the store fail. */
 const MAXIMUM_DELEGATE_RETRY_MILLISECONDS = 800;
 const MAXIMUM_FOLLOWER_RETRY_MILLISECONDS = 3000;
@@ -125,6 +128,11 @@
   let isStoreReachable = true;
   let recoveredAt = -Infinity;
   let serversAppliedAt = now();
+  /** When the last failed call to the store began and ended, on the local clock. */
+  let failedCall = { startedAt: -Infinity, endedAt: -Infinity };
+  /** Servers in use that the list lacks, and since when. */
+  let retainedIds: readonly string[] = [];
+  let retainedSince = -Infinity;
   /** Time since which another entry has had a newer copy; undefined while none has. */
   const behindSince: Record<FollowedTable, number | undefined> = {
     [FollowedTable.Operators]: undefined,
@@ -147,7 +155,11 @@
     });
   }
 
-  function onStoreResult(table: FollowedTable, succeeded: boolean, reason: string): void {
+  function onStoreResult(
+    table: FollowedTable,
+    { succeeded, reason, requestedAt }: StoreCallResult,
+  ): void {
+    if (!succeeded) failedCall = { startedAt: requestedAt, endedAt: now() };
     // A response of the store is at least as new as the copies that others have reported.
     if (succeeded) behindSince[table] = undefined;
     if (succeeded === isStoreReachable) return;
@@ -165,9 +177,33 @@
     );
     if (Math.min(now() - serversAppliedAt, peerConfirmationAge) <= OUTAGE_MILLISECONDS) return;
     recoveredAt = now();
+    logger.info('store outage assumed', {
+      silence: Math.round(now() - serversAppliedAt),
+      peerConfirmationAge: roundFinite(peerConfirmationAge),
+      sinceFailedCallBegan: roundFinite(now() - failedCall.startedAt),
+      sinceFailedCallEnded: roundFinite(now() - failedCall.endedAt),
+    });
     setTimeout(dropExpiredServers, REREGISTRATION_MILLISECONDS);
   }
 
+  /** Logs when servers that the list lacks are kept in use, and when they are dropped. */
+  function logRetention(
+    listed: ReadonlyMap<string, unknown>,
+    used: ReadonlyMap<string, unknown>,
+  ): void {
+    const retained = [...used.keys()].filter((instanceId) => !listed.has(instanceId));
+    if (retained.join() === retainedIds.join()) return;
+    const dropped = retainedIds.filter((instanceId) => !used.has(instanceId));
+    if (retainedIds.length === 0) retainedSince = now();
+    retainedIds = retained;
+    logger.info('unlisted servers', {
+      retained: retained.length,
+      dropped: dropped.length,
+      servers: [...retained, ...dropped].slice(0, MAXIMUM_LOGGED_SERVERS),
+      milliseconds: Math.round(now() - retainedSince),
+    });
+  }
+
   function applyServers(rows: TableRows, revision: number): void {
     onServersConfirmed();
     serversAppliedAt = now();
@@ -178,6 +214,7 @@
       sinceRecoveryMilliseconds: now() - recoveredAt,
     });
     catalog.replaceServers({ revision, servers });
+    logRetention(listed.servers, servers);
     const fingerprint = fingerprintOfServers(listed);
     if (freshness.replaceFingerprint(FollowedTable.Servers, fingerprint))
       options.onFreshnessChange();
@@ -269,8 +306,7 @@
       longPollMilliseconds: () => readPlan().operatorsLongPollMilliseconds,
       pauseMilliseconds: () => readPlan().operatorsPauseMilliseconds,
       onRows: applyOperatorState,
-      onStoreResult: (succeeded, reason) =>
-        onStoreResult(FollowedTable.Operators, succeeded, reason),
+      onStoreResult: (result) => onStoreResult(FollowedTable.Operators, result),
     }),
     [FollowedTable.Servers]: followTable({
       ...sharedOptions,
@@ -279,7 +315,7 @@
       longPollMilliseconds: () => readPlan().serversLongPollMilliseconds,
       pauseMilliseconds: () => readPlan().serversPauseMilliseconds,
       onRows: applyServers,
-      onStoreResult: (succeeded, reason) => onStoreResult(FollowedTable.Servers, succeeded, reason),
+      onStoreResult: (result) => onStoreResult(FollowedTable.Servers, result),
     }),
   };
 
