Drop servers that the store removed within the bound after a cut or an outage

Cause: rows of live servers may expire while the store is away, so servers that the first list lacks stay in use for two seconds. These were counted from the entry's first answer, which came up to 1.8 s after the return: a call was given up after a second, and the next one followed 0.4 to 0.8 s later. A timer that fired early by a fraction of a millisecond then left the servers in use until the table changed next.

Why it works: the return can't be earlier than the start of the last failed call, nor, since calls follow each other within 0.8 s, much earlier than the first confirmation. A list that is read 2.5 s after that time holds every live server, and that is before an entry is in touch again. The list is read then, and servers are dropped by a confirmation instead of a timer. While calls fail the store may not hold them, so they fail sooner. A silence of two seconds counts as an outage if a call failed in it; an entry whose readers fell silent keeps to the draining bound unless another entry reports an outage.

--- a/packages/catalog/src/catalog.test.ts
+++ b/packages/catalog/src/catalog.test.ts
@@ -2,7 +2,7 @@
 
 import { createCatalog } from './catalog.js';
 import { followTable } from './follow-table.js';
-import { REREGISTRATION_MILLISECONDS, retainExpiredServers } from './retain-expired-servers.js';
+import { retainExpiredServers } from './retain-expired-servers.js';
 import { createStoreClock } from './store-clock.js';
 import { FeedKind } from './store.js';
 import type { Feed, RowList, Store, StoreRow } from './store.js';
@@ -70,27 +70,21 @@
     // Guards against rejecting requests for two seconds after an outage longer than the lifetime of
     // a row: the first list lacks servers that are idle.
     const listed = new Map([['one', server('one', 1)]]);
-    expect([
-      ...retainExpiredServers({ before, listed, sinceRecoveryMilliseconds: 100 }).keys(),
-    ]).toEqual(['one', 'two']);
-    const after = retainExpiredServers({
-      before,
-      listed,
-      sinceRecoveryMilliseconds: REREGISTRATION_MILLISECONDS,
-    });
+    expect([...retainExpiredServers({ before, listed, isIncomplete: true }).keys()]).toEqual([
+      'one',
+      'two',
+    ]);
+    const after = retainExpiredServers({ before, listed, isIncomplete: false });
     expect([...after.keys()]).toEqual(['one']);
   });
 
   it('are dropped if they were draining or another server has their address', () => {
     const leaving = new Map([['two', { ...server('two', 2), draining: true }]]);
     expect(
-      retainExpiredServers({ before: leaving, listed: new Map(), sinceRecoveryMilliseconds: 0 })
-        .size,
+      retainExpiredServers({ before: leaving, listed: new Map(), isIncomplete: true }).size,
     ).toBe(0);
     const listed = new Map([['three', server('three', 2)]]);
-    expect(retainExpiredServers({ before, listed, sinceRecoveryMilliseconds: 0 }).has('two')).toBe(
-      false,
-    );
+    expect(retainExpiredServers({ before, listed, isIncomplete: true }).has('two')).toBe(false);
   });
 });
 
--- a/packages/catalog/src/follow-table.test.ts
+++ b/packages/catalog/src/follow-table.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it, vi } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 import { followTable } from './follow-table.js';
 import type { TableFollower } from './follow-table.js';
@@ -102,3 +102,77 @@
     expect(confirmation?.requestedAt).toBe(0);
   });
 });
+
+describe('a follower whose calls fail', () => {
+  const CALL_TIMEOUT_MILLISECONDS = 700;
+  const LONG_POLL_MILLISECONDS = 1000;
+  const RUN_MILLISECONDS = 12_000;
+
+  beforeEach(() => {
+    vi.useFakeTimers({ now: 0 });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  interface RecordedCall {
+    readonly at: number;
+    readonly longPollMilliseconds: number;
+  }
+
+  /** Follows a table whose changes are never sent; a delegated follower calls on request only. */
+  async function followSilentStore(
+    delegatedMilliseconds = 0,
+  ): Promise<{ readonly follower: TableFollower; readonly calls: readonly RecordedCall[] }> {
+    const calls: RecordedCall[] = [];
+    const follower = followTable({
+      store: {
+        list: async () => ({ rows: [row('first', 1)], revision: 1, answeredAt: 0 }),
+        feed: (_table, _since, longPollMilliseconds) => {
+          calls.push({ at: Date.now(), longPollMilliseconds });
+          return new Promise((_resolve, reject) => {
+            setTimeout(
+              () => reject(new Error('no answer in time')),
+              CALL_TIMEOUT_MILLISECONDS + longPollMilliseconds,
+            );
+          });
+        },
+        write: () => Promise.reject(new Error('not used')),
+      },
+      table: 'table',
+      part: '',
+      longPollMilliseconds: () => LONG_POLL_MILLISECONDS,
+      pauseMilliseconds: () => 0,
+      maximumRetryMilliseconds: () => 800,
+      delegatedMilliseconds: () => delegatedMilliseconds,
+      random: () => 1,
+      clock: createStoreClock(() => Date.now()),
+      now: () => Date.now(),
+      onRows: () => undefined,
+      onStoreResult: () => undefined,
+    });
+    follower.start();
+    await vi.advanceTimersByTimeAsync(RUN_MILLISECONDS);
+    return { follower, calls };
+  }
+
+  // Guards against noticing the store's return late, by the time that the last call takes to fail.
+  it('calls at least every 800 ms, and the store may hold only the first call', async () => {
+    const { calls } = await followSilentStore();
+    const [first, ...others] = calls;
+    expect(first?.longPollMilliseconds).toBe(LONG_POLL_MILLISECONDS);
+    expect(new Set(others.map((call) => call.longPollMilliseconds))).toEqual(new Set([0]));
+    const intervals = others.slice(1).map(({ at }, index) => at - (others[index]?.at ?? 0));
+    expect(Math.max(...intervals)).toBeLessThanOrEqual(800);
+    expect(Math.min(...intervals)).toBeGreaterThanOrEqual(CALL_TIMEOUT_MILLISECONDS);
+  });
+
+  it('calls once when a refresh is requested although others read on its behalf', async () => {
+    const { follower, calls } = await followSilentStore(Infinity);
+    expect(calls).toEqual([]);
+    follower.refresh();
+    await vi.advanceTimersByTimeAsync(RUN_MILLISECONDS);
+    expect(calls).toEqual([{ at: RUN_MILLISECONDS, longPollMilliseconds: 0 }]);
+  });
+});
--- a/packages/catalog/src/follow-table.ts
+++ b/packages/catalog/src/follow-table.ts
@@ -65,6 +65,8 @@
   replaceIfNewer(list: RowList): boolean;
   /** Records that the rows are unchanged up to a later revision. */
   advanceRevision(revision: number): void;
+  /** Calls the store as soon as no call is pending, even while other instances read for this one. */
+  refresh(): void;
   /** The latest response of the store to this instance; undefined before the first. */
   confirmation(): StoreConfirmation | undefined;
   /** Whether the last call got no usable response. */
@@ -86,6 +88,8 @@
   let failures = 0;
   let confirmation: StoreConfirmation | undefined;
   let timer: NodeJS.Timeout | undefined;
+  let isPolling = false;
+  let isRefreshRequested = false;
 
   function recordConfirmation(answeredAt: number, requestedAt: number): void {
     options.clock.observe(answeredAt);
@@ -108,10 +112,10 @@
     options.onRows(rows, revision);
   }
 
-  async function pollChanges(): Promise<void> {
+  async function pollChanges(longPollMilliseconds: number): Promise<void> {
     const requestedSince = revision;
     const requestedAt = options.now();
-    const feed = await store.feed(table, requestedSince, options.longPollMilliseconds());
+    const feed = await store.feed(table, requestedSince, longPollMilliseconds);
     switch (feed.kind) {
       case FeedKind.HistoryGone:
         isLoaded = false;
@@ -141,31 +145,44 @@
     if (changed) options.onRows(rows, revision);
   }
 
-  async function poll(): Promise<void> {
-    const delegatedFor = isLoaded ? options.delegatedMilliseconds() : 0;
-    if (delegatedFor > 0) {
-      failures = 0;
-      schedule(Math.min(delegatedFor, DELEGATION_CHECK_MILLISECONDS));
-      return;
-    }
-    let pause = options.pauseMilliseconds();
+  /** Calls the store once; returns the milliseconds until the next call. */
+  async function callStore(isRefresh: boolean): Promise<number> {
+    // A call that the store may hold takes longer to fail, and the store's return is noticed later.
+    const isImmediate = isRefresh || failures > 0;
     const requestedAt = options.now();
     try {
-      if (isLoaded) await pollChanges();
+      if (isLoaded) await pollChanges(isImmediate ? 0 : options.longPollMilliseconds());
       else await loadAllRows();
       failures = 0;
       options.onStoreResult({ succeeded: true, reason: '', requestedAt });
+      return options.pauseMilliseconds();
     } catch (thrown) {
       const reason = thrown instanceof Error ? thrown.message : String(thrown);
       options.onStoreResult({ succeeded: false, reason, requestedAt });
-      const maximumPause = Math.min(
+      const maximumInterval = Math.min(
         options.maximumRetryMilliseconds(),
         INITIAL_RETRY_MILLISECONDS * 2 ** Math.min(failures, 6),
       );
       failures += 1;
-      pause = maximumPause * (0.5 + options.random() / 2);
+      const interval = maximumInterval * (0.5 + options.random() / 2);
+      // The time that the failed call took is part of the interval.
+      return Math.max(0, requestedAt + interval - options.now());
     }
-    schedule(pause);
+  }
+
+  async function poll(): Promise<void> {
+    const isRefresh = isRefreshRequested;
+    isRefreshRequested = false;
+    const delegatedFor = isLoaded && !isRefresh ? options.delegatedMilliseconds() : 0;
+    if (delegatedFor > 0) {
+      failures = 0;
+      schedule(Math.min(delegatedFor, DELEGATION_CHECK_MILLISECONDS));
+      return;
+    }
+    isPolling = true;
+    const pause = await callStore(isRefresh);
+    isPolling = false;
+    schedule(isRefreshRequested ? 0 : pause);
   }
 
   function schedule(pause: number): void {
@@ -189,6 +206,12 @@
     advanceRevision(newRevision) {
       if (isLoaded) revision = Math.max(revision, newRevision);
     },
+    refresh() {
+      isRefreshRequested = true;
+      if (isPolling || stopped) return;
+      clearTimeout(timer);
+      void poll();
+    },
     confirmation: () => confirmation,
     isFailing: () => failures > 0,
   };
--- a/packages/catalog/src/freshness-tracker.ts
+++ b/packages/catalog/src/freshness-tracker.ts
@@ -23,6 +23,11 @@
 export interface FreshnessReport extends CopyVersion {
   /** When the store confirmed that the copy is up to date: milliseconds of the store's clock. */
   readonly confirmedAt: number;
+  /**
+   * Earliest time at which the store can have returned from its last outage, in milliseconds of the
+   * store's clock; undefined if the entry knows of none.
+   */
+  readonly returnedAt?: number | undefined;
 }
 
 /** Decodes a report; undefined if the value is not a valid one. */
@@ -34,7 +39,7 @@
   if (revision === undefined || fingerprint === undefined || confirmedAt === undefined) {
     return undefined;
   }
-  return { revision, fingerprint, confirmedAt };
+  return { revision, fingerprint, confirmedAt, returnedAt: numberOf(value, 'returnedAt') };
 }
 
 /** The store's confirmation of some entry's copy. */
--- a/packages/catalog/src/index.ts
+++ b/packages/catalog/src/index.ts
@@ -31,7 +31,7 @@
   TransactionResult,
 } from './store.js';
 export { dropReplacedServers } from './drop-replaced-servers.js';
-export { REREGISTRATION_MILLISECONDS, retainExpiredServers } from './retain-expired-servers.js';
+export { retainExpiredServers } from './retain-expired-servers.js';
 export type { RetainExpiredServersInput } from './retain-expired-servers.js';
 export { createStoreClock } from './store-clock.js';
 export type { StoreClock } from './store-clock.js';
--- a/packages/catalog/src/store-clock.ts
+++ b/packages/catalog/src/store-clock.ts
@@ -11,6 +11,8 @@
   observe(storeTime: number): void;
   /** Milliseconds since that time; `Infinity` before any time was observed. */
   ageMilliseconds(storeTime: number): number;
+  /** The store's time at a time of the local clock; undefined before any time was observed. */
+  storeTimeAt(localTime: number): number | undefined;
 }
 
 /** The offset is measured anew after each window, because clocks drift. */
@@ -23,6 +25,10 @@
   let previousOffset = Infinity;
   let windowStartedAt = now();
 
+  function smallestOffset(): number {
+    return Math.min(offset, previousOffset);
+  }
+
   return {
     observe(storeTime) {
       if (now() - windowStartedAt > OFFSET_WINDOW_MILLISECONDS) {
@@ -33,10 +39,11 @@
       offset = Math.min(offset, now() - storeTime);
     },
     ageMilliseconds(storeTime) {
-      const smallestOffset = Math.min(offset, previousOffset);
-      return Number.isFinite(smallestOffset)
-        ? Math.max(0, now() - storeTime - smallestOffset)
+      return Number.isFinite(smallestOffset())
+        ? Math.max(0, now() - storeTime - smallestOffset())
         : Infinity;
     },
+    storeTimeAt: (localTime) =>
+      Number.isFinite(smallestOffset()) ? localTime - smallestOffset() : undefined,
   };
 }
--- a/packages/direct-entry/src/catalog-sync-simulation.ts
+++ b/packages/direct-entry/src/catalog-sync-simulation.ts
@@ -5,8 +5,8 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { createCatalog, decodeCopy, FeedKind, TransactionKind } from '@lapisbridge/catalog';
-import type { Catalog, Feed, Store, StoreAnswer, StoreRow } from '@lapisbridge/catalog';
+import { createCatalog, decodeCopy } from '@lapisbridge/catalog';
+import type { BackendServer, Catalog } from '@lapisbridge/catalog';
 import { simulateFleet } from '@lapisbridge/fleet';
 import type { InstanceName, SimulatedEntry, SimulatedFleet, ReadingRole } from '@lapisbridge/fleet';
 import { numberOf, parseObject, textOf } from '@lapisbridge/json-call';
@@ -18,6 +18,14 @@
 import type { FollowedTable, FetchedCopy } from './copy-exchange.js';
 import { createCatalogSync } from './catalog-sync.js';
 import type { CatalogSync } from './catalog-sync.js';
+import {
+  createSimulatedServer,
+  createSimulatedStore,
+  OPERATORS_TABLE,
+  SERVERS_TABLE,
+  sleep,
+} from './simulated-store.js';
+import type { SimulatedStore } from './simulated-store.js';
 
 /** Size and timing of the simulated fleet. */
 export interface CatalogSyncSimulationOptions {
@@ -28,12 +36,19 @@
   readonly delayMilliseconds: number;
   readonly configurationBoundMilliseconds: number;
   readonly drainingBoundMilliseconds: number;
+  /** Instance ids of backend servers that register in the store. */
+  readonly servers?: readonly string[];
+  /** Speed of the entries' clocks relative to their timers. */
+  readonly clockRate?: number;
 }
 
 /** A running simulation and the faults that tests inject. */
 export interface CatalogSyncSimulation {
   readonly fleet: SimulatedFleet;
+  readonly store: SimulatedStore;
   now(): number;
+  /** Servers that an entry has in use, by instance id. */
+  serversOf(instanceId: string): ReadonlyMap<string, BackendServer>;
   /** Advances the simulated time. */
   run(milliseconds: number): Promise<void>;
   entriesWithRole(role: ReadingRole): readonly SimulatedEntry[];
@@ -53,20 +68,19 @@
   propagationDelays(): ReadonlyMap<string, number>;
 }
 
-const OPERATORS = 'operators';
+const VERSION_KEY = 'version';
 /** Resolution of the simulated time. */
 const STEP_MILLISECONDS = 2;
 const START_SPREAD_MILLISECONDS = 300;
-/** One-way delay between an entry and the store. */
-const STORE_LATENCY_MILLISECONDS = 2;
-const STORE_TIMEOUT_MILLISECONDS = 700;
+/** Delay of a backend server's first heartbeat after that of the one before. */
+const SERVER_STAGGER_MILLISECONDS = 310;
 const FETCH_TIMEOUT_MILLISECONDS = 400;
 
 const TABLES: TableAdapter = {
-  operatorsTable: OPERATORS,
-  serversTable: 'servers',
+  operatorsTable: OPERATORS_TABLE,
+  serversTable: SERVERS_TABLE,
   decodeOperatorState(rows: TableRows, revision) {
-    const version = Number(rows.get('version')?.value?.toString() ?? 0);
+    const version = Number(rows.get(VERSION_KEY)?.value?.toString() ?? 0);
     const limits = {
       maximumHeaderBytes: 0,
       maximumBodyBytes: 0,
@@ -85,30 +99,27 @@
       },
     };
   },
-  decodeServerList: (_rows, revision) => ({ revision, servers: new Map() }),
+  decodeServerList(rows, revision) {
+    const servers = new Map<string, BackendServer>();
+    for (const instanceId of rows.keys())
+      servers.set(instanceId, createSimulatedServer(instanceId));
+    return { revision, servers };
+  },
 };
 
-function sleep(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-}
-
 /** Starts a simulation; requires the fake timers of vitest. */
 export function simulateCatalogSync(options: CatalogSyncSimulationOptions): CatalogSyncSimulation {
   const random = createRandom(options.seed);
+  const { clockRate = 1 } = options;
   const catalogSyncs = new Map<string, CatalogSync>();
   const catalogs = new Map<string, Catalog>();
   const appliedAt = new Map<string, Map<number, number>>();
-  const refusedByStore = new Set<string>();
   const dead = new Set<string>();
   /** Paused entries; `until` resolves when the entry resumes. */
   const paused = new Map<string, { readonly until: Promise<void>; resume(): void }>();
   let cutZone: string | undefined;
-  let revision = 1;
   let version = 1;
   let changedAt = 0;
-  let onChange: (() => void)[] = [];
 
   const fleet = simulateFleet({
     seed: options.seed,
@@ -128,12 +139,6 @@
   }
   fleet.partition(isCut);
 
-  function rowsOf(table: string): StoreRow[] {
-    if (table !== OPERATORS) return [];
-    const value = Buffer.from(String(version));
-    return [{ table, part: '', key: 'version', value, revision }];
-  }
-
   /** Rejects if a call takes longer than its timeout; time for which the entry is paused counts. */
   async function callWithTimeout<T>(
     instanceId: string,
@@ -148,46 +153,14 @@
     return result;
   }
 
-  async function reachStore(instanceId: string): Promise<void> {
-    await sleep(STORE_LATENCY_MILLISECONDS);
-    if (!refusedByStore.has(instanceId) && !dead.has(instanceId)) return;
-    await sleep(STORE_LATENCY_MILLISECONDS);
-    throw new Error('call refused');
-  }
-
-  function waitForChange(milliseconds: number): Promise<void> {
-    return new Promise((resolve) => {
-      const timer = setTimeout(resolve, milliseconds);
-      onChange.push(() => {
-        clearTimeout(timer);
-        resolve();
-      });
-    });
-  }
-
-  function storeOf(instanceId: string): Store {
-    return {
-      list: (table): Promise<StoreAnswer> =>
-        callWithTimeout(instanceId, STORE_TIMEOUT_MILLISECONDS, async () => {
-          await reachStore(instanceId);
-          const list = { rows: rowsOf(table), revision, answeredAt: fleet.now() };
-          await sleep(STORE_LATENCY_MILLISECONDS);
-          return list;
-        }),
-      feed: (table, since, wait): Promise<Feed> =>
-        callWithTimeout(instanceId, STORE_TIMEOUT_MILLISECONDS + wait, async () => {
-          await reachStore(instanceId);
-          const isFollowed = table === OPERATORS;
-          if (!isFollowed) await sleep(wait);
-          else if (revision === since) await waitForChange(wait);
-          const rows = revision === since ? [] : rowsOf(table);
-          const feed: Feed = { kind: FeedKind.Changes, rows, revision, answeredAt: fleet.now() };
-          await sleep(STORE_LATENCY_MILLISECONDS);
-          return feed;
-        }),
-      write: () => Promise.resolve({ kind: TransactionKind.Conflict, revision: 0 }),
-    };
-  }
+  const store = createSimulatedStore({
+    now: () => fleet.now(),
+    call: callWithTimeout,
+    isDead: (instanceId) => dead.has(instanceId),
+  });
+  store.put(OPERATORS_TABLE, VERSION_KEY, String(version));
+  for (const [index, instanceId] of (options.servers ?? []).entries())
+    store.addServer(instanceId, index * SERVER_STAGGER_MILLISECONDS);
 
   function readCopy(host: string, table: FollowedTable, since: number): FetchedCopy | undefined {
     const target = byHost.get(host)?.name.instanceId ?? '';
@@ -243,12 +216,12 @@
     appliedAt.set(name.instanceId, appliedVersions);
     const catalogSync = createCatalogSync({
       catalog,
-      store: storeOf(name.instanceId),
+      store: store.clientOf(name.instanceId),
       tables: TABLES,
       logger: createSilentLogger(),
       random,
       availabilityZone: name.availabilityZone,
-      now: fleet.now,
+      now: () => fleet.now() * clockRate,
       fetchCopy: (host, table, since) => fetchCopyFor(name, host, table, since),
       bounds: () => ({
         configuration: options.configurationBoundMilliseconds,
@@ -272,7 +245,9 @@
       }
     },
     entriesWithRole: (role) => fleet.entries.filter((entry) => entry.fleet.readingRole() === role),
-    refuseStoreCalls: (instanceId) => refusedByStore.add(instanceId),
+    store,
+    serversOf: (instanceId) => catalogs.get(instanceId)?.servers().servers ?? new Map(),
+    refuseStoreCalls: (instanceId) => store.refuse(instanceId),
     pause(instanceId) {
       let resume = (): void => undefined;
       const until = new Promise<void>((resolve) => {
@@ -294,12 +269,9 @@
       cutZone = zone;
     },
     changeConfiguration() {
-      revision += 1;
       version += 1;
       changedAt = fleet.now();
-      const waiting = onChange;
-      onChange = [];
-      for (const wake of waiting) wake();
+      store.put(OPERATORS_TABLE, VERSION_KEY, String(version));
     },
     propagationDelays() {
       const propagationDelays = new Map<string, number>();
--- a/packages/direct-entry/src/catalog-sync.ts
+++ b/packages/direct-entry/src/catalog-sync.ts
@@ -3,14 +3,7 @@
  * fetch their copies. A store that refuses calls of some entries may still accept changes from
  * operators, so a removed API key or a new route may be known to other entries only.
  */
-import {
-  decodeFreshnessReport,
-  dropReplacedServers,
-  fingerprintOf,
-  followTable,
-  REREGISTRATION_MILLISECONDS,
-  retainExpiredServers,
-} from '@lapisbridge/catalog';
+import { decodeFreshnessReport, fingerprintOf, followTable } from '@lapisbridge/catalog';
 import type {
   Catalog,
   FreshnessReport,
@@ -31,6 +24,7 @@
 import { createCopyFreshness } from './copy-freshness.js';
 import { planStoreReads, SERVERS_LONG_POLL_MILLISECONDS } from './plan-reading.js';
 import type { PropagationBounds, StoreReadPlan } from './plan-reading.js';
+import { createUnlistedServers } from './unlisted-servers.js';
 
 /**
  * Age of a copy, beyond the usual interval between reads, at which it is fetched from another
@@ -40,8 +34,6 @@
 const PEER_FETCH_INTERVAL_MILLISECONDS = 500;
 /** An older copy of the operators' table may lack recent changes. */
 const OUTDATED_MILLISECONDS = 4000;
-/** Time without a confirmation after which rows of running servers may have expired. */
-const OUTAGE_MILLISECONDS = 3000;
 /** Time for which a reader waits for its own call to return a change that peers have. */
 const OWN_READ_GRACE_MILLISECONDS = 400;
 /** Time to get a newer copy from peers before calling the store for it. */
@@ -50,8 +42,6 @@
 const FETCH_STAGGER_MILLISECONDS = 150;
 /** Shortest interval between two log lines about failed fetches. */
 const FETCH_LOG_INTERVAL_MILLISECONDS = 1000;
-/** Most instance ids in one log line. */
-const MAXIMUM_LOGGED_SERVERS = 20;
 /** Upper bounds of the backoff while calls to the store fail. */
 const MAXIMUM_DELEGATE_RETRY_MILLISECONDS = 800;
 const MAXIMUM_FOLLOWER_RETRY_MILLISECONDS = 3000;
@@ -91,6 +81,8 @@
   onPeerFreshness(from: InstanceName, peerFreshness: JsonObject): void;
   /** Whether the configuration may lack recent changes by operators. */
   isOutdated(): boolean;
+  /** Number of servers in use that the list lacks. */
+  unlistedServers(): number;
 }
 
 const TABLES = Object.values(FollowedTable);
@@ -126,13 +118,14 @@
   const { ageOf, clock, versionOf } = freshness;
   const fetching = new Set<FollowedTable>();
   let isStoreReachable = true;
-  let recoveredAt = -Infinity;
-  let serversAppliedAt = now();
-  /** When the last failed call to the store began and ended, on the local clock. */
-  let failedCall = { startedAt: -Infinity, endedAt: -Infinity };
-  /** Servers in use that the list lacks, and since when. */
-  let retainedIds: readonly string[] = [];
-  let retainedSince = -Infinity;
+  const unlistedServers = createUnlistedServers({
+    catalog,
+    logger,
+    now,
+    drainingBoundMilliseconds: () => options.bounds().draining,
+    completeAt: () => now() - freshness.ageMilliseconds(FollowedTable.Servers),
+    refresh: () => followers[FollowedTable.Servers].refresh(),
+  });
   /** Time since which another entry has had a newer copy; undefined while none has. */
   const behindSince: Record<FollowedTable, number | undefined> = {
     [FollowedTable.Operators]: undefined,
@@ -159,7 +152,8 @@
     table: FollowedTable,
     { succeeded, reason, requestedAt }: StoreCallResult,
   ): void {
-    if (!succeeded) failedCall = { startedAt: requestedAt, endedAt: now() };
+    if (!succeeded) unlistedServers.onCallFailed(requestedAt);
+    else if (table === FollowedTable.Servers) onServersConfirmed();
     // A response of the store is at least as new as the copies that others have reported.
     if (succeeded) behindSince[table] = undefined;
     if (succeeded === isStoreReachable) return;
@@ -167,57 +161,27 @@
     logger.info(succeeded ? 'store regained' : 'store lost', { reason });
   }
 
-  /**
-   * Detects the end of an outage of the store. Must be called before a new confirmation of the
-   * servers' table is recorded.
-   */
-  function onServersConfirmed(): void {
-    const peerConfirmationAge = ageOf(
-      freshness.latestConfirmation(FollowedTable.Servers)?.confirmedAt,
+  function recordServersConfirmation(): void {
+    const latestAge = Math.min(
+      freshness.ownAgeMilliseconds(FollowedTable.Servers),
+      ageOf(freshness.latestConfirmation(FollowedTable.Servers)?.confirmedAt),
     );
-    if (Math.min(now() - serversAppliedAt, peerConfirmationAge) <= OUTAGE_MILLISECONDS) return;
-    recoveredAt = now();
-    logger.info('store outage assumed', {
-      silence: Math.round(now() - serversAppliedAt),
-      peerConfirmationAge: roundFinite(peerConfirmationAge),
-      sinceFailedCallBegan: roundFinite(now() - failedCall.startedAt),
-      sinceFailedCallEnded: roundFinite(now() - failedCall.endedAt),
-    });
-    setTimeout(dropExpiredServers, REREGISTRATION_MILLISECONDS);
+    unlistedServers.onConfirmed(now() - latestAge);
   }
 
-  /** Logs when servers that the list lacks are kept in use, and when they are dropped. */
-  function logRetention(
-    listed: ReadonlyMap<string, unknown>,
-    used: ReadonlyMap<string, unknown>,
-  ): void {
-    const retained = [...used.keys()].filter((instanceId) => !listed.has(instanceId));
-    if (retained.join() === retainedIds.join()) return;
-    const dropped = retainedIds.filter((instanceId) => !used.has(instanceId));
-    if (retainedIds.length === 0) retainedSince = now();
-    retainedIds = retained;
-    logger.info('unlisted servers', {
-      retained: retained.length,
-      dropped: dropped.length,
-      servers: [...retained, ...dropped].slice(0, MAXIMUM_LOGGED_SERVERS),
-      milliseconds: Math.round(now() - retainedSince),
-    });
+  /** Handles a confirmation of this entry's list or of that of another entry. */
+  function onServersConfirmed(): void {
+    recordServersConfirmation();
+    unlistedServers.review();
   }
 
   function applyServers(rows: TableRows, revision: number): void {
-    onServersConfirmed();
-    serversAppliedAt = now();
-    const listed = tables.decodeServerList(rows, revision);
-    const servers = retainExpiredServers({
-      before: catalog.servers().servers,
-      listed: dropReplacedServers(listed.servers),
-      sinceRecoveryMilliseconds: now() - recoveredAt,
-    });
-    catalog.replaceServers({ revision, servers });
-    logRetention(listed.servers, servers);
-    const fingerprint = fingerprintOfServers(listed);
-    if (freshness.replaceFingerprint(FollowedTable.Servers, fingerprint))
-      options.onFreshnessChange();
+    const list = tables.decodeServerList(rows, revision);
+    const fingerprint = fingerprintOfServers(list);
+    const isChanged = freshness.replaceFingerprint(FollowedTable.Servers, fingerprint);
+    recordServersConfirmation();
+    unlistedServers.apply(list);
+    if (isChanged) options.onFreshnessChange();
   }
 
   function applyOperatorState(rows: TableRows, revision: number): void {
@@ -278,12 +242,6 @@
     return delegated;
   }
 
-  /** Applies the list again, without expired servers that have not registered since. */
-  function dropExpiredServers(): void {
-    const copy = followers[FollowedTable.Servers].copy();
-    if (copy !== undefined) applyServers(copy.rows, copy.revision);
-  }
-
   function maximumRetryMilliseconds(): number {
     return options.role() === ReadingRole.Follower
       ? MAXIMUM_FOLLOWER_RETRY_MILLISECONDS
@@ -338,12 +296,12 @@
       const { list, fingerprint, confirmedAt } = fetched;
       directRead[table].ageMilliseconds = freshness.ageMilliseconds(table);
       copySourceHost = host;
-      const isAdopted = followers[table].replaceIfNewer(list);
-      copySourceHost = undefined;
       if (confirmedAt !== undefined) {
         const report = { revision: list.revision, fingerprint, confirmedAt };
         freshness.onReport(table, `copy of ${host}`, report);
       }
+      const isAdopted = followers[table].replaceIfNewer(list);
+      copySourceHost = undefined;
       if (isAdopted) {
         behindSince[table] = undefined;
         logger.info('copy taken from a peer', {
@@ -414,6 +372,7 @@
     }),
     start() {
       for (const follower of Object.values(followers)) follower.start();
+      unlistedServers.start();
       setInterval(fetchStaleTables, PEER_FETCH_INTERVAL_MILLISECONDS);
     },
     freshness() {
@@ -422,6 +381,10 @@
         const report = freshness.reportOf(table);
         if (report !== undefined) reports[table] = report;
       }
+      const { [FollowedTable.Servers]: servers } = reports;
+      const returnedAt = clock.storeTimeAt(unlistedServers.storeReturnedAt());
+      if (servers !== undefined && returnedAt !== undefined && Number.isFinite(returnedAt))
+        reports[FollowedTable.Servers] = { ...servers, returnedAt };
       return reports;
     },
     onPeerFreshness(from, peerFreshness) {
@@ -429,12 +392,16 @@
         const report = decodeFreshnessReport(peerFreshness[table]);
         if (report === undefined) continue;
         clock.observe(report.confirmedAt);
-        const isRecent = ageOf(report.confirmedAt) < OUTAGE_MILLISECONDS;
-        if (table === FollowedTable.Servers && isRecent) onServersConfirmed();
         freshness.onReport(table, from.instanceId, report);
+        if (table === FollowedTable.Servers) {
+          onServersConfirmed();
+          if (report.returnedAt !== undefined)
+            unlistedServers.onPeerOutageEnd(now() - ageOf(report.returnedAt));
+        }
         fetchIfBehind(table, from, report);
       }
     },
+    unlistedServers: unlistedServers.count,
     isOutdated: () => freshness.ageMilliseconds(FollowedTable.Operators) > OUTDATED_MILLISECONDS,
   };
 }
--- a/packages/direct-entry/src/register-entry-metrics.ts
+++ b/packages/direct-entry/src/register-entry-metrics.ts
@@ -32,6 +32,8 @@
   readonly contentionCounts: ContentionCounts;
   readonly hedges: HedgeBudget;
   readonly callerBacklog: CallerBacklog;
+  /** Number of servers in use that the list lacks. */
+  unlistedServers(): number;
 }
 
 const MAXIMUM_ACCOUNTS_IN_METRICS = 10;
@@ -50,6 +52,11 @@
     'Backend servers that state a rate limit.',
     () => rateLimits.limitedServerCount(),
   );
+  metrics.gauge(
+    'lapisbridge_unlisted_servers',
+    'Backend servers in use that the store does not list.',
+    () => parts.unlistedServers(),
+  );
   metrics.gauge(
     'lapisbridge_silent_servers',
     'Backend servers that are silent while most of their service are not.',
--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -276,6 +276,7 @@
     contentionCounts,
     hedges,
     callerBacklog,
+    unlistedServers: () => catalogSync.unlistedServers(),
   });
 
   const context: ForwardContext = {
