Test servers that close their connection within the head of a response

Result: this does not happen to requests that an entry forwards directly, nor to calls for JSON (store, engines, copies of peers). Node's parser reports the end of a connection within a head as an error, and the attempt ends as one that may have run: 502 for requests that run at most once, another server for idempotent requests and resumable streams, a visible end otherwise.

--- a/packages/json-call/src/call-json.test.ts
+++ b/packages/json-call/src/call-json.test.ts
@@ -50,3 +50,32 @@
   await expect(call).rejects.toThrow(reason);
   expect(performance.now() - startedAt).toBeLessThan(TIMEOUT_MILLISECONDS / 4);
 });
+
+// Guards against taking a part of a response for an empty or a shorter one.
+it.each(['content-length: 9', 'connection: close'])(
+  'rejects a response with the header %j that is cut within its head',
+  async (header) => {
+    const head = `HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n${header}\r\n\r\n`;
+    let sent = '';
+    server.removeAllListeners('request');
+    server.on('request', ({ socket }) => socket.end(sent));
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const call = (): Promise<unknown> =>
+      callJson({
+        host: '127.0.0.1',
+        port: (server.address() as AddressInfo).port,
+        method: 'GET',
+        path: '/',
+        body: undefined,
+        timeoutMilliseconds: TIMEOUT_MILLISECONDS,
+      });
+    for (let bytes = 0; bytes < head.length; bytes += 1) {
+      sent = head.slice(0, bytes);
+      await expect(call(), `after ${bytes} bytes`).rejects.toThrow();
+    }
+    sent = `${head}{"key":1}`;
+    await expect(call()).resolves.toEqual({ status: 200, body: { key: 1 } });
+  },
+);
