Do not take a reset for the end of a plain service's answer without a length

What callers saw, on the product's own interface: a plain service sends the head of an answer that has neither a length nor chunks, and the connection is reset; the caller gets its status with an empty or short body that is complete by its framing. For an operation that runs at most once that body was stored as the result.

Cause: undici treats ECONNRESET after such a head as the end of the response.

Why it works: the sidecar now calls plain services through the exchange that entries use for direct forwarding. It tells a reset from a close, and asks after a close whether the server still accepts connections.

--- a/packages/forwarding/src/exchange.ts
+++ b/packages/forwarding/src/exchange.ts
@@ -7,6 +7,7 @@
  */
 import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import { request as httpsRequest } from 'node:https';
 import type { Socket } from 'node:net';
 
 import { probeConnection, ProbeResult } from './connection-probe.js';
@@ -38,6 +39,8 @@
 export interface ExchangeOptions {
   readonly host: string;
   readonly port: number;
+  /** Whether the connection uses TLS; plain TCP if undefined. */
+  readonly isSecure?: boolean;
   readonly method: string;
   readonly target: string;
   /** Raw pairs. */
@@ -121,7 +124,7 @@
     // runs first.
     socket.prependListener('error', (error) => fail(error.message));
     socket.prependListener('end', () => checkForReset(socket));
-    socket.once('connect', () => {
+    socket.once(options.isSecure === true ? 'secureConnect' : 'connect', () => {
       connected = true;
       clearTimeout(connectTimer);
     });
@@ -145,7 +148,8 @@
   }
 
   try {
-    request = httpRequest({
+    const openRequest = options.isSecure === true ? httpsRequest : httpRequest;
+    request = openRequest({
       host: options.host,
       port: options.port,
       method: options.method,
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -20,6 +20,8 @@
 export { createColdStartShare } from './cold-start-share.js';
 export type { ColdStartShare } from './cold-start-share.js';
 export { endToEndHeaders } from './end-to-end-headers.js';
+export { ExchangeEndKind, openExchange } from './exchange.js';
+export type { Exchange, ExchangeEnd, ExchangeListener, ExchangeOptions } from './exchange.js';
 export type { ForwardContext } from './forward-context.js';
 export { createGroupHealth } from './group-health.js';
 export { createContentionCounts } from './contention-counts.js';
--- a/packages/sidecar/src/service-client.ts
+++ b/packages/sidecar/src/service-client.ts
@@ -2,7 +2,10 @@
  * Calls the plain service behind this sidecar, once. Nothing here repeats a call: whether a
  * repetition is allowed is decided elsewhere, with the claim in hand.
  */
-import { Agent, request } from 'undici';
+import type { IncomingMessage } from 'node:http';
+
+import { ExchangeEndKind, openExchange } from '@lapisbridge/forwarding';
+import type { ExchangeEnd } from '@lapisbridge/forwarding';
 
 import { retryAfterOf } from './retry-after-of.js';
 
@@ -46,61 +49,123 @@
   close(): void;
 }
 
-const UNSENT_ERRORS = new Set([
-  'ECONNREFUSED',
-  'UND_ERR_CONNECT_TIMEOUT',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-]);
-const CONNECT_MILLISECONDS = 1000;
+const CONNECT_TIMEOUT_MILLISECONDS = 1000;
+/** Methods whose requests have no body unless one is given. */
+const METHODS_WITHOUT_BODY = new Set(['GET', 'HEAD', 'DELETE']);
+const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
+
+function encodeHeaders(call: ServiceCall, host: string): string[] {
+  const headers = [
+    ['Host', host],
+    ['Content-Type', call.contentType],
+    ['Lapisbridge-Account', call.account],
+  ];
+  if (call.idempotencyKey !== '') headers.push(['Idempotency-Key', call.idempotencyKey]);
+  if (call.body.length > 0 || !METHODS_WITHOUT_BODY.has(call.method))
+    headers.push(['Content-Length', String(call.body.length)]);
+  return headers.flat();
+}
+
+/** Why this process ended a call; undefined if it did not. */
+enum Abort {
+  TimedOut = 'the service did not answer in time',
+  TooLarge = 'the answer is larger than allowed',
+  Closed = 'the client was closed',
+}
+
+interface ReceivedAnswer {
+  readonly incoming: IncomingMessage;
+  readonly body: Buffer;
+}
+
+function toOutcome(
+  end: ExchangeEnd,
+  answer: ReceivedAnswer | undefined,
+  abort: Abort | undefined,
+): ServiceOutcome {
+  if (abort !== undefined) {
+    const timedOut = abort === Abort.TimedOut;
+    return { kind: ServiceOutcomeKind.Lost, reason: abort, timedOut };
+  }
+  switch (end.kind) {
+    case ExchangeEndKind.NotSent:
+      return { kind: ServiceOutcomeKind.NotSent, reason: end.reason };
+    case ExchangeEndKind.Incomplete:
+    case ExchangeEndKind.Cancelled:
+      return { kind: ServiceOutcomeKind.Lost, reason: end.reason, timedOut: false };
+    case ExchangeEndKind.Complete: {
+      if (answer === undefined) {
+        return { kind: ServiceOutcomeKind.Lost, reason: 'no response head', timedOut: false };
+      }
+      const { headers, statusCode: status = 0 } = answer.incoming;
+      return {
+        kind: ServiceOutcomeKind.Answered,
+        status,
+        contentType: headers['content-type'] ?? DEFAULT_CONTENT_TYPE,
+        body: answer.body,
+        retryAfter: retryAfterOf({ statusCode: status, headers }),
+      };
+    }
+    default: {
+      const unreachable: never = end.kind;
+      return unreachable;
+    }
+  }
+}
 
 export function createServiceClient(url: string, maximumAnswerBytes: () => number): ServiceClient {
-  // pipelining 0 gives each call a connection of its own. On a kept connection the service's
-  // closing can race with the call, and then nobody could tell whether it was taken.
-  const agent = new Agent({
-    pipelining: 0,
-    connect: { timeout: CONNECT_MILLISECONDS },
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+  const { protocol, host, hostname, port, pathname } = new URL(url);
+  const isSecure = protocol === 'https:';
+  const defaultPort = isSecure ? 443 : 80;
+  const basePath = pathname.replace(/\/$/, '');
+  const aborts = new Set<(reason: Abort) => void>();
+
   return {
-    async call(call) {
-      try {
-        const reply = await request(`${url}${call.path}`, {
-          method: call.method as 'POST',
-          dispatcher: agent,
-          signal: AbortSignal.timeout(call.timeoutMilliseconds),
-          headers: {
-            'content-type': call.contentType,
-            'lapisbridge-account': call.account,
-            ...(call.idempotencyKey === '' ? {} : { 'idempotency-key': call.idempotencyKey }),
-          },
-          body: call.body.length === 0 ? null : Buffer.from(call.body),
-        });
-        const body = Buffer.from(await reply.body.arrayBuffer());
-        if (body.length > maximumAnswerBytes()) {
-          const reason = 'the answer is larger than allowed';
-          return { kind: ServiceOutcomeKind.Lost, reason, timedOut: false };
-        }
-        const contentType = reply.headers['content-type'];
-        return {
-          kind: ServiceOutcomeKind.Answered,
-          status: reply.statusCode,
-          contentType: typeof contentType === 'string' ? contentType : 'application/octet-stream',
-          body,
-          retryAfter: retryAfterOf(reply),
+    call: (call) =>
+      new Promise((resolve) => {
+        const chunks: Buffer[] = [];
+        let receivedBytes = 0;
+        let incoming: IncomingMessage | undefined;
+        let abortReason: Abort | undefined;
+        const abort = (reason: Abort): void => {
+          abortReason ??= reason;
+          exchange.cancel(reason);
         };
-      } catch (thrown) {
-        const { code, message } = thrown as NodeJS.ErrnoException;
-        if (UNSENT_ERRORS.has(code ?? '')) {
-          return { kind: ServiceOutcomeKind.NotSent, reason: message };
-        }
-        const timedOut = (thrown as Error).name === 'TimeoutError';
-        return { kind: ServiceOutcomeKind.Lost, reason: message, timedOut };
-      }
-    },
+        const timer = setTimeout(() => abort(Abort.TimedOut), call.timeoutMilliseconds);
+        aborts.add(abort);
+        const exchange = openExchange(
+          {
+            host: hostname,
+            port: port === '' ? defaultPort : Number(port),
+            isSecure,
+            method: call.method,
+            target: `${basePath}${call.path}`,
+            headers: encodeHeaders(call, host),
+            body: Buffer.from(call.body),
+            connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+            isServerLeaving: () => false,
+          },
+          {
+            onHead(head) {
+              incoming = head;
+            },
+            onData(chunk) {
+              receivedBytes += chunk.length;
+              if (receivedBytes > maximumAnswerBytes()) abort(Abort.TooLarge);
+              else chunks.push(chunk);
+            },
+            onEnd(end) {
+              clearTimeout(timer);
+              aborts.delete(abort);
+              const answer =
+                incoming === undefined ? undefined : { incoming, body: Buffer.concat(chunks) };
+              resolve(toOutcome(end, answer, abortReason));
+            },
+          },
+        );
+      }),
     close() {
-      void agent.destroy();
+      for (const abort of aborts) abort(Abort.Closed);
     },
   };
 }
