Fail calls to the platform whose response was cut after its head

What callers could see: a read of the platform's table whose response has no length and is reset after its head resolved to no row, and a list or a transaction to a body that is null.

Cause: undici ends such a response as complete, and an empty body was taken for a response without content.

Why it works: only a missing row (404) and a write of an object have no body; anything else without one counts as no response, which callers of the table already handle.

--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -24,6 +24,7 @@
 }
 
 const CONNECTIONS = 16;
+const NOT_FOUND = 404;
 
 export function connectPlatform(options: PlatformOptions): PlatformConnection {
   let agent = new Agent({ connections: CONNECTIONS, pipelining: 1 });
@@ -51,6 +52,9 @@
         if (reply.statusCode >= 500) {
           throw new Error(`the platform answered ${reply.statusCode}`);
         }
+        const isMissing = text === '' && method !== 'PUT' && reply.statusCode !== NOT_FOUND;
+        // A response without a length that is reset after its head has an empty body.
+        if (isMissing) throw new Error('the platform answered without a body');
         return { status: reply.statusCode, body: text === '' ? null : JSON.parse(text) };
       } catch (thrown) {
         replaceAgent(used);
--- a/packages/platform/src/platform.test.ts
+++ b/packages/platform/src/platform.test.ts
@@ -41,6 +41,17 @@
 }
 
 describe('a call to the platform', () => {
+  // Guards against taking a row whose response was cut for a row that does not exist.
+  it('fails when its response is reset after the head', async () => {
+    const platform = await start((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n', () => socket.resetAndDestroy());
+    });
+    const unavailable = { code: ResultCode.StoreUnavailable };
+    await expect(platform.table.read('key')).rejects.toMatchObject(unavailable);
+    await expect(platform.table.list('prefix')).rejects.toMatchObject(unavailable);
+    await expect(platform.table.transact([])).rejects.toMatchObject(unavailable);
+  });
+
   it('uses a fresh connection after one went silent', async () => {
     // Something between here and the platform lost track of a pooled connection. The platform is
     // well, and without replacing the pool every later call on that connection would time out too.
