Keep servers that a copy without a recent confirmation lacks

What callers could see: during an outage of the store in a large fleet, an entry took a peer's copy from which rows had expired, and dropped the live servers that it lacks 0.39 s after the store's return.

Cause: the copy reached the entry before a confirmation of it, so that the entry still knew of no end of the outage for which to keep servers.

Why it works: a list that the store has not confirmed within the last two seconds counts as incomplete. The next confirmation says whether there was an outage, and until when servers stay in use.

--- a/packages/direct-entry/src/store-outage.ts
+++ b/packages/direct-entry/src/store-outage.ts
@@ -37,7 +37,7 @@
 }
 
 /** Rows expire after three missed heartbeats, the first of which may follow the outage's start. */
-const MINIMUM_OUTAGE_MILLISECONDS = 2000;
+export const MINIMUM_OUTAGE_MILLISECONDS = 2000;
 /** Time for servers to register again, with some reserve. */
 const REREGISTRATION_MILLISECONDS = 2500;
 /** Longest interval between two calls of an entry that cannot reach the store. */
--- a/packages/direct-entry/src/unlisted-servers.ts
+++ b/packages/direct-entry/src/unlisted-servers.ts
@@ -7,7 +7,7 @@
 import type { MonotonicClock } from '@lapisbridge/kernel';
 import type { Logger } from '@lapisbridge/logger';
 
-import { createStoreOutageDetector } from './store-outage.js';
+import { createStoreOutageDetector, MINIMUM_OUTAGE_MILLISECONDS } from './store-outage.js';
 
 export interface UnlistedServersOptions {
   /** Receives the servers in use. */
@@ -83,8 +83,11 @@
     checkedAt = now();
   }
 
+  /** A list without a recent confirmation may have been read during or after an outage. */
   function isListComplete(): boolean {
-    return options.completeAt() >= outages.retainUntil();
+    const completeAt = options.completeAt();
+    const isConfirmed = now() - completeAt < MINIMUM_OUTAGE_MILLISECONDS;
+    return isConfirmed && completeAt >= outages.retainUntil();
   }
 
   function setRetained(instanceIds: readonly string[]): void {
