Hold calls for the operators' table for 1.8 s at most

Cause: a call for the operators' table was given up only after 3.2 s, since the store may hold it for 2.5 s; one made just before the store's return kept the entry from learning of it. It is the neighbour of the removed servers' fault: the return was noticed late.

Why it works: a held call fails 2.5 s after it was made, and the next one is not held, so the change is in force before the entry is in touch again. Small fleets make two fifths more calls for this table; larger ones held calls for 1.8 s or less already.

--- a/packages/direct-entry/src/plan-reading.ts
+++ b/packages/direct-entry/src/plan-reading.ts
@@ -51,7 +51,8 @@
 const MAXIMUM_RESERVE_MILLISECONDS = 1000;
 /** Pause between calls that the store answers immediately. */
 const IMMEDIATE_CALL_PAUSE_MILLISECONDS = 300;
-const MAXIMUM_LONG_POLL_MILLISECONDS = 2500;
+/** A held call that gets no response fails before its entry counts as in touch again. */
+const MAXIMUM_LONG_POLL_MILLISECONDS = 1800;
 const MINIMUM_LONG_POLL_MILLISECONDS = 300;
 const MINIMUM_PAUSE_MILLISECONDS = 900;
 const MAXIMUM_PAUSE_MILLISECONDS = 1300;
