Let a refusal prove nothing about a request that it does not name

Cause: a faulty server may hand out an extra response, and a copy of a refusal of another request was taken for a proof that this one had not run: whether a head is a refusal was asked before its request id was compared.

Why it works: a refusal that names another request leaves the attempt as one that may have run; one with the request's own id or with none counts as before.

--- a/packages/forwarding/src/plain-attempt.ts
+++ b/packages/forwarding/src/plain-attempt.ts
@@ -42,7 +42,7 @@
       return { kind: OutcomeKind.Unknown, reason: end.reason };
     case ExchangeEndKind.Complete: {
       if (head === undefined) return { kind: OutcomeKind.Unknown, reason: 'no response head' };
-      if (provesNotRun(head)) {
+      if (provesNotRun(head, requestId)) {
         return {
           kind: OutcomeKind.NotRun,
           reason: describeRefusal(head),
--- a/packages/forwarding/src/response-head.ts
+++ b/packages/forwarding/src/response-head.ts
@@ -34,11 +34,12 @@
 /** Whether the head comes from the server that the request was sent to. */
 export function isFromAddressedServer(head: ResponseHead, requestId: string): boolean {
   if (head.isMisdirected) return false;
-  // A refusal need not name the request.
-  return provesNotRun(head) || findHeadFault(head, requestId) === undefined;
+  return provesNotRun(head, requestId) || findHeadFault(head, requestId) === undefined;
 }
 
 /** Whether the head proves that the request did not run. */
-export function provesNotRun(head: ResponseHead): boolean {
+export function provesNotRun(head: ResponseHead, requestId: string): boolean {
+  // A refusal need not name the request, but one that names another may be an extra response.
+  if (head.requestId !== undefined && head.requestId !== requestId) return false;
   return head.notRun || head.isMisdirected;
 }
--- a/packages/forwarding/src/stream-attempt.ts
+++ b/packages/forwarding/src/stream-attempt.ts
@@ -179,7 +179,7 @@
     if (end.kind !== ExchangeEndKind.Complete || head === undefined) {
       return { kind: StreamEndKind.Incomplete, reason: end.reason };
     }
-    if (provesNotRun(head)) {
+    if (provesNotRun(head, requestId)) {
       const isGroupBroken =
         !head.isMisdirected &&
         server.groupRank !== undefined &&
@@ -248,7 +248,7 @@
           head = protocol.decodeResponseHead(incoming);
           if (head.load !== undefined) ledger.recordReport(server.instanceId, head.load);
           context.statements.onAnswer({ server, head, requestId, sentAt: startedAt });
-          if (provesNotRun(head)) return;
+          if (provesNotRun(head, requestId)) return;
           const headFault = findHeadFault(head, requestId);
           if (headFault !== undefined) abandon(headFault);
         },
