Pass on what a paused response holds when its connection ends

Streams without a length or chunks looked complete and were not, others broke off, though the server had sent all.

Cause: an exchange that is paused for its caller holds what was read ahead. When its connection ended, the check for a reset ended it as complete, and the request's and the response's close as lost; both dropped the rest.

Why it works: the exchange is complete when its body has been read to the end and, without a length or chunks, the check of its end has passed too. The loss of the connection counts only while the response has not been received.

--- a/packages/forwarding/src/exchange.ts
+++ b/packages/forwarding/src/exchange.ts
@@ -74,7 +74,8 @@
 export function openExchange(options: ExchangeOptions, listener: ExchangeListener): Exchange {
   let ended = false;
   let connected = false;
-  let isCheckingReset = false;
+  let isCheckingEnd = false;
+  let isBodyRead = false;
   let response: IncomingMessage | undefined;
   let connectTimer: NodeJS.Timeout | undefined;
   let request: ClientRequest | undefined;
@@ -99,7 +100,7 @@
    */
   function checkForReset(socket: Socket): void {
     if (response === undefined || !isCloseDelimited(response)) return;
-    isCheckingReset = true;
+    isCheckingEnd = true;
     socket.write('\r\n', (error) => {
       if (error === null || error === undefined) void checkForServerEnd();
       else fail(`connection reset at the end of the response: ${error.message}`);
@@ -112,8 +113,31 @@
    */
   async function checkForServerEnd(): Promise<void> {
     const result = options.isServerLeaving() ? undefined : await probeConnection(options);
+    isCheckingEnd = false;
     if (result === ProbeResult.Refused) fail('server ended at the end of the response');
-    else end(ExchangeEndKind.Complete, 'complete response');
+    else completeIfRead();
+  }
+
+  /** A paused response is received before its body has been read. */
+  function completeIfRead(): void {
+    if (isBodyRead && !isCheckingEnd) end(ExchangeEndKind.Complete, 'complete response');
+  }
+
+  /**
+   * Whether the response is complete whatever becomes of its connection. It may be paused, and
+   * part of its body not read yet.
+   */
+  function isReceived(): boolean {
+    return response !== undefined && response.complete && !isCloseDelimited(response);
+  }
+
+  /** Handles the loss of the connection; a close-delimited response has been checked before. */
+  function onConnectionClosed(reason: string): void {
+    if (!isCheckingEnd && response?.complete !== true) fail(reason);
+  }
+
+  function onConnectionError(error: Error): void {
+    if (!isReceived()) fail(error.message);
   }
 
   function onSocket(socket: Socket): void {
@@ -122,7 +146,7 @@
     // When a connection is reset, Node.js ends a response without a length as complete before it
     // emits the error, so that half a response would count as complete. This listener therefore
     // runs first.
-    socket.prependListener('error', (error) => fail(error.message));
+    socket.prependListener('error', onConnectionError);
     socket.prependListener('end', () => checkForReset(socket));
     socket.once(options.isSecure === true ? 'secureConnect' : 'connect', () => {
       connected = true;
@@ -137,13 +161,14 @@
       if (!ended) listener.onData(chunk);
     });
     incoming.on('end', () => {
-      if (!incoming.complete) fail('response truncated');
-      else if (!isCheckingReset) end(ExchangeEndKind.Complete, 'complete response');
+      isBodyRead = true;
+      if (incoming.complete) completeIfRead();
+      else fail('response truncated');
     });
     incoming.on('error', (error) => fail(error.message));
-    incoming.on('close', () => {
-      if (!isCheckingReset) fail('connection closed before the end of the response');
-    });
+    incoming.on('close', () =>
+      onConnectionClosed('connection closed before the end of the response'),
+    );
     listener.onHead(incoming);
   }
 
@@ -177,10 +202,8 @@
   });
   request.on('socket', onSocket);
   request.on('response', onResponse);
-  request.on('error', (error) => fail(error.message));
-  request.on('close', () => {
-    if (!isCheckingReset) fail('connection closed without a response');
-  });
+  request.on('error', onConnectionError);
+  request.on('close', () => onConnectionClosed('connection closed without a response'));
   request.end(options.body);
   return {
     cancel(reason) {
