Ask whether a server has ended 20 ms after an answer without a length

Cause: the entry asked at once whether the server still accepts connections. A process that is killed closes its newest descriptors first, so its listener accepts connections for a moment after the answer's connection has ended.

Why it works: by the time of the question the listener is closed too. Such an answer reaches its caller 20 ms later; events of a stream do not.

--- a/packages/forwarding/src/exchange.test.ts
+++ b/packages/forwarding/src/exchange.test.ts
@@ -25,8 +25,8 @@
 interface ServerEnd {
   /** Ends the connection once the response was written. */
   close(socket: Socket): void;
-  /** Whether the server refuses connections from then on. */
-  readonly isProcessEnded?: boolean;
+  /** After which time the server refuses connections; it goes on accepting them if undefined. */
+  readonly listenerCloseDelayMilliseconds?: number;
 }
 
 let server: Server;
@@ -55,13 +55,15 @@
 async function receive(
   response: string,
   pauseMilliseconds: number,
-  { close, isProcessEnded = false }: ServerEnd,
+  { close, listenerCloseDelayMilliseconds }: ServerEnd,
 ): Promise<Received> {
   server = createServer((socket) => {
     socket.on('error', () => undefined);
     socket.once('data', () =>
       socket.write(response, () => {
-        if (isProcessEnded) server.close();
+        if (listenerCloseDelayMilliseconds === 0) server.close();
+        else if (listenerCloseDelayMilliseconds !== undefined)
+          setTimeout(() => server.close(), listenerCloseDelayMilliseconds);
         close(socket);
       }),
     );
@@ -131,10 +133,18 @@
       for (const bytes of BODY_BYTES) {
         const received = await receive(encode(Framing.ConnectionEnd, bytes), pause, {
           close: (socket) => socket.end(),
-          isProcessEnded: true,
+          listenerCloseDelayMilliseconds: 0,
         });
         expect(received.end.kind, `${bytes} bytes`).toBe(ExchangeEndKind.Incomplete);
       }
     },
   );
+
+  it('is not complete if its server closes its listener only after its connections', async () => {
+    const received = await receive(encode(Framing.ConnectionEnd, 10), 0, {
+      close: (socket) => socket.end(),
+      listenerCloseDelayMilliseconds: 5,
+    });
+    expect(received.end.kind).toBe(ExchangeEndKind.Incomplete);
+  });
 });
--- a/packages/forwarding/src/exchange.ts
+++ b/packages/forwarding/src/exchange.ts
@@ -9,6 +9,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import { request as httpsRequest } from 'node:https';
 import type { Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import { probeConnection, ProbeResult } from './connection-probe.js';
 
@@ -61,6 +62,9 @@
  */
 const TCP_KEEP_ALIVE_MILLISECONDS = 1000;
 
+/** Time for a process that is ending to close its listener after a connection. */
+const SERVER_END_DELAY_MILLISECONDS = 20;
+
 /** Informational responses (1xx) that may precede a response. */
 const MAXIMUM_INFORMATIONAL_RESPONSES = 8;
 
@@ -110,6 +114,8 @@
    * length, only the server's end tells that the response may be truncated.
    */
   async function checkForServerEnd(): Promise<void> {
+    // A process that is killed closes its connections before its listener.
+    await delay(SERVER_END_DELAY_MILLISECONDS);
     const result = await probeConnection(options);
     isCheckingEnd = false;
     if (result === ProbeResult.Refused) fail('server ended at the end of the response');
