Decode the URL of a plain service in one place, also with an IPv6 address

What callers would have seen: calls to a plain service whose URL names an IPv6 address fail as not sent since the sidecar calls services by the exchange of direct forwarding, which takes a host without the brackets of a URL.

--- a/packages/sidecar/src/service-client.ts
+++ b/packages/sidecar/src/service-client.ts
@@ -54,9 +54,9 @@
 const METHODS_WITHOUT_BODY = new Set(['GET', 'HEAD', 'DELETE']);
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 
-function encodeHeaders(call: ServiceCall, host: string): string[] {
+function encodeHeaders(call: ServiceCall, authority: string): string[] {
   const headers = [
-    ['Host', host],
+    ['Host', authority],
     ['Content-Type', call.contentType],
     ['Lapisbridge-Account', call.account],
   ];
@@ -66,7 +66,7 @@
   return headers.flat();
 }
 
-/** Why this process ended a call; undefined if it did not. */
+/** Why this process ended a call. */
 enum Abort {
   TimedOut = 'the service did not answer in time',
   TooLarge = 'the answer is larger than allowed',
@@ -113,11 +113,34 @@
   }
 }
 
-export function createServiceClient(url: string, maximumAnswerBytes: () => number): ServiceClient {
+/** Where and how a service is reached. */
+export interface ServiceAddress {
+  readonly host: string;
+  readonly port: number;
+  readonly isSecure: boolean;
+  /** As callers state it in the `Host` header. */
+  readonly authority: string;
+  /** Precedes the path of each call; without a slash at its end. */
+  readonly basePath: string;
+}
+
+/** Decodes the URL of a service; throws if it is not valid. */
+export function parseServiceUrl(url: string): ServiceAddress {
   const { protocol, host, hostname, port, pathname } = new URL(url);
   const isSecure = protocol === 'https:';
   const defaultPort = isSecure ? 443 : 80;
-  const basePath = pathname.replace(/\/$/, '');
+  return {
+    // An IPv6 address is in brackets in a URL only.
+    host: hostname.replace(/^\[|\]$/g, ''),
+    port: port === '' ? defaultPort : Number(port),
+    isSecure,
+    authority: host,
+    basePath: pathname.replace(/\/$/, ''),
+  };
+}
+
+export function createServiceClient(url: string, maximumAnswerBytes: () => number): ServiceClient {
+  const { host, port, isSecure, authority, basePath } = parseServiceUrl(url);
   const aborts = new Set<(reason: Abort) => void>();
 
   return {
@@ -135,12 +158,12 @@
         aborts.add(abort);
         const exchange = openExchange(
           {
-            host: hostname,
-            port: port === '' ? defaultPort : Number(port),
+            host,
+            port,
             isSecure,
             method: call.method,
             target: `${basePath}${call.path}`,
-            headers: encodeHeaders(call, host),
+            headers: encodeHeaders(call, authority),
             body: Buffer.from(call.body),
             connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
           },
