Take back the question to leaving servers whether they have ended

What callers would have seen since: a whole answer without a length fails with 502 if the server completes it and then ends, as a server does that shuts down in an orderly way.

The delay before the question stays for servers that are not leaving.

--- a/packages/forwarding/src/exchange.test.ts
+++ b/packages/forwarding/src/exchange.test.ts
@@ -82,6 +82,7 @@
         headers: ['Host', HOST, 'Content-Length', '0'],
         body: Buffer.alloc(0),
         connectTimeoutMilliseconds: 1000,
+        isServerLeaving: () => false,
       },
       {
         onHead() {
--- a/packages/forwarding/src/open-forward.ts
+++ b/packages/forwarding/src/open-forward.ts
@@ -49,6 +49,10 @@
     headers,
     body,
     connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+    isServerLeaving() {
+      const listed = context.catalog.servers().servers.get(server.instanceId) ?? server;
+      return listed.draining || context.statements.isLeaving(server);
+    },
   };
   return openExchange(options, listener);
 }
--- a/packages/sidecar/src/service-client.ts
+++ b/packages/sidecar/src/service-client.ts
@@ -166,6 +166,7 @@
             headers: encodeHeaders(call, authority),
             body: Buffer.from(call.body),
             connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+            isServerLeaving: () => false,
           },
           {
             onHead(head) {
