Log and count what an entry's shutdown meets, and how each request ends

The logs could not tell why: 'stopping' and 'stopped' carried nothing. The entry now logs the requests in flight by stage when its shutdown begins and when its listener closes, how the requests that were in flight and those that came later ended, and each request that the end of the process cuts, with route, stage and age; the same counts are metrics. No decision changes.

--- a/packages/direct-entry/src/register-entry-metrics.ts
+++ b/packages/direct-entry/src/register-entry-metrics.ts
@@ -7,6 +7,7 @@
   CallerBacklog,
   ContentionCounts,
   GroupPassMeter,
+  InFlightRequests,
   RetryBudgetShare,
   ServerBackoffs,
   ServerDepartures,
@@ -32,6 +33,7 @@
   readonly contentionCounts: ContentionCounts;
   readonly hedges: HedgeBudget;
   readonly callerBacklog: CallerBacklog;
+  readonly inFlight: InFlightRequests;
   /** Number of servers in use that the list lacks. */
   unlistedServers(): number;
 }
@@ -131,4 +133,10 @@
     () => callerBacklog.callerCount(),
   );
   metrics.cutResponses(() => callerBacklog.cutCounts());
+  metrics.gauge(
+    'lapisbridge_in_flight_requests',
+    'Requests of callers that have no whole response yet.',
+    () => parts.inFlight.count(),
+  );
+  metrics.shutdownRequests(() => parts.inFlight.shutdownCounts());
 }
--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -16,6 +16,7 @@
   createGroupHealth,
   createGroupLoads,
   createGroupPassMeter,
+  createInFlightRequests,
   createEventActivity,
   createResponseBuffers,
   createRetryBudgetShare,
@@ -263,7 +264,10 @@
     now: monotonicClock,
   });
 
+  const inFlight = createInFlightRequests(monotonicClock);
+
   registerEntryMetrics(metrics, {
+    inFlight,
     rateLimits,
     backoffs,
     departures,
@@ -317,6 +321,7 @@
       : createCallerListener({
           ...settings.callerAddress,
           context,
+          inFlight,
           isOutdated: () => catalogSync.isOutdated(),
           shutdownDelayMilliseconds: LINGER_MILLISECONDS,
         });
@@ -342,8 +347,11 @@
     await endUnstarted(life, thrown);
   }
 
-  endOnSignal(life, async () => {
-    isStopping = true;
-    await listener?.stop();
+  endOnSignal(life, {
+    async stop() {
+      isStopping = true;
+      await listener?.stop();
+    },
+    log: () => listener?.logShutdown(),
   });
 }
--- a/packages/forwarding/src/caller-listener.ts
+++ b/packages/forwarding/src/caller-listener.ts
@@ -14,6 +14,7 @@
 import type { CallerResponse } from './caller-response.js';
 import type { CallerRequest } from './caller-protocol.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import type { InFlightRequest, InFlightRequests } from './in-flight-requests.js';
 import { rejectTooLarge } from './local-reply.js';
 import { logRequestEnd, RequestEndKind } from './request-end.js';
 import type { CutReason } from './plan-backlog-cut.js';
@@ -31,14 +32,15 @@
    * flight; resolves when all connections are closed.
    */
   stop(): Promise<void>;
-  /** Number of requests in flight. */
-  inFlightCount(): number;
+  /** Logs how the shutdown went, and each request that has no whole response yet. */
+  logShutdown(): void;
 }
 
 export interface CallerListenerOptions {
   readonly host: string;
   readonly port: number;
   readonly context: ForwardContext;
+  readonly inFlight: InFlightRequests;
   /** Whether the configuration may be outdated. */
   isOutdated(): boolean;
   /** How long new connections are still accepted after `stop` was called. */
@@ -93,10 +95,9 @@
 }
 
 export function createCallerListener(options: CallerListenerOptions): CallerListener {
-  const { context } = options;
+  const { context, inFlight } = options;
   const returnWatch = createRetryDetector();
   let stopping = false;
-  let inFlight = 0;
 
   function sendLocalReply(
     callerResponse: CallerResponse,
@@ -149,7 +150,11 @@
     return context.serverMemory.exceedsEveryServer(service, servers.values(), request.promptTokens);
   }
 
-  async function handleRequest(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+  async function handleRequest(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    inFlightRequest: InFlightRequest,
+  ): Promise<void> {
     const callerResponse = createCallerResponse(response, context.callerBacklog);
     const arrivedAt = context.now();
     const request = context.protocol.decodeRequest(incoming);
@@ -208,10 +213,12 @@
           arrivedAt,
           expiresAt: arrivedAt + admission.timeoutMilliseconds,
           response: callerResponse,
+          inFlightRequest,
           isRetry,
           ...rankPriority(loaded, admission.service, admission.route, admission.account),
           admissionDraw: context.random(),
         };
+        inFlightRequest.identify(admission.requestId, admission.route.name);
         callerResponse.identify({
           requestId: admission.requestId,
           route: admission.route.name,
@@ -242,13 +249,10 @@
   }
 
   function onRequest(incoming: IncomingMessage, response: ServerResponse): void {
-    inFlight += 1;
-    response.once('close', () => {
-      inFlight -= 1;
-    });
+    const inFlightRequest = inFlight.track(incoming, response);
     if (stopping) response.shouldKeepAlive = false;
     applyLimits();
-    handleRequest(incoming, response).catch((thrown: unknown) => {
+    handleRequest(incoming, response, inFlightRequest).catch((thrown: unknown) => {
       context.logger.warn('request failed', { reason: String(thrown) });
       response.destroy();
     });
@@ -259,6 +263,12 @@
   (server as Server & { connectionsCheckingInterval: number }).connectionsCheckingInterval =
     TIMEOUT_CHECK_INTERVAL_MILLISECONDS;
 
+  function countConnections(): Promise<number | undefined> {
+    return new Promise((resolve) => {
+      server.getConnections((error, count) => resolve(error === null ? count : undefined));
+    });
+  }
+
   function applyLimits(): void {
     const limits = context.catalog.operatorState().configuration?.limits;
     server.headersTimeout =
@@ -280,6 +290,12 @@
     },
     async stop() {
       stopping = true;
+      inFlight.beginShutdown();
+      context.logger.info('shutdown begun', {
+        requests: inFlight.count(),
+        ...inFlight.countsByStage(),
+        connections: await countConnections(),
+      });
       // The load balancer notices the shutdown only after some of its health checks and sends new
       // connections until then.
       await new Promise((resolve) => {
@@ -294,11 +310,25 @@
         () => setImmediate(() => server.closeIdleConnections()),
         IDLE_CLOSE_INTERVAL_MILLISECONDS,
       );
-      await new Promise<void>((resolve) => {
+      const closed = new Promise<void>((resolve) => {
         server.close(() => resolve());
       });
+      context.logger.info('listener closed', {
+        requests: inFlight.count(),
+        ...inFlight.countsByStage(),
+        connections: await countConnections(),
+      });
+      await closed;
       clearInterval(timer);
     },
-    inFlightCount: () => inFlight,
+    logShutdown() {
+      const unfinished = inFlight.listUnfinished();
+      for (const request of unfinished) {
+        context.logger.warn('request unfinished', { ...request });
+      }
+      for (const { arrival, ...counts } of inFlight.shutdownCounts()) {
+        context.logger.info('shutdown requests', { arrival, ...counts });
+      }
+    },
   };
 }
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -17,6 +17,7 @@
 import type { GroupHealth } from './group-health.js';
 import type { GroupLoads } from './group-loads.js';
 import type { GroupPassMeter } from './group-pass-meter.js';
+import type { InFlightRequest } from './in-flight-requests.js';
 import type { Outcome } from './outcome.js';
 import type { ContentionCounts } from './contention-counts.js';
 import type { EventActivity } from './event-activity.js';
@@ -83,6 +84,7 @@
    */
   readonly expiresAt: number;
   readonly response: CallerResponse;
+  readonly inFlightRequest: InFlightRequest;
   /** The caller was refused before and will not retry again. */
   readonly isRetry: boolean;
   /** As stated to backend servers; 0 is the most urgent. */
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -38,6 +38,7 @@
 import { createGroupHealth } from './group-health.js';
 import { createGroupLoads } from './group-loads.js';
 import { createGroupPassMeter } from './group-pass-meter.js';
+import { createInFlightRequests } from './in-flight-requests.js';
 import type { GroupHealth } from './group-health.js';
 import { createArrivalMeter } from './arrival-meter.js';
 import { createEventActivity } from './event-activity.js';
@@ -334,6 +335,7 @@
     host: HOST,
     port,
     context,
+    inFlight: createInFlightRequests(now),
     isOutdated: () => false,
     shutdownDelayMilliseconds: 0,
   });
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -31,6 +31,8 @@
 export type { GroupHealth, RankHealth } from './group-health.js';
 export { createGroupPassMeter } from './group-pass-meter.js';
 export type { EventGapWatch, GroupPassMeter } from './group-pass-meter.js';
+export { createInFlightRequests } from './in-flight-requests.js';
+export type { InFlightRequests } from './in-flight-requests.js';
 export { createResponseBuffers } from './response-buffers.js';
 export { planBacklogLimits } from './plan-backlog-cut.js';
 export { createEventActivity } from './event-activity.js';
--- a/packages/forwarding/src/open-forward.ts
+++ b/packages/forwarding/src/open-forward.ts
@@ -54,5 +54,6 @@
       return listed.draining || context.statements.isLeaving(server);
     },
   };
+  accepted.inFlightRequest.recordForwarded();
   return openExchange(options, listener);
 }
--- a/packages/group-sidecar/src/start-sidecar.ts
+++ b/packages/group-sidecar/src/start-sidecar.ts
@@ -50,7 +50,7 @@
   });
   if (backendServerAddress === undefined) {
     logger.warn('sidecar has no backend server', { reason: 'the settings name no backend server' });
-    endOnSignal(life, async () => undefined);
+    endOnSignal(life, { stop: async () => undefined });
     return;
   }
   const leadership = createLeadership({
@@ -91,5 +91,5 @@
   } catch (thrown) {
     await endUnstarted(life, thrown);
   }
-  endOnSignal(life, async () => member.stop());
+  endOnSignal(life, { stop: async () => member.stop() });
 }
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -43,6 +43,11 @@
    * when metrics are asked for.
    */
   cutResponses(read: () => ReadonlyMap<string, number>): void;
+  /**
+   * Registers counts of the requests that ended while the entry shut down, read when metrics are
+   * asked for.
+   */
+  shutdownRequests(read: () => readonly ShutdownRequestCount[]): void;
   text(): Promise<string>;
 }
 
@@ -53,6 +58,17 @@
   readonly requestsPerSecond: number;
 }
 
+/** Requests that ended while the entry shut down, by whether they came before the signal. */
+export interface ShutdownRequestCount {
+  readonly arrival: string;
+  /** Whole responses. */
+  readonly complete: number;
+  /** Rejected before they were sent to any backend server. */
+  readonly refused: number;
+  /** Connections that were closed without a whole response. */
+  readonly incomplete: number;
+}
+
 /** Duplicates of late requests of one service. */
 export interface HedgeCount {
   readonly service: string;
@@ -275,6 +291,20 @@
         },
       );
     },
+    shutdownRequests(read) {
+      addGauge(
+        'lapisbridge_shutdown_requests_total',
+        'Requests that ended while the entry shut down, by arrival and outcome.',
+        ['arrival', 'outcome'],
+        function* readShutdown() {
+          for (const { arrival, complete, refused, incomplete } of read()) {
+            yield { labels: { arrival, outcome: 'complete' }, value: complete };
+            yield { labels: { arrival, outcome: 'refused' }, value: refused };
+            yield { labels: { arrival, outcome: 'incomplete' }, value: incomplete };
+          }
+        },
+      );
+    },
     text: () => renderMetrics(metrics),
   };
 }
--- a/packages/process-life/src/process-life.ts
+++ b/packages/process-life/src/process-life.ts
@@ -81,20 +81,31 @@
   process.exit(CANNOT_START);
 }
 
-/** Runs `stop` at the first SIGTERM, then ends; at the end of the grace time in any case. */
-export function endOnSignal(life: ProcessLife, stop: () => Promise<void>): void {
+/** What a process does between SIGTERM and its end. */
+export interface Shutdown {
+  /** Resolves when nothing is left to do. */
+  stop(): Promise<void>;
+  /** Logs how the shutdown went, just before the end. */
+  log?(): void;
+}
+
+/** Stops at the first SIGTERM, then ends; at the end of the grace time in any case. */
+export function endOnSignal(life: ProcessLife, shutdown: Shutdown): void {
   /** Kept back from the grace time, to write the last lines. */
   const reserveMilliseconds = 500;
   let isStopping = false;
   process.on('SIGTERM', () => {
     if (isStopping) return;
     isStopping = true;
-    life.logger.info('stopping', {});
+    const { graceMilliseconds } = life.settings();
+    const startedAt = performance.now();
+    life.logger.info('stopping', { graceMilliseconds });
     const limit = new Promise<void>((resolve) => {
-      setTimeout(resolve, life.settings().graceMilliseconds - reserveMilliseconds);
+      setTimeout(resolve, graceMilliseconds - reserveMilliseconds);
     });
-    void Promise.race([stop(), limit]).then(async () => {
-      life.logger.info('stopped', {});
+    void Promise.race([shutdown.stop(), limit]).then(async () => {
+      shutdown.log?.();
+      life.logger.info('stopped', { milliseconds: Math.round(performance.now() - startedAt) });
       await life.writer.flush();
       process.exit(0);
     });
