Add createConnectionDrain(server) to @lapisbridge/kernel (packages/kernel/src/connection-drain.ts)

`closeIdleConnections` of Node.js counts a connection as idle once `end()` was called on its response and destroys it, also while bytes of the response wait in the process: callers that read slowly get a truncated answer from an entry that stops. It also leaves connections open on which no request has come yet; the server's close waits for them until the header timeout.

`createConnectionDrain` follows the connections of a node:http or node:https server. `closeIdle()` closes those that have no request in flight, no partially received request and no unsent bytes, among them unused ones. `openCount()` counts the open connections. A connection is destroyed, not half-closed: a half-closed one would still deliver requests, which could not be answered. The kernel sends the end of the connection after what it already holds.

Not detected: a further request that arrived in part while the one before it was in progress (pipelining). Such a connection is closed, and the part is not passed on.

No listener uses it yet.

--- /dev/null
+++ b/packages/kernel/src/connection-drain.ts
@@ -0,0 +1,81 @@
+/**
+ * Closes the idle connections of an HTTP server that stops. `closeIdleConnections` of Node.js
+ * counts a connection as idle once `end()` was called on its response, and then discards what the
+ * caller has not read yet; here a connection is idle only when its last response has left the
+ * process.
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { Server as TransportSecurityServer } from 'node:tls';
+
+export interface ConnectionDrain {
+  /**
+   * Closes each connection that has no request in flight, no unsent bytes and no partially received
+   * request. Connections that become idle later stay open until the next call.
+   */
+  closeIdle(): void;
+  /** Number of open connections. */
+  openCount(): number;
+}
+
+interface ConnectionState {
+  /** Responses that have not been flushed or dropped yet. */
+  openResponses: number;
+  isReceivingRequest: boolean;
+  /** `bytesRead` of the socket when its last request was complete: more means a further request. */
+  bytesOfCompleteRequests: number;
+}
+
+/** Must be called before the server accepts its first connection. */
+export function createConnectionDrain(server: Server): ConnectionDrain {
+  const connections = new Map<Socket, ConnectionState>();
+
+  function track(socket: Socket): void {
+    connections.set(socket, {
+      openResponses: 0,
+      isReceivingRequest: false,
+      bytesOfCompleteRequests: 0,
+    });
+    socket.once('close', () => connections.delete(socket));
+  }
+
+  function onRequest(incoming: IncomingMessage, response: ServerResponse): void {
+    const { socket } = incoming;
+    const connection = connections.get(socket);
+    if (connection === undefined) return;
+    const onComplete = (): void => {
+      connection.isReceivingRequest = false;
+      connection.bytesOfCompleteRequests = socket.bytesRead;
+    };
+    connection.openResponses += 1;
+    connection.isReceivingRequest = true;
+    incoming.once('end', onComplete);
+    response.once('close', () => {
+      connection.openResponses -= 1;
+      // The body of a request may stay unread although all of it was received.
+      if (connection.isReceivingRequest && incoming.complete) onComplete();
+    });
+  }
+
+  function isIdle(socket: Socket, connection: ConnectionState): boolean {
+    return (
+      connection.openResponses === 0 &&
+      !connection.isReceivingRequest &&
+      socket.bytesRead === connection.bytesOfCompleteRequests &&
+      socket.writableLength === 0
+    );
+  }
+
+  server.on(server instanceof TransportSecurityServer ? 'secureConnection' : 'connection', track);
+  server.prependListener('request', onRequest);
+
+  return {
+    closeIdle() {
+      for (const [socket, connection] of connections) {
+        // A half-closed connection would still deliver requests, which could not be answered.
+        if (isIdle(socket, connection)) socket.destroy();
+      }
+    },
+    openCount: () => connections.size,
+  };
+}
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -70,3 +70,5 @@
   });
 }
 export { pickSome } from './pick-some.js';
+export { createConnectionDrain } from './connection-drain.js';
+export type { ConnectionDrain } from './connection-drain.js';
