Stop listening without closing connections: stopListening() of createConnectionDrain (@lapisbridge/kernel)

`server.close()` of Node.js 19 and later calls `closeIdleConnections` itself, so a listener that no longer calls it still truncates answers that callers read slowly, in the moment in which it stops listening. It also ends the timer that enforces the header and request timeouts.

`stopListening()` calls the `close` of node:net, which only stops accepting, and resolves when the last connection is closed.

--- a/packages/kernel/src/connection-drain.test.ts
+++ b/packages/kernel/src/connection-drain.test.ts
@@ -1,6 +1,7 @@
 /**
  * Which connections of an HTTP server count as idle.
  */
+import { once } from 'node:events';
 import { createServer } from 'node:http';
 import type { RequestListener, Server } from 'node:http';
 import { connect } from 'node:net';
@@ -44,8 +45,13 @@
   });
 }
 
+function address(): AddressInfo {
+  return server.address() as AddressInfo;
+}
+
 async function call(text: string): Promise<Caller> {
-  const socket = connect((server.address() as AddressInfo).port, HOST);
+  const { port } = address();
+  const socket = connect(port, HOST);
   const chunks: Buffer[] = [];
   socket.on('data', (chunk) => chunks.push(chunk));
   socket.on('error', () => undefined);
@@ -79,6 +85,22 @@
   while (!isDone()) await sleep(POLL_MILLISECONDS);
 }
 
+/** Requests a body and leaves most of it in the process of the server. */
+async function callWithoutReading(): Promise<Caller> {
+  await start((_incoming, response) => void response.end(LARGE_BODY));
+  const caller = await call('');
+  caller.socket.pause();
+  caller.socket.write(REQUEST);
+  await sleep(POLL_MILLISECONDS);
+  return caller;
+}
+
+async function expectWholeBody({ socket, receivedBytes }: Caller): Promise<void> {
+  socket.resume();
+  await until(() => receivedBytes() > LARGE_BODY.length || socket.destroyed);
+  expect(receivedBytes()).toBeGreaterThan(LARGE_BODY.length);
+}
+
 describe('the idle connections of a stopping server', () => {
   it('are those without a request, and those whose answer was read', async () => {
     await start((_incoming, response) => void response.end('whole'));
@@ -93,19 +115,26 @@
 
   it('do not include those whose answer the caller still reads', async () => {
     // Guards against answers that are truncated at callers that read slowly.
-    await start((_incoming, response) => void response.end(LARGE_BODY));
-    const caller = await call('');
-    caller.socket.pause();
-    caller.socket.write(REQUEST);
-    await sleep(POLL_MILLISECONDS);
+    const caller = await callWithoutReading();
     await closeIdleRepeatedly();
-    caller.socket.resume();
-    await until(() => caller.receivedBytes() > LARGE_BODY.length || caller.socket.destroyed);
-    expect(caller.receivedBytes()).toBeGreaterThan(LARGE_BODY.length);
+    await expectWholeBody(caller);
     await closeIdleRepeatedly();
     await caller.closed;
   });
 
+  it('outlast the end of listening while their answer is read', async () => {
+    // Guards against answers that are truncated when the server closes its listener.
+    const caller = await callWithoutReading();
+    const { port } = address();
+    const stopped = drain.stopListening();
+    await sleep(POLL_MILLISECONDS);
+    await expectWholeBody(caller);
+    const refused = connect(port, HOST);
+    await expect(once(refused, 'connect')).rejects.toThrow('ECONNREFUSED');
+    await closeIdleRepeatedly();
+    await stopped;
+  });
+
   it('do not include those whose request is in progress', async () => {
     let finish = (): void => undefined;
     await start((_incoming, response) => {
--- a/packages/kernel/src/connection-drain.ts
+++ b/packages/kernel/src/connection-drain.ts
@@ -1,10 +1,11 @@
 /**
- * Closes the idle connections of an HTTP server that stops. `closeIdleConnections` of Node.js
- * counts a connection as idle once `end()` was called on its response, and then discards what the
- * caller has not read yet; here a connection is idle only when its last response has left the
- * process.
+ * Stops an HTTP server without truncating responses. `closeIdleConnections` of Node.js, which
+ * `server.close()` calls too, counts a connection as idle once `end()` was called on its response,
+ * and then discards what the caller has not read yet; here a connection is idle only when its last
+ * response has left the process.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import type { Socket } from 'node:net';
 import { Server as TransportSecurityServer } from 'node:tls';
 
@@ -14,6 +15,11 @@
    * request. Connections that become idle later stay open until the next call.
    */
   closeIdle(): void;
+  /**
+   * Stops accepting connections and leaves the open ones as they are; resolves when the last one is
+   * closed.
+   */
+  stopListening(): Promise<void>;
   /** Number of open connections. */
   openCount(): number;
 }
@@ -76,6 +82,12 @@
         if (isIdle(socket, connection)) socket.destroy();
       }
     },
+    stopListening() {
+      return new Promise((resolve) => {
+        // `close` of an HTTP server calls `closeIdleConnections`.
+        NetServer.prototype.close.call(server, () => resolve());
+      });
+    },
     openCount: () => connections.size,
   };
 }
