Stop the product's listeners without truncating answers that are still read

What callers saw: an entry of the product that stops (`lapisbridged`, SIGTERM) cut answers whose last byte had been handed to Node.js and that the caller was still reading. And an entry did not stop at all while a connection was open on which no request had come, such as a browser's preconnect.

Cause: `server.close()` and `closeIdleConnections()` of Node.js destroy connections whose response was ended but not flushed, and leave those that have not been used yet; `server.close()` also ends the timer that would close the latter after the header timeout.

Both listeners, for callers and for operators, now use `createConnectionDrain`, over TLS too.

--- a/packages/entry/src/http-listener.test.ts
+++ b/packages/entry/src/http-listener.test.ts
@@ -1,12 +1,14 @@
 /**
  * The HTTP listener: TLS, and a stop that cuts nothing off.
  */
+import { once } from 'node:events';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
+import { connect, createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
+import { sleep } from '@lapisbridge/kernel';
 import { generate } from 'selfsigned';
 import { Agent, request } from 'undici';
 import { afterEach, describe, expect, it } from 'vitest';
@@ -44,26 +46,43 @@
   return { listener, port };
 }
 
+/** More than what the kernel takes for a caller that does not read. */
+const LARGE_BODY = Buffer.alloc(48 * 1024 * 1024, 'a');
+/** Longer than the closing of idle connections takes, shorter than the timeout of a header. */
+const STOP_MILLISECONDS = 2000;
+
+interface Certificate {
+  readonly authority: string;
+  readonly files: { readonly certificateFile: string; readonly keyFile: string };
+  remove(): void;
+}
+
+function createCertificate(): Certificate {
+  const pems = generate([{ name: 'commonName', value: HOST }], {
+    keySize: 2048,
+    extensions: [{ name: 'subjectAltName', altNames: [{ type: 7, ip: HOST }] }],
+  });
+  const folder = mkdtempSync(join(tmpdir(), 'lapisbridge-tls-'));
+  const certificateFile = join(folder, 'certificate.pem');
+  const keyFile = join(folder, 'key.pem');
+  writeFileSync(certificateFile, pems.cert);
+  writeFileSync(keyFile, pems.private);
+  return {
+    authority: pems.cert,
+    files: { certificateFile, keyFile },
+    remove: () => rmSync(folder, { recursive: true }),
+  };
+}
+
 describe('the HTTP listener', () => {
   it('speaks TLS when a certificate is set', async () => {
-    const pems = generate([{ name: 'commonName', value: HOST }], {
-      keySize: 2048,
-      extensions: [{ name: 'subjectAltName', altNames: [{ type: 7, ip: HOST }] }],
-    });
-    const folder = mkdtempSync(join(tmpdir(), 'lapisbridge-tls-'));
-    const certificateFile = join(folder, 'certificate.pem');
-    const keyFile = join(folder, 'key.pem');
-    writeFileSync(certificateFile, pems.cert);
-    writeFileSync(keyFile, pems.private);
-    const { port } = await listen(
-      (_request, response) => {
-        response.end('secret');
-        return Promise.resolve();
-      },
-      { certificateFile, keyFile },
-    );
-    rmSync(folder, { recursive: true });
-    const agent = new Agent({ connect: { ca: pems.cert } });
+    const certificate = createCertificate();
+    const { port } = await listen((_request, response) => {
+      response.end('secret');
+      return Promise.resolve();
+    }, certificate.files);
+    certificate.remove();
+    const agent = new Agent({ connect: { ca: certificate.authority } });
     agents.push(agent);
     const reply = await request(`https://${HOST}:${port}/`, { dispatcher: agent });
     expect(await reply.body.text()).toBe('secret');
@@ -93,4 +112,39 @@
     expect(await text).toBe('first last');
     await stopped;
   });
+
+  it.each([
+    ['HTTP', undefined],
+    ['HTTPS', createCertificate()],
+  ])(
+    'sends a caller that reads slowly its whole answer over %s before it stops',
+    async (scheme, certificate) => {
+      // Guards against answers that are truncated once their last byte has been handed over.
+      const { listener, port } = await listen((_request, response) => {
+        response.end(LARGE_BODY);
+        return Promise.resolve();
+      }, certificate?.files);
+      certificate?.remove();
+      const agent = new Agent({ connect: { ca: certificate?.authority } });
+      agents.push(agent);
+      const reply = await request(`${scheme.toLowerCase()}://${HOST}:${port}/`, {
+        dispatcher: agent,
+      });
+      const stopped = listener.stop();
+      await sleep(300);
+      expect((await reply.body.arrayBuffer()).byteLength).toBe(LARGE_BODY.length);
+      await stopped;
+    },
+  );
+
+  it('does not wait for connections on which no request has come', async () => {
+    const { listener, port } = await listen(() => Promise.resolve());
+    const unused = connect(port, HOST);
+    await once(unused, 'connect');
+    await sleep(50);
+    const startedAt = performance.now();
+    await listener.stop();
+    expect(performance.now() - startedAt).toBeLessThan(STOP_MILLISECONDS);
+    unused.destroy();
+  });
 });
--- a/packages/entry/src/http-listener.ts
+++ b/packages/entry/src/http-listener.ts
@@ -9,6 +9,7 @@
 
 import { toLapisError } from '@lapisbridge/errors';
 import type { EntrySettings } from '@lapisbridge/config';
+import { createConnectionDrain } from '@lapisbridge/kernel';
 
 import { sendProblem } from './reply.js';
 
@@ -55,6 +56,7 @@
   server.headersTimeout = HEADERS_MILLISECONDS;
   server.requestTimeout = BODY_MILLISECONDS;
   server.keepAliveTimeout = IDLE_MILLISECONDS;
+  const drain = createConnectionDrain(server);
 
   return {
     async start() {
@@ -65,10 +67,13 @@
     },
     async stop() {
       stopping = true;
-      const timer = setInterval(() => server.closeIdleConnections(), CLOSE_IDLE_MILLISECONDS);
-      await new Promise<void>((resolve) => {
-        server.close(() => resolve());
-      });
+      // Immediates run after the event loop has read what has arrived: closing a connection resets
+      // unread requests.
+      const timer = setInterval(
+        () => setImmediate(() => drain.closeIdle()),
+        CLOSE_IDLE_MILLISECONDS,
+      );
+      await drain.stopListening();
       clearInterval(timer);
     },
   };
