Close callers' idle connections only when their last response has left

The listener now uses createConnectionDrain, which closes a connection only when no response of it is left in the process and nothing of a request has been received.

A stop in which the last response ends just before a check takes up to 100 ms longer.

--- a/packages/forwarding/src/caller-listener.ts
+++ b/packages/forwarding/src/caller-listener.ts
@@ -7,6 +7,7 @@
 
 import { RequestKind } from '@lapisbridge/catalog';
 import { createRequestDigest } from '@lapisbridge/crash-attribution';
+import { createConnectionDrain } from '@lapisbridge/kernel';
 import { LatencyKind } from '@lapisbridge/metrics';
 
 import { AdmissionKind, decideAdmission, RejectionReason } from './accept-request.js';
@@ -73,6 +74,11 @@
 const REQUEST_TIMEOUT_MILLISECONDS = 30_000;
 const TIMEOUT_CHECK_INTERVAL_MILLISECONDS = 1000;
 const IDLE_CLOSE_INTERVAL_MILLISECONDS = 100;
+/**
+ * Many callers send their next request as soon as they have a response. Read, it gets an answer;
+ * closing the connection meanwhile would reset it.
+ */
+const MINIMUM_IDLE_MILLISECONDS = 100;
 /** Timeout assumed for a caller that states no deadline. */
 const DEFAULT_CALLER_TIMEOUT_MILLISECONDS = 10_000;
 
@@ -259,16 +265,11 @@
   }
 
   const server: Server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, onRequest);
+  const connections = createConnectionDrain(server);
   server.requestTimeout = REQUEST_TIMEOUT_MILLISECONDS;
   (server as Server & { connectionsCheckingInterval: number }).connectionsCheckingInterval =
     TIMEOUT_CHECK_INTERVAL_MILLISECONDS;
 
-  function countConnections(): Promise<number | undefined> {
-    return new Promise((resolve) => {
-      server.getConnections((error, count) => resolve(error === null ? count : undefined));
-    });
-  }
-
   function applyLimits(): void {
     const limits = context.catalog.operatorState().configuration?.limits;
     server.headersTimeout =
@@ -294,7 +295,7 @@
       context.logger.info('shutdown begun', {
         requests: inFlight.count(),
         ...inFlight.countsByStage(),
-        connections: await countConnections(),
+        connections: connections.openCount(),
       });
       // The load balancer notices the shutdown only after some of its health checks and sends new
       // connections until then.
@@ -307,16 +308,14 @@
         setImmediate(resolve);
       });
       const timer = setInterval(
-        () => setImmediate(() => server.closeIdleConnections()),
+        () => setImmediate(() => connections.closeIdle(MINIMUM_IDLE_MILLISECONDS)),
         IDLE_CLOSE_INTERVAL_MILLISECONDS,
       );
-      const closed = new Promise<void>((resolve) => {
-        server.close(() => resolve());
-      });
+      const closed = connections.stopListening();
       context.logger.info('listener closed', {
         requests: inFlight.count(),
         ...inFlight.countsByStage(),
-        connections: await countConnections(),
+        connections: connections.openCount(),
       });
       await closed;
       clearInterval(timer);
--- a/packages/kernel/src/connection-drain.test.ts
+++ b/packages/kernel/src/connection-drain.test.ts
@@ -135,6 +135,17 @@
     await stopped;
   });
 
+  it('do not include those that have been idle for less than the given time', async () => {
+    await start((_incoming, response) => void response.end('whole'));
+    const caller = await call(REQUEST);
+    await until(() => caller.received().endsWith('whole'));
+    drain.closeIdle(60_000);
+    await sleep(POLL_MILLISECONDS);
+    expect(drain.openCount()).toBe(1);
+    drain.closeIdle(POLL_MILLISECONDS / 2);
+    await caller.closed;
+  });
+
   it('do not include those whose request is in progress', async () => {
     let finish = (): void => undefined;
     await start((_incoming, response) => {
--- a/packages/kernel/src/connection-drain.ts
+++ b/packages/kernel/src/connection-drain.ts
@@ -12,9 +12,10 @@
 export interface ConnectionDrain {
   /**
    * Closes each connection that has no request in flight, no unsent bytes and no partially received
-   * request. Connections that become idle later stay open until the next call.
+   * request, and has not had any for the time. Connections that become idle later stay open until
+   * the next call.
    */
-  closeIdle(): void;
+  closeIdle(minimumIdleMilliseconds?: number): void;
   /**
    * Stops accepting connections and leaves the open ones as they are; resolves when the last one is
    * closed.
@@ -30,6 +31,8 @@
   isReceivingRequest: boolean;
   /** `bytesRead` of the socket when its last request was complete: more means a further request. */
   bytesOfCompleteRequests: number;
+  /** When the last response left, or the connection was opened. */
+  idleSince: number;
 }
 
 /** Must be called before the server accepts its first connection. */
@@ -41,6 +44,7 @@
       openResponses: 0,
       isReceivingRequest: false,
       bytesOfCompleteRequests: 0,
+      idleSince: performance.now(),
     });
     socket.once('close', () => connections.delete(socket));
   }
@@ -58,6 +62,7 @@
     incoming.once('end', onComplete);
     response.once('close', () => {
       connection.openResponses -= 1;
+      connection.idleSince = performance.now();
       // The body of a request may stay unread although all of it was received.
       if (connection.isReceivingRequest && incoming.complete) onComplete();
     });
@@ -76,8 +81,10 @@
   server.prependListener('request', onRequest);
 
   return {
-    closeIdle() {
+    closeIdle(minimumIdleMilliseconds = 0) {
+      const latest = performance.now() - minimumIdleMilliseconds;
       for (const [socket, connection] of connections) {
+        if (connection.idleSince > latest) continue;
         // A half-closed connection would still deliver requests, which could not be answered.
         if (isIdle(socket, connection)) socket.destroy();
       }
