Answer or refuse each request before a stopping entry ends

Callers saw streams with status 200 broken off, and reads and orders reset, around SIGTERM to their entry, although each had been sent to a server.

Cause: the process ended 7.5 s after the signal (grace time 8 s) whatever was in flight, and nothing else knew that time. A response whose head was sent before the signal promised a kept connection; its caller sent the next request there, and the entry forwarded it as usual until it exited.

Class: work accepted without regard to the time at which its executor ends.

Now the shutdown has a deadline, 0.2 s before the end, and every request has no more time left than until then: its timers, what it may wait for, and what it states to servers. A request that has not run is sent only if it ends before the deadline in any case, or, if it came while the listener still accepted connections, if nine of ten recent responses of its route take no longer than what is left. Otherwise it gets 503 with Retry-After 0 and Connection: close, at once. At the deadline, a request whose body is incomplete gets 503, one that has been forwarded without a response 504; a stream that has begun is aborted. Responses that begin after the signal close their connections, also those of requests that came before it.

--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -17,8 +17,10 @@
   createGroupLoads,
   createGroupPassMeter,
   createInFlightRequests,
+  createEntryShutdown,
   createEventActivity,
   createResponseBuffers,
+  createResponseTimes,
   createRetryBudgetShare,
   createServerBackoffs,
   createServerDepartures,
@@ -302,6 +304,8 @@
     entries,
     pulse,
     responseBuffers: createResponseBuffers(),
+    responseTimes: createResponseTimes(),
+    shutdown: createEntryShutdown(monotonicClock),
     callerBacklog,
     groupHealth,
     groupLoads,
@@ -348,9 +352,9 @@
   }
 
   endOnSignal(life, {
-    async stop() {
+    async stop(endsAt) {
       isStopping = true;
-      await listener?.stop();
+      await listener?.stop(endsAt);
     },
     log: () => listener?.logShutdown(),
   });
--- a/packages/forwarding/src/caller-listener.ts
+++ b/packages/forwarding/src/caller-listener.ts
@@ -22,17 +22,20 @@
 import { planRetryAfter, RefusalCause } from './plan-retry-after.js';
 import { planUnreadTimeout } from './plan-wait.js';
 import { rankPriority } from './priority-classes.js';
+import { readBody } from './read-body.js';
 import { createRetryDetector } from './retry-detector.js';
 import { servePlain } from './serve-plain.js';
 import { serveStream } from './serve-stream.js';
+import { shutDownListener } from './shut-down-listener.js';
 
 export interface CallerListener {
   start(): Promise<void>;
   /**
    * Accepts connections for `shutdownDelayMilliseconds` more, then completes the requests in
-   * flight; resolves when all connections are closed.
+   * flight, and refuses those that would not be complete at `endsAt`, on the clock of the context.
+   * Resolves when all connections are closed, at `endsAt` at the latest unless callers still read.
    */
-  stop(): Promise<void>;
+  stop(endsAt: number): Promise<void>;
   /** Logs how the shutdown went, and each request that has no whole response yet. */
   logShutdown(): void;
 }
@@ -73,48 +76,24 @@
 /** Time limit for receiving a whole request; the caller's deadline ends sooner. */
 const REQUEST_TIMEOUT_MILLISECONDS = 30_000;
 const TIMEOUT_CHECK_INTERVAL_MILLISECONDS = 1000;
-const IDLE_CLOSE_INTERVAL_MILLISECONDS = 100;
-/**
- * Many callers send their next request as soon as they have a response. Read, it gets an answer;
- * closing the connection meanwhile would reset it.
- */
-const MINIMUM_IDLE_MILLISECONDS = 100;
 /** Timeout assumed for a caller that states no deadline. */
 const DEFAULT_CALLER_TIMEOUT_MILLISECONDS = 10_000;
 
-/** Reads the body; undefined when it exceeds the limit. Rejects when the caller disconnects. */
-function readBody(incoming: IncomingMessage, maximumBytes: number): Promise<Buffer | undefined> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    incoming.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maximumBytes) resolve(undefined);
-      else chunks.push(chunk);
-    });
-    incoming.on('end', () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
-    incoming.on('error', reject);
-    incoming.on('close', () =>
-      reject(new Error('the caller disconnected before its request was complete')),
-    );
-  });
-}
-
 export function createCallerListener(options: CallerListenerOptions): CallerListener {
   const { context, inFlight } = options;
   const returnWatch = createRetryDetector();
-  let stopping = false;
 
   function sendLocalReply(
     callerResponse: CallerResponse,
     request: CallerRequest,
     status: number,
     reason: string,
+    cause: RefusalCause = RefusalCause.NoConfiguration,
   ): void {
     const retryAfter =
       status === SERVICE_UNAVAILABLE
         ? planRetryAfter({
-            cause: RefusalCause.NoConfiguration,
+            cause,
             remainingMilliseconds:
               request.callerTimeoutMilliseconds ?? DEFAULT_CALLER_TIMEOUT_MILLISECONDS,
             random: context.random(),
@@ -166,7 +145,11 @@
     const request = context.protocol.decodeRequest(incoming);
     const { limits } = context.catalog.operatorState().configuration ?? {};
     const maximumBody = limits?.maximumBodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES;
-    const body = await readBody(incoming, maximumBody);
+    const endDeadlineWatch = context.shutdown.onDeadline(() => {
+      const cause = RefusalCause.ShuttingDown;
+      sendLocalReply(callerResponse, request, SERVICE_UNAVAILABLE, 'entry shuts down', cause);
+    });
+    const body = await readBody(incoming, maximumBody).finally(endDeadlineWatch);
     if (callerResponse.isEnded) return;
     if (body === undefined) {
       response.shouldKeepAlive = false;
@@ -218,6 +201,7 @@
           digest: createRequestDigest({ ...request, body }),
           arrivedAt,
           expiresAt: arrivedAt + admission.timeoutMilliseconds,
+          admittedIn: context.shutdown.phase(),
           response: callerResponse,
           inFlightRequest,
           isRetry,
@@ -244,7 +228,11 @@
         if (cutReason !== undefined) logCut(accepted, cutReason);
         if (callerResponse.hasDisconnected) logCallerDisconnect(accepted);
         context.metrics.countRequest(admission.route.kind, callerResponse.status);
-        context.metrics.observe(LatencyKind.Answer, context.now() - arrivedAt);
+        const milliseconds = context.now() - arrivedAt;
+        if (callerResponse.status < BAD_REQUEST) {
+          context.responseTimes.record(admission.route.name, milliseconds);
+        }
+        context.metrics.observe(LatencyKind.Answer, milliseconds);
         return;
       }
       default: {
@@ -256,7 +244,6 @@
 
   function onRequest(incoming: IncomingMessage, response: ServerResponse): void {
     const inFlightRequest = inFlight.track(incoming, response);
-    if (stopping) response.shouldKeepAlive = false;
     applyLimits();
     handleRequest(incoming, response, inFlightRequest).catch((thrown: unknown) => {
       context.logger.warn('request failed', { reason: String(thrown) });
@@ -289,44 +276,21 @@
         context.logger.error('listener failed', { reason: error.message });
       });
     },
-    async stop() {
-      stopping = true;
-      inFlight.beginShutdown();
-      context.logger.info('shutdown begun', {
-        requests: inFlight.count(),
-        ...inFlight.countsByStage(),
-        connections: connections.openCount(),
-      });
-      // The load balancer notices the shutdown only after some of its health checks and sends new
-      // connections until then.
-      await new Promise((resolve) => {
-        setTimeout(resolve, options.shutdownDelayMilliseconds);
-      });
-      // Closing resets connections with unread requests, and those that wait in the listener's
-      // queue. The event loop reads and accepts just before immediates run.
-      await new Promise((resolve) => {
-        setImmediate(resolve);
-      });
-      const timer = setInterval(
-        () => setImmediate(() => connections.closeIdle(MINIMUM_IDLE_MILLISECONDS)),
-        IDLE_CLOSE_INTERVAL_MILLISECONDS,
-      );
-      const closed = connections.stopListening();
-      context.logger.info('listener closed', {
-        requests: inFlight.count(),
-        ...inFlight.countsByStage(),
-        connections: connections.openCount(),
-      });
-      await closed;
-      clearInterval(timer);
-    },
+    stop: (endsAt) =>
+      shutDownListener({
+        connections,
+        inFlight,
+        shutdown: context.shutdown,
+        logger: context.logger,
+        acceptMilliseconds: options.shutdownDelayMilliseconds,
+        endsAt,
+      }),
     logShutdown() {
-      const unfinished = inFlight.listUnfinished();
-      for (const request of unfinished) {
+      for (const request of inFlight.listUnfinished()) {
         context.logger.warn('request unfinished', { ...request });
       }
-      for (const { arrival, ...counts } of inFlight.shutdownCounts()) {
-        context.logger.info('shutdown requests', { arrival, ...counts });
+      for (const counts of inFlight.shutdownCounts()) {
+        context.logger.info('shutdown requests', { ...counts });
       }
     },
   };
--- a/packages/forwarding/src/choose-server.ts
+++ b/packages/forwarding/src/choose-server.ts
@@ -6,8 +6,8 @@
 import type { GroupFacts, ServerChoice, ServerView } from '@lapisbridge/routing';
 
 import { findStreamLimit } from './find-stream-limit.js';
-import { computeRemainingMilliseconds } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext, RequestProgress } from './forward-context.js';
+import { computeRemainingMilliseconds } from './request-expiry.js';
 import { roundedOrNone } from './rounded-or-none.js';
 import { othersPerRequest, planTrafficShare } from './traffic-share.js';
 
--- a/packages/forwarding/src/forward-context.ts
+++ b/packages/forwarding/src/forward-context.ts
@@ -17,11 +17,13 @@
 import type { GroupHealth } from './group-health.js';
 import type { GroupLoads } from './group-loads.js';
 import type { GroupPassMeter } from './group-pass-meter.js';
+import type { EntryShutdown, ShutdownPhase } from './entry-shutdown.js';
 import type { InFlightRequest } from './in-flight-requests.js';
 import type { Outcome } from './outcome.js';
 import type { ContentionCounts } from './contention-counts.js';
 import type { EventActivity } from './event-activity.js';
 import type { ResponseBuffers } from './response-buffers.js';
+import type { ResponseTimes } from './response-times.js';
 import type { RetryBudgetShare } from './retry-budget-share.js';
 import type { AttemptContent, ServerEndDetector } from './server-end-detector.js';
 import type { ServerLoadTracker } from './server-load-tracker.js';
@@ -44,6 +46,8 @@
   readonly crashLedger: Pick<CrashLedger, 'findQuarantined' | 'generationOf' | 'nextQuarantine'>;
   readonly pulse: EventActivity;
   readonly responseBuffers: ResponseBuffers;
+  readonly responseTimes: ResponseTimes;
+  readonly shutdown: EntryShutdown;
   readonly callerBacklog: CallerBacklog;
   readonly groupHealth: GroupHealth;
   readonly groupLoads: GroupLoads;
@@ -83,6 +87,8 @@
    * caller's own, whichever comes first.
    */
   readonly expiresAt: number;
+  /** Phase of the entry's shutdown in which the request was complete. */
+  readonly admittedIn: ShutdownPhase;
   readonly response: CallerResponse;
   readonly inFlightRequest: InFlightRequest;
   /** The caller was refused before and will not retry again. */
@@ -126,10 +132,3 @@
   const generation = 1 + Math.max(context.crashLedger.generationOf(digest), runs);
   return { sharedParts, digest, generation };
 }
-
-export function computeRemainingMilliseconds(
-  context: ForwardContext,
-  accepted: AcceptedRequest,
-): number {
-  return Math.max(0, Math.floor(accepted.expiresAt - context.now()));
-}
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -41,10 +41,12 @@
 import { createInFlightRequests } from './in-flight-requests.js';
 import type { GroupHealth } from './group-health.js';
 import { createArrivalMeter } from './arrival-meter.js';
+import { createEntryShutdown } from './entry-shutdown.js';
 import { createEventActivity } from './event-activity.js';
 import { planBacklogLimits } from './plan-backlog-cut.js';
 import type { BacklogLimits } from './plan-backlog-cut.js';
 import { createResponseBuffers } from './response-buffers.js';
+import { createResponseTimes } from './response-times.js';
 import { createRetryBudgetShare } from './retry-budget-share.js';
 import type { SendingEntries } from './sender-rank.js';
 import { createServerBackoffs } from './server-backoffs.js';
@@ -86,6 +88,11 @@
   readonly logger: Logger;
   /** What was announced to other entries. */
   readonly announcements: readonly CrashStatements[];
+  /**
+   * Shuts the entry down as if its process ended after so many milliseconds; resolves when all
+   * connections of callers are closed.
+   */
+  shutDown(milliseconds: number): Promise<void>;
   /** Ends the process of a backend server: it closes its connections and refuses new ones. */
   end(instanceId: string): void;
   close(): Promise<void>;
@@ -180,6 +187,7 @@
 
 /** The entry has run for a while, so that it has earned retries. */
 const ENTRY_AGE_MILLISECONDS = 60_000;
+const GRACE_MILLISECONDS = 7500;
 const SINGLE_ENTRY: SendingEntries = { own: 'entry', names: ['entry'], count: 1 };
 
 export async function startFixture(options: FixtureOptions): Promise<Fixture> {
@@ -311,6 +319,8 @@
     accountShares,
     entries: () => 1,
     responseBuffers: createResponseBuffers(),
+    responseTimes: createResponseTimes(),
+    shutdown: createEntryShutdown(now),
     callerBacklog,
     serverMemory,
     pulse: { ...createEventActivity(now), isStalled: () => isStuck.value },
@@ -356,6 +366,7 @@
     callerBacklog,
     serverMemory,
     logger,
+    shutDown: (milliseconds) => listener.stop(now() + milliseconds),
     end(instanceId) {
       const ended = serversById.get(instanceId);
       ended?.close();
@@ -364,7 +375,7 @@
     async close() {
       for (const socket of sockets) socket.destroy();
       for (const server of running) server.close();
-      await listener.stop();
+      await listener.stop(now() + GRACE_MILLISECONDS);
     },
   };
 }
--- a/packages/forwarding/src/in-flight-requests.ts
+++ b/packages/forwarding/src/in-flight-requests.ts
@@ -54,7 +54,10 @@
   track(incoming: IncomingMessage, response: ServerResponse): InFlightRequest;
   count(): number;
   countsByStage(): Readonly<Partial<Record<RequestStage, number>>>;
-  /** From now on, requests are counted by how they end. */
+  /**
+   * From now on, each response that begins closes its connection, and requests are counted by how
+   * they end.
+   */
   beginShutdown(): void;
   /** Requests that have ended since the shutdown began; all are zero before. */
   shutdownCounts(): readonly ShutdownCount[];
@@ -108,6 +111,7 @@
         isForwarded: false,
       };
       tracked.add(request);
+      if (isShuttingDown) response.shouldKeepAlive = false;
       response.once('close', () => {
         tracked.delete(request);
         if (isShuttingDown) counts[request.arrival][outcomeOf(request)] += 1;
@@ -133,6 +137,7 @@
     },
     beginShutdown() {
       isShuttingDown = true;
+      for (const { response } of tracked) response.shouldKeepAlive = false;
     },
     shutdownCounts: () =>
       Object.values(ShutdownArrival).map((arrival) => ({ arrival, ...counts[arrival] })),
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -19,6 +19,7 @@
 } from './caller-protocol.js';
 export { createColdStartShare } from './cold-start-share.js';
 export type { ColdStartShare } from './cold-start-share.js';
+export { createEntryShutdown } from './entry-shutdown.js';
 export { endToEndHeaders } from './end-to-end-headers.js';
 export { ExchangeEndKind, openExchange } from './exchange.js';
 export type { Exchange, ExchangeEnd, ExchangeListener, ExchangeOptions } from './exchange.js';
@@ -35,6 +36,7 @@
 export type { InFlightRequests } from './in-flight-requests.js';
 export { createResponseBuffers } from './response-buffers.js';
 export { planBacklogLimits } from './plan-backlog-cut.js';
+export { createResponseTimes } from './response-times.js';
 export { createEventActivity } from './event-activity.js';
 export { createRetryBudgetShare, RetryCause } from './retry-budget-share.js';
 export type { RetryBudgetLimits } from './retry-allowance.js';
--- a/packages/forwarding/src/local-reply.ts
+++ b/packages/forwarding/src/local-reply.ts
@@ -3,11 +3,11 @@
  * it.
  */
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { computeRemainingMilliseconds } from './request-expiry.js';
 import { logRequestEnd, RequestEndKind } from './request-end.js';
 import type { NotRunProof } from './outcome.js';
 import { planRetryAfter } from './plan-retry-after.js';
 import type { RefusalCause } from './plan-retry-after.js';
-import { computeRemainingMilliseconds } from './forward-context.js';
 
 const CONTENT_TOO_LARGE = 413;
 const SERVICE_UNAVAILABLE = 503;
--- a/packages/forwarding/src/open-forward.ts
+++ b/packages/forwarding/src/open-forward.ts
@@ -5,8 +5,8 @@
 
 import { openExchange } from './exchange.js';
 import type { Exchange, ExchangeListener } from './exchange.js';
-import { computeRemainingMilliseconds } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { computeRemainingMilliseconds } from './request-expiry.js';
 import { planPriority, urgencyOf } from './plan-priority.js';
 
 /** Timeout for connecting within a region: some round trips of a few milliseconds. */
--- a/packages/forwarding/src/plan-retry-after.ts
+++ b/packages/forwarding/src/plan-retry-after.ts
@@ -24,6 +24,8 @@
   Quarantined = 'quarantined',
   /** The request expired before it could be sent. */
   Expired = 'expired',
+  /** This entry ends before the response would be complete. */
+  ShuttingDown = 'shuttingDown',
 }
 
 /**
@@ -45,6 +47,7 @@
     case RefusalCause.GroupBroken:
     case RefusalCause.Quarantined:
     case RefusalCause.Expired:
+    case RefusalCause.ShuttingDown:
       return cause;
     default: {
       const unreachable: never = cause;
@@ -73,6 +76,8 @@
   // Longer than any caller waits.
   [RefusalCause.Quarantined]: 600_000,
   [RefusalCause.Expired]: 0,
+  // Other entries can serve the request at once.
+  [RefusalCause.ShuttingDown]: 0,
 };
 
 /** Callers wait no longer than this share of the time they have left. */
--- a/packages/forwarding/src/serve-plain.ts
+++ b/packages/forwarding/src/serve-plain.ts
@@ -9,15 +9,11 @@
 import type { ServerChoice } from '@lapisbridge/routing';
 
 import { chooseServer } from './choose-server.js';
-import {
-  computeRemainingMilliseconds,
-  createProgress,
-  describeAttempt,
-  findQuarantinedCause,
-} from './forward-context.js';
+import { createProgress, describeAttempt, findQuarantinedCause } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
 import { lateThresholdMilliseconds } from './late-answer.js';
 import { logRequestEnd, RequestEndKind } from './request-end.js';
+import { computeRemainingMilliseconds, computeSendWindow, watchExpiry } from './request-expiry.js';
 import { describeEnd } from './describe-end.js';
 import { OutcomeKind, proveNotRun } from './outcome.js';
 import type { Answered, Outcome } from './outcome.js';
@@ -78,7 +74,8 @@
   const retries = createRetryAccount(context.retryShare, service);
   const running = new Set<PlainAttempt>();
   let errorResponse: Answered | undefined;
-  let isExpired = false;
+  /** Why the request has no time left; undefined while it has. */
+  let expiryCause: RefusalCause | undefined;
   let interruptWait: (() => void) | undefined;
   const isIdempotent = route.kind === RequestKind.Idempotent;
   let isHedged = false;
@@ -95,13 +92,11 @@
     cancelAll('caller disconnected');
     interruptWait?.();
   });
-  const expiry = setTimeout(
-    () => {
-      isExpired = true;
-      interruptWait?.();
-    },
-    computeRemainingMilliseconds(context, accepted),
-  );
+  const endExpiryWatch = watchExpiry(context, accepted, (cause) => {
+    expiryCause = cause;
+    interruptWait?.();
+  });
+  const endShutdownWatch = context.shutdown.onBegin(() => interruptWait?.());
 
   /** Milliseconds to wait for a server to accept the request; 0 when too late for the caller. */
   function decideWait(roomInMilliseconds: number, reason: string): number {
@@ -161,6 +156,9 @@
       return cannotStart(RefusalCause.Quarantined);
     }
     if (progress.sends >= MAXIMUM_SENDS) return cannotStart(RefusalCause.Full);
+    if (progress.runs === 0 && computeSendWindow(context, accepted) === 0) {
+      return cannotStart(expiryCause ?? RefusalCause.ShuttingDown);
+    }
     if (computeRemainingMilliseconds(context, accepted) < MINIMUM_ATTEMPT_MILLISECONDS) {
       return cannotStart(RefusalCause.Expired);
     }
@@ -293,7 +291,7 @@
     if (response.isEnded) return;
     const reason = describeEnd(context, accepted, progress, cause);
     const proof = proveNotRun(progress.outcomes, reason);
-    if (proof === undefined) failRequest(context, accepted, reason, isExpired);
+    if (proof === undefined) failRequest(context, accepted, reason, expiryCause !== undefined);
     else refuseRequest(context, accepted, cause, proof, expectedWaitMilliseconds);
   }
 
@@ -310,7 +308,8 @@
           return;
         }
         if (start.kind === StartKind.Delayed) {
-          await waitForSettled(start.waitMilliseconds);
+          const sendWindow = computeSendWindow(context, accepted);
+          await waitForSettled(Math.min(start.waitMilliseconds, sendWindow));
           continue;
         }
       }
@@ -318,10 +317,10 @@
       if (response.isEnded) return;
       if (settled === 'stopped') {
         const unsettled: Outcome = { kind: OutcomeKind.Unknown, reason: 'no response in time' };
-        if (isExpired) {
+        if (expiryCause !== undefined) {
           progress.outcomes.push(unsettled);
           cancelAll('request expired');
-          await conclude(RefusalCause.Expired, undefined);
+          await conclude(expiryCause, undefined);
           return;
         }
         continue;
@@ -358,7 +357,8 @@
       }
     }
   } finally {
-    clearTimeout(expiry);
+    endExpiryWatch();
+    endShutdownWatch();
     cancelAll('request ended');
   }
 }
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -8,15 +8,11 @@
 
 import { ContentionKind, findContention } from './admit-stream.js';
 import { chooseServer } from './choose-server.js';
-import {
-  computeRemainingMilliseconds,
-  createProgress,
-  describeAttempt,
-  findQuarantinedCause,
-} from './forward-context.js';
+import { createProgress, describeAttempt, findQuarantinedCause } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
 import { startHedgedStreamAttempt } from './hedged-stream-attempt.js';
 import { logRequestEnd, RequestEndKind } from './request-end.js';
+import { computeSendWindow, watchExpiry } from './request-expiry.js';
 import { describeEnd } from './describe-end.js';
 import { proveNotRun } from './outcome.js';
 import { failRequest, refuseRequest } from './local-reply.js';
@@ -127,6 +123,10 @@
     if (progress.sends - state.groupRefusals >= MAXIMUM_SENDS) {
       return { kind: StartKind.None, cause: RefusalCause.Full };
     }
+    const hasRun = progress.runs > 0 || response.hasBegun;
+    if (!hasRun && computeSendWindow(context, accepted) === 0) {
+      return { kind: StartKind.None, cause: RefusalCause.ShuttingDown };
+    }
     const contention = mustBeAdmitted() ? findContention(context, accepted) : undefined;
     if (contention !== undefined) {
       context.contentionCounts.record(contention.kind);
@@ -270,10 +270,7 @@
       cutReason === undefined ? 'caller disconnected' : `response cut: ${cutReason}`,
     );
   });
-  const expiry = setTimeout(
-    () => timeOut(RefusalCause.Expired, 'request expired'),
-    computeRemainingMilliseconds(context, accepted),
-  );
+  const endExpiryWatch = watchExpiry(context, accepted, timeOut);
   let eventTimeout: NodeJS.Timeout | undefined;
   watchEventGaps();
   try {
@@ -351,7 +348,7 @@
       }
     }
   } finally {
-    clearTimeout(expiry);
+    endExpiryWatch();
     clearTimeout(eventTimeout);
   }
 }
--- a/packages/forwarding/src/stream-delay.ts
+++ b/packages/forwarding/src/stream-delay.ts
@@ -7,8 +7,8 @@
 
 import { ContentionKind } from './admit-stream.js';
 import type { Contention } from './admit-stream.js';
-import { computeRemainingMilliseconds } from './forward-context.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
+import { computeRemainingMilliseconds, computeSendWindow } from './request-expiry.js';
 import { planRecheckDelay } from './plan-queue-admission.js';
 import { RefusalCause } from './plan-retry-after.js';
 import { planRoomWait, planGroupWait } from './plan-wait.js';
@@ -210,12 +210,16 @@
     },
   });
   if (wait === 0) return false;
+  const sendWindow = situation.hasBegun ? Infinity : computeSendWindow(context, accepted);
+  let endShutdownWatch: () => unknown = () => undefined;
+  const shutdownBegun = new Promise<void>((resolve) => {
+    endShutdownWatch = context.shutdown.onBegin(resolve);
+  });
+  const ends = [sleep(Math.min(wait, sendWindow)), shutdownBegun];
   if (kind === DelayKind.GroupBroken) {
-    await Promise.race([
-      context.groupHealth.nextChange(),
-      context.crashLedger.nextQuarantine(),
-      sleep(wait),
-    ]);
-  } else await sleep(wait);
+    ends.push(context.groupHealth.nextChange(), context.crashLedger.nextQuarantine());
+  }
+  await Promise.race(ends);
+  endShutdownWatch();
   return true;
 }
--- a/packages/process-life/src/process-life.ts
+++ b/packages/process-life/src/process-life.ts
@@ -83,8 +83,8 @@
 
 /** What a process does between SIGTERM and its end. */
 export interface Shutdown {
-  /** Resolves when nothing is left to do. */
-  stop(): Promise<void>;
+  /** Resolves when nothing is left to do; the process ends at `endsAt`, on its steady clock. */
+  stop(endsAt: number): Promise<void>;
   /** Logs how the shutdown went, just before the end. */
   log?(): void;
 }
@@ -100,10 +100,11 @@
     const { graceMilliseconds } = life.settings();
     const startedAt = performance.now();
     life.logger.info('stopping', { graceMilliseconds });
+    const lastsMilliseconds = graceMilliseconds - reserveMilliseconds;
     const limit = new Promise<void>((resolve) => {
-      setTimeout(resolve, graceMilliseconds - reserveMilliseconds);
+      setTimeout(resolve, lastsMilliseconds);
     });
-    void Promise.race([shutdown.stop(), limit]).then(async () => {
+    void Promise.race([shutdown.stop(startedAt + lastsMilliseconds), limit]).then(async () => {
       shutdown.log?.();
       life.logger.info('stopped', { milliseconds: Math.round(performance.now() - startedAt) });
       await life.writer.flush();
