Give the product's entries a drain deadline, and reject late requests that outlast it

What callers saw: an entry of the product that stops had no notion of an end. It served every request that came on a kept connection, however late and long, and waited for the last one; a platform that kills it after its own grace time cut all of these without an answer. Only answers begun after the first 1.5 s told their callers to leave the connection.

The listener's `stop` waited without a bound, and nothing compared the timeout of a new request with the time left.

Now the optional setting `graceMilliseconds` of an entry states the time from SIGTERM to the end; without it the bound is the longest timeout of a request, as for sidecars. From the signal on every answer closes its connection. After the notice of the balancer, a request whose timeout is longer than the time left gets 503 (2007) with Retry-After before a server is chosen for it. 500 ms before the end, requests without an answer get 503 (3003, it may have run), and answers that have begun are broken off visibly, so that callers resume them elsewhere. `stopping` and `stopped` log how many were in flight and unanswered.

The default is not shorter than before: requests that were finished still are.

--- a/packages/config/src/settings.ts
+++ b/packages/config/src/settings.ts
@@ -6,6 +6,9 @@
 import { z } from 'zod';
 
 const MAXIMUM_PORT = 65535;
+/** An entry needs part of its grace time for the balancer to notice that it stops. */
+const MINIMUM_GRACE_MILLISECONDS = 3000;
+const MAXIMUM_GRACE_MILLISECONDS = 3_600_000;
 
 const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, {
   message: 'must be 1 to 63 letters, digits, dots, dashes or underscores',
@@ -45,6 +48,12 @@
     peerPort: port,
   }),
   operatorTokenHash: sha256Hex,
+  /** Time from SIGTERM to the end of the process; without it requests in progress bound the stop. */
+  graceMilliseconds: z
+    .int()
+    .min(MINIMUM_GRACE_MILLISECONDS)
+    .max(MAXIMUM_GRACE_MILLISECONDS)
+    .optional(),
   transportSecurity: transportSecurity.optional(),
 });
 
--- a/packages/entry/src/caller/caller-options.ts
+++ b/packages/entry/src/caller/caller-options.ts
@@ -11,6 +11,7 @@
 import type { Accounts } from '../accounts.js';
 import type { CallContext } from '../call-types.js';
 import type { InFlightLimits } from '../in-flight-limits.js';
+import type { StopDeadline } from '../stop-deadline.js';
 
 export interface CallerOptions {
   readonly instance: Instance;
@@ -18,6 +19,7 @@
   readonly inFlight: InFlightLimits;
   readonly metrics: Metrics;
   readonly context: CallContext;
+  readonly stopDeadline: Pick<StopDeadline, 'requireTime'>;
   /** Whether new callers should come here. */
   isReady(): boolean;
 }
--- a/packages/entry/src/caller/handle-call.ts
+++ b/packages/entry/src/caller/handle-call.ts
@@ -68,7 +68,7 @@
 }
 
 export async function handleCall(options: CallerOptions, exchange: Exchange): Promise<void> {
-  const { instance, accounts, metrics, inFlight, context } = options;
+  const { instance, accounts, metrics, inFlight, context, stopDeadline } = options;
   const { request, response, requestId, url } = exchange;
   const document = requireDocument(instance);
   const account = await accounts.authenticate(headerOf(request, 'authorization'));
@@ -78,6 +78,7 @@
   const operation = operationKind(document, service, operationPath);
   const idempotencyKey = requireIdempotencyKey(request, operation);
   const body = await readBody(request, document.limits.maximumBodyBytes);
+  stopDeadline.requireTime(deadline.remaining());
   const method = request.method ?? 'GET';
   const path = `${operationPath}${url.search}`;
   const startedAt = performance.now();
--- a/packages/entry/src/caller/handle-draft.ts
+++ b/packages/entry/src/caller/handle-draft.ts
@@ -40,7 +40,7 @@
 }
 
 export async function handleDraft(options: CallerOptions, exchange: Exchange): Promise<void> {
-  const { instance, accounts, metrics, inFlight, context } = options;
+  const { instance, accounts, metrics, inFlight, context, stopDeadline } = options;
   const { request, response, requestId } = exchange;
   const document = requireDocument(instance);
   const account = await accounts.authenticate(headerOf(request, 'authorization'));
@@ -48,6 +48,7 @@
   const deadline = createDeadline(timeout);
   const body = parseDraft(await readBody(request, document.limits.maximumBodyBytes));
   const model = requireModel(document, body.model);
+  stopDeadline.requireTime(deadline.remaining());
   const resumeFrom = parseResume(headerOf(request, 'last-event-id'));
   const id = resumeFrom?.requestId ?? requestId;
   const startedAt = performance.now();
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -21,10 +21,11 @@
 import { createHttpListener } from './http-listener.js';
 import { createInFlightLimits } from './in-flight-limits.js';
 import { createOperatorApi } from './operator-api.js';
+import { createStopDeadline } from './stop-deadline.js';
 
 export interface Entry {
   start(): Promise<void>;
-  /** Turns not-ready, lets answers in progress finish, stops. */
+  /** Turns not-ready, lets answers in progress finish within the grace time, stops. */
   stop(): Promise<void>;
 }
 
@@ -32,6 +33,9 @@
 const DEFAULT_SUBSET = 24;
 /** Time for the platform's balancer to see that this entry is not ready. */
 const NOTICE_MILLISECONDS = 1500;
+/** Kept back from the grace time, to end what is left and to say goodbye. */
+const RESERVE_MILLISECONDS = 500;
+const DEFAULT_MAXIMUM_TIMEOUT_MILLISECONDS = 600_000;
 
 export function createEntry(settings: EntrySettings): Entry {
   let stopping = false;
@@ -65,6 +69,7 @@
   const storeWatcher = createStoreWatcher(platform.table, instance.random);
   const metrics = createMetrics();
   const inFlight = createInFlightLimits();
+  const stopDeadline = createStopDeadline(monotonicClock);
   const budget = createRetryBudget({
     ratio: () => state.configuration?.document.limits.retryBudgetRatio ?? DEFAULT_RETRY_RATIO,
     now: monotonicClock,
@@ -98,6 +103,7 @@
       inFlight,
       metrics,
       context: createContext(),
+      stopDeadline,
       isReady,
     }),
   );
@@ -137,7 +143,19 @@
   kernel.register('backendPool', pool);
   kernel.register('storeWatcher', { stop: () => storeWatcher.stop() });
   kernel.register('callers', { start: () => callers.start() });
-  kernel.register('operators', operators);
+  kernel.register('operators', {
+    start: () => operators.start(),
+    stop: () => operators.stop(stopDeadline.remaining()).then(() => undefined),
+  });
+
+  /** No request outlasts the longest timeout, so that is the bound where no grace time is set. */
+  function maximumStopMilliseconds(): number {
+    if (settings.graceMilliseconds !== undefined) {
+      return settings.graceMilliseconds - RESERVE_MILLISECONDS;
+    }
+    const limits = state.configuration?.document.limits;
+    return limits?.maximumTimeoutMilliseconds ?? DEFAULT_MAXIMUM_TIMEOUT_MILLISECONDS;
+  }
 
   return {
     async start() {
@@ -146,12 +164,19 @@
     },
     async stop() {
       stopping = true;
-      logger.info('stopping');
+      stopDeadline.begin(maximumStopMilliseconds());
+      callers.beginDrain();
+      operators.beginDrain();
+      logger.info('stopping', {
+        inFlight: inFlight.requests,
+        milliseconds: stopDeadline.remaining(),
+      });
       instance.membership.announceLeaving();
       await sleep(NOTICE_MILLISECONDS);
-      await callers.stop();
+      stopDeadline.rejectLate();
+      const unanswered = await callers.stop(stopDeadline.remaining());
       await kernel.stop();
-      logger.info('stopped');
+      logger.info('stopped', { unanswered });
     },
   };
 }
--- a/packages/entry/src/http-listener.test.ts
+++ b/packages/entry/src/http-listener.test.ts
@@ -8,6 +8,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
+import { ResultCode } from '@lapisbridge/errors';
 import { sleep } from '@lapisbridge/kernel';
 import { generate } from 'selfsigned';
 import { Agent, request } from 'undici';
@@ -22,7 +23,7 @@
 
 afterEach(async () => {
   await Promise.all(agents.splice(0).map((agent) => agent.destroy()));
-  await Promise.all(listeners.splice(0).map((listener) => listener.stop()));
+  await Promise.all(listeners.splice(0).map((listener) => listener.stop(0)));
 });
 
 function freePort(): Promise<number> {
@@ -48,8 +49,11 @@
 
 /** More than what the kernel takes for a caller that does not read. */
 const LARGE_BODY = Buffer.alloc(48 * 1024 * 1024, 'a');
-/** Longer than the closing of idle connections takes, shorter than the timeout of a header. */
-const STOP_MILLISECONDS = 2000;
+/** Time that a stop may take. */
+const STOP_MILLISECONDS = 5000;
+/** Longer than the closing of idle connections takes. */
+const PROMPT_MILLISECONDS = 2000;
+const SHORT_STOP_MILLISECONDS = 300;
 
 interface Certificate {
   readonly authority: string;
@@ -106,7 +110,7 @@
     agents.push(agent);
     const reply = await request(`http://${HOST}:${port}/`, { dispatcher: agent });
     const text = reply.body.text();
-    const stopped = listener.stop();
+    const stopped = listener.stop(STOP_MILLISECONDS);
     await expect(request(`http://${HOST}:${port}/`)).rejects.toThrow();
     finish();
     expect(await text).toBe('first last');
@@ -130,7 +134,7 @@
       const reply = await request(`${scheme.toLowerCase()}://${HOST}:${port}/`, {
         dispatcher: agent,
       });
-      const stopped = listener.stop();
+      const stopped = listener.stop(STOP_MILLISECONDS);
       await sleep(300);
       expect((await reply.body.arrayBuffer()).byteLength).toBe(LARGE_BODY.length);
       await stopped;
@@ -143,8 +147,57 @@
     await once(unused, 'connect');
     await sleep(50);
     const startedAt = performance.now();
-    await listener.stop();
-    expect(performance.now() - startedAt).toBeLessThan(STOP_MILLISECONDS);
+    await listener.stop(STOP_MILLISECONDS);
+    expect(performance.now() - startedAt).toBeLessThan(PROMPT_MILLISECONDS);
     unused.destroy();
   });
+
+  it('closes each connection with its next answer once it drains', async () => {
+    // Guards against requests that come late on kept connections of an entry that stops.
+    let finish = (): void => undefined;
+    const { listener, port } = await listen((incoming, response) => {
+      if (incoming.url === '/later') finish = () => void response.end('later');
+      else response.end('at once');
+      return Promise.resolve();
+    });
+    const agent = new Agent();
+    agents.push(agent);
+    const open = async (path: string) =>
+      request(`http://${HOST}:${port}${path}`, { dispatcher: agent });
+    const before = await open('/');
+    expect(before.headers.connection).toBe('keep-alive');
+    await before.body.dump();
+    const pending = open('/later');
+    await sleep(50);
+    listener.beginDrain();
+    finish();
+    const afterwards = [await pending, await open('/')];
+    expect(afterwards.map(({ headers }) => headers.connection)).toEqual(['close', 'close']);
+    await Promise.all(afterwards.map(({ body }) => body.dump()));
+  });
+
+  it('ends requests that are not answered in time with an error, and stops', async () => {
+    // Guards against an entry that is killed under its requests because it does not end in time.
+    const { listener, port } = await listen((incoming, response) => {
+      if (incoming.url === '/stream') response.write('first ');
+      return Promise.resolve();
+    });
+    const agent = new Agent();
+    agents.push(agent);
+    const stream = await request(`http://${HOST}:${port}/stream`, { dispatcher: agent });
+    const text = expect(stream.body.text()).rejects.toThrow();
+    const pending = request(`http://${HOST}:${port}/pending`, { dispatcher: agent });
+    await sleep(50);
+    const startedAt = performance.now();
+    expect(await listener.stop(SHORT_STOP_MILLISECONDS)).toBe(2);
+    expect(performance.now() - startedAt).toBeLessThan(PROMPT_MILLISECONDS);
+    await text;
+    const { statusCode, headers } = await pending;
+    expect(statusCode).toBe(503);
+    expect(headers).toMatchObject({
+      'lapisbridge-result': String(ResultCode.OutcomeUnknown),
+      'retry-after': '1',
+      connection: 'close',
+    });
+  });
 });
--- a/packages/entry/src/http-listener.ts
+++ b/packages/entry/src/http-listener.ts
@@ -1,15 +1,16 @@
 /**
- * An HTTP listener, with TLS when a certificate is set, that closes without cutting off a
- * request in progress.
+ * An HTTP listener, with TLS when a certificate is set, that lets requests in progress finish when
+ * it stops, and ends those that do not finish in time with an error.
  */
 import { readFileSync } from 'node:fs';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer as createSecureServer } from 'node:https';
 
-import { toLapisError } from '@lapisbridge/errors';
+import { LapisError, ResultCode, toLapisError } from '@lapisbridge/errors';
 import type { EntrySettings } from '@lapisbridge/config';
-import { createConnectionDrain } from '@lapisbridge/kernel';
+import { createConnectionDrain, sleep } from '@lapisbridge/kernel';
+import { Ran } from '@lapisbridge/types';
 
 import { sendProblem } from './reply.js';
 
@@ -17,14 +18,22 @@
 
 export interface HttpListener {
   start(): Promise<void>;
-  /** Takes no new connections and resolves when the last answer is out. */
-  stop(): Promise<void>;
+  /** Closes each connection with its next answer, so that callers choose another instance. */
+  beginDrain(): void;
+  /**
+   * Takes no new connections and resolves when the last answer is out. Requests that are not
+   * answered after the given time are ended with an error. Resolves with the number of requests
+   * whose answers were not out by then.
+   */
+  stop(maximumMilliseconds: number): Promise<number>;
 }
 
 const HEADERS_MILLISECONDS = 10_000;
 const BODY_MILLISECONDS = 60_000;
 const IDLE_MILLISECONDS = 65_000;
 const CLOSE_IDLE_MILLISECONDS = 100;
+/** Time for the bytes of the last errors to leave. */
+const LINGER_MILLISECONDS = 200;
 
 export function createHttpListener(
   host: string,
@@ -32,11 +41,17 @@
   transportSecurity: EntrySettings['transportSecurity'],
   handler: Handler,
 ): HttpListener {
-  let stopping = false;
+  const openResponses = new Set<ServerResponse>();
+  let isDraining = false;
+
+  function closeWithAnswer(response: ServerResponse): void {
+    response.shouldKeepAlive = false;
+  }
 
   function onRequest(request: IncomingMessage, response: ServerResponse): void {
-    // A kept connection would bring further requests to an instance that is leaving.
-    if (stopping) response.setHeader('connection', 'close');
+    openResponses.add(response);
+    response.once('close', () => openResponses.delete(response));
+    if (isDraining) closeWithAnswer(response);
     handler(request, response).catch((thrown: unknown) => {
       sendProblem(response, toLapisError(thrown));
     });
@@ -58,23 +73,55 @@
   server.keepAliveTimeout = IDLE_MILLISECONDS;
   const drain = createConnectionDrain(server);
 
+  function beginDrain(): void {
+    isDraining = true;
+    for (const response of openResponses) closeWithAnswer(response);
+  }
+
+  /** An answer that has begun is broken off, so that it does not look complete. */
+  function endUnanswered(): void {
+    const error = new LapisError(
+      ResultCode.OutcomeUnknown,
+      'the entry has stopped before the request was answered',
+      { ran: Ran.Unknown },
+    );
+    for (const response of openResponses) {
+      if (response.writableEnded) continue;
+      if (response.headersSent) response.destroy();
+      else sendProblem(response, error);
+    }
+  }
+
   return {
+    beginDrain,
     async start() {
       await new Promise<void>((resolve, reject) => {
         server.once('error', reject);
         server.listen(port, host, () => resolve());
       });
     },
-    async stop() {
-      stopping = true;
+    async stop(maximumMilliseconds) {
+      beginDrain();
       // Immediates run after the event loop has read what has arrived: closing a connection resets
       // unread requests.
       const timer = setInterval(
         () => setImmediate(() => drain.closeIdle()),
         CLOSE_IDLE_MILLISECONDS,
       );
-      await drain.stopListening();
+      let unanswered = 0;
+      let limit: NodeJS.Timeout | undefined;
+      const timeIsUp = new Promise<void>((resolve) => {
+        limit = setTimeout(resolve, maximumMilliseconds);
+      }).then(() => {
+        unanswered = openResponses.size;
+        endUnanswered();
+        return sleep(LINGER_MILLISECONDS);
+      });
+      await Promise.race([drain.stopListening(), timeIsUp]);
+      clearTimeout(limit);
       clearInterval(timer);
+      server.closeAllConnections();
+      return unanswered;
     },
   };
 }
