Let lapisbridged finish its requests when a further signal comes while it stops

What callers saw: a second SIGTERM ended an entry or a sidecar of the product at once, in the middle of its answers, and so did SIGHUP at any time.

Cause: the handler of SIGTERM was installed for one signal only, after which the signal's default action holds, and SIGHUP had none. SIGTERM after SIGINT stopped the role twice at the same time.

The first of SIGTERM, SIGINT and SIGHUP now starts the one stop. Later ones change nothing; only a second SIGINT, from a user at a terminal, still ends the process at once.

--- a/packages/daemon/src/run-command.ts
+++ b/packages/daemon/src/run-command.ts
@@ -24,6 +24,18 @@
     .unsafeCoerce();
 }
 
+/**
+ * Resolves at the first signal. Later ones do not end the process sooner, except for a second
+ * SIGINT, which comes from a user at a terminal.
+ */
+function awaitStopSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    process.on('SIGTERM', () => resolve());
+    process.on('SIGHUP', () => resolve());
+    process.once('SIGINT', () => resolve());
+  });
+}
+
 export class RunCommand extends Command {
   static override paths = [Command.Default];
 
@@ -59,14 +71,11 @@
       this.context.stdout.write(`${this.settingsFile}: ok\n`);
       return 0;
     }
+    const stopRequested = awaitStopSignal();
     const role = createRole(settings);
-    const stopped = new Promise<void>((resolve) => {
-      const stop = (): void => void role.stop().then(resolve);
-      process.once('SIGTERM', stop);
-      process.once('SIGINT', stop);
-    });
     await role.start();
-    await stopped;
+    await stopRequested;
+    await role.stop();
     return 0;
   }
 }
