End lapisbridged when it is told to stop while it starts

What operators saw: an entry or a sidecar that got SIGTERM while it waited for an answer of its platform did not end, for as long as the platform's timeout allowed for each call (a minute at most), and could open its listeners after it had been stopped: callers that connected then were cut off when it ended.

Cause: the command waited for the start before it looked at the signal, and the kernel went on starting services after its stop.

The command now stops the role when the signal comes, the kernel starts nothing more once it is stopped, and an entry that has not started yet neither listens for callers nor waits for the balancer to notice.

--- a/packages/daemon/src/run-command.ts
+++ b/packages/daemon/src/run-command.ts
@@ -73,7 +73,7 @@
     }
     const stopRequested = awaitStopSignal();
     const role = createRole(settings);
-    await role.start();
+    await Promise.race([role.start(), stopRequested]);
     await stopRequested;
     await role.stop();
     return 0;
--- a/packages/daemon/src/signals.test.ts
+++ b/packages/daemon/src/signals.test.ts
@@ -35,8 +35,11 @@
 let child: ChildProcess;
 let platform: Server;
 let folder: string;
+/** Whether the platform answers. */
+let isPlatformUp: boolean;
 
 beforeEach(() => {
+  isPlatformUp = true;
   folder = mkdtempSync(join(tmpdir(), 'lapisbridge-signals-'));
 });
 
@@ -67,10 +70,10 @@
   log(): string;
 }
 
-/** Starts an entry whose platform knows nothing. */
+/** Starts an entry whose platform knows nothing, or does not answer. */
 async function startEntry(): Promise<Entry> {
   platform = createServer((_incoming, response) => {
-    response.writeHead(404, { 'content-type': 'application/json' }).end('[]');
+    if (isPlatformUp) response.writeHead(404, { 'content-type': 'application/json' }).end('[]');
   });
   const platformPort = await listen(platform);
   const ports = [await freePort(), await freePort(), await freePort()];
@@ -157,4 +160,15 @@
     expect(performance.now() - startedAt).toBeLessThan(GRACE_MILLISECONDS);
     expect(await request.reply).toMatch(/^HTTP\/1\.1 503 /);
   });
+
+  it('ends it while it starts and its platform does not answer', async () => {
+    // Guards against an entry that starts its parts after they were stopped, and stays.
+    isPlatformUp = false;
+    const entry = await startEntry();
+    await once(platform, 'connection');
+    const startedAt = performance.now();
+    child.kill('SIGTERM');
+    expect(await entry.exit).toEqual([0, null]);
+    expect(performance.now() - startedAt).toBeLessThan(GRACE_MILLISECONDS);
+  });
 });
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -38,6 +38,7 @@
 const DEFAULT_MAXIMUM_TIMEOUT_MILLISECONDS = 600_000;
 
 export function createEntry(settings: EntrySettings): Entry {
+  let started = false;
   let stopping = false;
   let listedLeaving = false;
 
@@ -142,7 +143,10 @@
 
   kernel.register('backendPool', pool);
   kernel.register('storeWatcher', { stop: () => storeWatcher.stop() });
-  kernel.register('callers', { start: () => callers.start() });
+  kernel.register('callers', {
+    // Callers that connect to an entry that stops before it has started would not be served.
+    start: () => (stopping ? undefined : callers.start()),
+  });
   kernel.register('operators', {
     start: () => operators.start(),
     stop: () => operators.stop(stopDeadline.remaining()).then(() => undefined),
@@ -160,6 +164,8 @@
   return {
     async start() {
       await kernel.start();
+      if (stopping) return;
+      started = true;
       logger.info('started', { role: settings.role, ...settings.listen });
     },
     async stop() {
@@ -172,7 +178,7 @@
         milliseconds: stopDeadline.remaining(),
       });
       instance.membership.announceLeaving();
-      await sleep(NOTICE_MILLISECONDS);
+      if (started) await sleep(NOTICE_MILLISECONDS);
       stopDeadline.rejectLate();
       const unanswered = await callers.stop(stopDeadline.remaining());
       await kernel.stop();
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -15,6 +15,7 @@
   register<T extends Service>(name: string, service: T): T;
   /** Finds a service by name; throws when it is absent, which is a wiring mistake. */
   find<T extends Service>(name: string): T;
+  /** Starts the services in turn, until `stop` is called. */
   start(): Promise<void>;
   stop(): Promise<void>;
 }
@@ -22,6 +23,7 @@
 export function createKernel(): Kernel {
   const services = new Map<string, Service>();
   const started: Service[] = [];
+  let isStopped = false;
   return {
     register(name, service) {
       if (services.has(name)) throw new Error(`service ${name} is registered twice`);
@@ -35,11 +37,13 @@
     },
     async start() {
       for (const service of services.values()) {
+        if (isStopped) return;
         await service.start?.();
         started.push(service);
       }
     },
     async stop() {
+      isStopped = true;
       for (const service of started.splice(0).reverse()) {
         await service.stop?.();
       }
