Take only ports from 1 to 65535 and IPv4 addresses for addresses of servers

What callers saw: requests were given to rows whose address no server can have.

Cause: parseAddress took any five digits for a port and any one to three digits for each number of the host, so 10.0.0.1:70000, port 0 and 10.0.0.999 became servers that were chosen. A leading zero (010.0.0.1) even went to name resolution, which reads it as octal.

Evidence: parse-address.test.ts failed before in 7 of its 25 cases (ports 0, 65536, 70000 and 99999; numbers over 255; a leading zero).

Why it works: the host is checked by net.isIPv4 and the port by its range in the one function that settings and rows are read with.

--- a/packages/json-call/src/parse-address.ts
+++ b/packages/json-call/src/parse-address.ts
@@ -1,14 +1,22 @@
 /**
- * Addresses written as IP:PORT.
+ * Addresses written as IP:PORT, with an IPv4 address.
  */
+import { isIPv4 } from 'node:net';
+
 export interface Address {
   readonly host: string;
   readonly port: number;
 }
 
-/** Undefined where the text is no such address. */
+const MAXIMUM_PORT = 65_535;
+
+/**
+ * Undefined where the text is no such address. A leading zero is rejected, since name resolution
+ * would read the number as octal.
+ */
 export function parseAddress(text: string): Address | undefined {
-  const match = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/.exec(text);
-  const [, host, port] = match ?? [];
-  return host === undefined ? undefined : { host, port: Number(port) };
+  const [, host = '', digits = ''] = /^([\d.]+):(\d{1,5})$/.exec(text) ?? [];
+  const port = Number(digits);
+  if (!isIPv4(host) || port < 1 || port > MAXIMUM_PORT) return undefined;
+  return { host, port };
 }
