--- a/packages/json-call/src/decode.ts
+++ b/packages/json-call/src/decode.ts
@@ -27,6 +27,23 @@
   return typeof value === 'number' && Number.isFinite(value) ? value : undefined;
 }
 
+/** Bounds of a number, both included. */
+export interface NumberRange {
+  readonly minimum: number;
+  readonly maximum: number;
+}
+
+/** Undefined unless it is a whole number in the range that has an exact representation. */
+export function wholeNumberOf(
+  object: JsonObject,
+  name: string,
+  { minimum, maximum }: NumberRange,
+): number | undefined {
+  const value = numberOf(object, name);
+  if (value === undefined || !Number.isSafeInteger(value)) return undefined;
+  return value >= minimum && value <= maximum ? value : undefined;
+}
+
 export function listOf(object: JsonObject, name: string): readonly unknown[] {
   const value = object[name];
   return Array.isArray(value) ? value : [];
--- a/packages/json-call/src/index.ts
+++ b/packages/json-call/src/index.ts
@@ -3,8 +3,16 @@
  */
 export { callJson } from './call-json.js';
 export type { JsonAnswer, JsonCall } from './call-json.js';
-export { isObject, listOf, numberOf, objectsOf, parseObject, textOf } from './decode.js';
-export type { JsonObject } from './decode.js';
+export {
+  isObject,
+  listOf,
+  numberOf,
+  objectsOf,
+  parseObject,
+  textOf,
+  wholeNumberOf,
+} from './decode.js';
+export type { JsonObject, NumberRange } from './decode.js';
 export { parseAddress } from './parse-address.js';
 export type { Address } from './parse-address.js';
 export { parseDecimal } from './parse-decimal.js';
