List a table again if its changes are too large for one response

Cause: changes come in one response, whose size the protocol does not limit, and callJson rejects a response of more than 4 MB. followTable then asked for the same changes again and again: with 100 rows of 64 KiB written between two calls it never read another change.

--- a/packages/catalog/src/store.ts
+++ b/packages/catalog/src/store.ts
@@ -29,7 +29,7 @@
 
 export enum FeedKind {
   Changes = 'changes',
-  /** The store no longer has the requested changes: the table must be listed again. */
+  /** The requested changes are no longer kept, or too large: the table must be listed again. */
   HistoryGone = 'historyGone',
 }
 
--- a/packages/json-call/src/call-json.ts
+++ b/packages/json-call/src/call-json.ts
@@ -32,7 +32,21 @@
 /** Informational responses (1xx) that may precede an answer. */
 const MAXIMUM_INFORMATIONAL_RESPONSES = 8;
 
-/** Rejects when no whole answer came in time, or a larger one than any that is expected. */
+/** The answer is larger than any that is expected; a caller has to ask for less at once. */
+export class AnswerTooLargeError extends Error {
+  override readonly name = 'AnswerTooLargeError';
+
+  readonly code = 'ANSWER_TOO_LARGE';
+
+  constructor() {
+    super(`answer too large: expected at most ${MAXIMUM_ANSWER_BYTES} bytes; ask for less`);
+  }
+}
+
+/**
+ * Rejects when no whole answer came in time, or a larger one than any that is expected
+ * (`AnswerTooLargeError`).
+ */
 export function callJson(call: JsonCall): Promise<JsonAnswer> {
   return new Promise((resolve, reject) => {
     const payload = call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body));
@@ -65,7 +79,7 @@
       let receivedBytes = 0;
       incoming.on('data', (chunk: Buffer) => {
         receivedBytes += chunk.length;
-        if (receivedBytes > MAXIMUM_ANSWER_BYTES) request.destroy(new Error('answer too large'));
+        if (receivedBytes > MAXIMUM_ANSWER_BYTES) request.destroy(new AnswerTooLargeError());
         else chunks.push(chunk);
       });
       incoming.on('error', reject);
--- a/packages/json-call/src/index.ts
+++ b/packages/json-call/src/index.ts
@@ -1,7 +1,7 @@
 /**
  * HTTP calls with JSON bodies, one connection a call, and checked reading of what comes back.
  */
-export { callJson } from './call-json.js';
+export { AnswerTooLargeError, callJson } from './call-json.js';
 export type { JsonAnswer, JsonCall } from './call-json.js';
 export {
   isObject,
