Drop reports of ranks with numbers that no rank can have

What would happen: every entry that hears of the rank ends.

A leader makes lists of as many entries as `size` says. Counts with an epoch of 1e308 would make a leader ignore those of all other ranks.

Change: the ranges RANKS, GROUP_SIZES and EPOCHS stand beside RankReport and PORTS beside parseAddress; the decoders of servers' rows, engines' reports and messages use them with wholeNumberOf. Counts have 4 or 8 bits and a length that is a whole number.

--- a/packages/fleet/src/message.ts
+++ b/packages/fleet/src/message.ts
@@ -2,10 +2,20 @@
  * The messages between instances, and their encoding as JSON datagrams. Each kind has one
  * sender role and one purpose; a datagram that does not decode is dropped.
  */
-import { isObject, listOf, numberOf, objectsOf, parseObject, textOf } from '@lapisbridge/json-call';
+import {
+  isObject,
+  listOf,
+  numberOf,
+  objectsOf,
+  parseObject,
+  PORTS,
+  textOf,
+  wholeNumberOf,
+} from '@lapisbridge/json-call';
 import type { JsonObject } from '@lapisbridge/json-call';
 import type { GroupProfile, QuantizedCountDelta } from '@lapisbridge/group-leader';
 import { decodeCountDelta } from '@lapisbridge/group-leader';
+import { EPOCHS, GROUP_SIZES, RANKS } from '@lapisbridge/placement';
 import type { RankReport } from '@lapisbridge/placement';
 
 import { decodeDemand, encodeDemand } from './encode-demand.js';
@@ -215,7 +225,7 @@
   const buckets: LoadBucket[] = [];
   for (const bucket of objectsOf(body, 'loads')) {
     const group = textOf(bucket, 'group');
-    const epoch = numberOf(bucket, 'epoch');
+    const epoch = wholeNumberOf(bucket, 'epoch', EPOCHS);
     const ranks = textOf(bucket, 'ranks');
     if (group === undefined || epoch === undefined || ranks === undefined) continue;
     const memoryTokens = numberOf(bucket, 'memoryTokens');
@@ -288,11 +298,11 @@
 function decodeState(value: unknown): RankState | undefined {
   if (!isObject(value)) return undefined;
   const group = textOf(value, 'group');
-  const rank = numberOf(value, 'rank');
-  const epoch = numberOf(value, 'epoch');
+  const rank = wholeNumberOf(value, 'rank', RANKS);
+  const epoch = wholeNumberOf(value, 'epoch', EPOCHS);
   const running = numberOf(value, 'running');
   const waiting = numberOf(value, 'waiting');
-  const backendServerPort = numberOf(value, 'backendServerPort');
+  const backendServerPort = wholeNumberOf(value, 'backendServerPort', PORTS);
   if (group === undefined || rank === undefined || epoch === undefined) return undefined;
   if (running === undefined || waiting === undefined) return undefined;
   if (backendServerPort === undefined) return undefined;
@@ -323,9 +333,12 @@
 
 function decodeSummarizedRank(listed: unknown): SummarizedRank | undefined {
   if (!Array.isArray(listed)) return undefined;
-  const [rank, host, backendServerPort, pace, hasPendingOrder] = listed as unknown[];
-  if (typeof rank !== 'number' || typeof host !== 'string') return undefined;
-  if (typeof backendServerPort !== 'number' || typeof pace !== 'number') return undefined;
+  const [listedRank, host, listedPort, pace, hasPendingOrder] = listed as unknown[];
+  const numbers = { listedRank, listedPort };
+  const rank = wholeNumberOf(numbers, 'listedRank', RANKS);
+  const backendServerPort = wholeNumberOf(numbers, 'listedPort', PORTS);
+  if (rank === undefined || backendServerPort === undefined) return undefined;
+  if (typeof host !== 'string' || typeof pace !== 'number') return undefined;
   return { rank, host, backendServerPort, pace, hasPendingOrder: hasPendingOrder === true };
 }
 
@@ -358,9 +371,11 @@
   const question = numberOf(body, 'question');
   const { report } = body;
   if (question === undefined || !isObject(report)) return undefined;
-  if (numberOf(report, 'rank') === undefined || textOf(report, 'group') === undefined) {
-    return undefined;
-  }
+  const hasNumbers =
+    wholeNumberOf(report, 'rank', RANKS) !== undefined &&
+    wholeNumberOf(report, 'epoch', EPOCHS) !== undefined &&
+    wholeNumberOf(report, 'size', GROUP_SIZES) !== undefined;
+  if (!hasNumbers || textOf(report, 'group') === undefined) return undefined;
   // The sending sidecar has already validated the report.
   return { kind: MessageKind.ReportAnswer, question, report: report as unknown as RankReport };
 }
--- a/packages/group-leader/src/count-delta.ts
+++ b/packages/group-leader/src/count-delta.ts
@@ -8,7 +8,8 @@
  * sum over all ranks matters, so each count is quantized with stochastic rounding, whose errors
  * cancel out in the sum.
  */
-import { isObject, numberOf, textOf } from '@lapisbridge/json-call';
+import { isObject, numberOf, textOf, wholeNumberOf } from '@lapisbridge/json-call';
+import { EPOCHS } from '@lapisbridge/placement';
 
 import type { RankCounts } from './rank-client.js';
 
@@ -110,17 +111,18 @@
 }
 
 /** Far above the largest models, which have 60 sets of 128 experts. */
-const MAXIMUM_COUNTS = 100_000;
+const LENGTHS = { minimum: 0, maximum: 100_000 } as const;
 
 /** Undefined when the value is not a quantized count delta. */
 export function decodeCountDelta(value: unknown): QuantizedCountDelta | undefined {
   if (!isObject(value)) return undefined;
-  const epoch = numberOf(value, 'epoch');
+  const epoch = wholeNumberOf(value, 'epoch', EPOCHS);
   const unit = numberOf(value, 'unit');
-  const length = numberOf(value, 'length');
+  const length = wholeNumberOf(value, 'length', LENGTHS);
   const bits = numberOf(value, 'bits');
   const levels = textOf(value, 'levels');
   if (epoch === undefined || unit === undefined || length === undefined) return undefined;
-  if (bits === undefined || levels === undefined || length > MAXIMUM_COUNTS) return undefined;
+  if (unit < 0 || (bits !== COARSE_BITS && bits !== FINE_BITS)) return undefined;
+  if (levels === undefined) return undefined;
   return { epoch, unit, length, bits, levels };
 }
--- a/packages/json-call/src/index.ts
+++ b/packages/json-call/src/index.ts
@@ -13,7 +13,7 @@
   wholeNumberOf,
 } from './decode.js';
 export type { JsonObject, NumberRange } from './decode.js';
-export { parseAddress } from './parse-address.js';
+export { parseAddress, PORTS } from './parse-address.js';
 export type { Address } from './parse-address.js';
 export { parseDecimal } from './parse-decimal.js';
 export { parseRetryAfter } from './parse-retry-after.js';
--- a/packages/json-call/src/parse-address.ts
+++ b/packages/json-call/src/parse-address.ts
@@ -8,7 +8,8 @@
   readonly port: number;
 }
 
-const MAXIMUM_PORT = 65_535;
+/** Ports that a server can listen at, both bounds included. */
+export const PORTS = { minimum: 1, maximum: 65_535 } as const;
 
 /**
  * Undefined where the text is no such address. A leading zero is rejected, since name resolution
@@ -17,6 +18,6 @@
 export function parseAddress(text: string): Address | undefined {
   const [, host = '', digits = ''] = /^([\d.]+):(\d{1,5})$/.exec(text) ?? [];
   const port = Number(digits);
-  if (!isIPv4(host) || port < 1 || port > MAXIMUM_PORT) return undefined;
+  if (!isIPv4(host) || port < PORTS.minimum || port > PORTS.maximum) return undefined;
   return { host, port };
 }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -40,5 +40,5 @@
   RolloutState,
   RolloutTarget,
 } from './rollout-state.js';
-export { OrderOutcome, RankOrderKind } from './rank-report.js';
+export { EPOCHS, GROUP_SIZES, OrderOutcome, RankOrderKind, RANKS } from './rank-report.js';
 export type { ArmedMap, GroupMap, RankOrder, RankReport } from './rank-report.js';
--- a/packages/placement/src/rank-report.ts
+++ b/packages/placement/src/rank-report.ts
@@ -6,6 +6,11 @@
  */
 import type { ExpertMap } from './expert-map.js';
 
+/** Valid numbers, both bounds included. Ranks are indices of lists; no group has as many. */
+export const RANKS = { minimum: 0, maximum: 65_535 } as const;
+export const GROUP_SIZES = { minimum: 1, maximum: RANKS.maximum + 1 } as const;
+export const EPOCHS = { minimum: 0, maximum: Number.MAX_SAFE_INTEGER } as const;
+
 /** A prepared map that comes into force at the start of a pass. */
 export interface ArmedMap {
   readonly version: number;
