--- a/packages/forwarding/src/group-health.test.ts
+++ b/packages/forwarding/src/group-health.test.ts
@@ -55,6 +55,17 @@
     expect(health.brokenForMilliseconds(server(0, false))).toBeUndefined();
   });
 
+  it('is open by the reports of its ranks, whatever one row of the list says of it', () => {
+    // Guards against an odd row of another writer that closes a group.
+    const { health } = start();
+    health.recordReport({ group: 'group', rank: 0, epoch: 3, isOpen: true });
+    for (const epoch of [0, 4, Number.MAX_SAFE_INTEGER]) {
+      const odd = server(0, false, epoch);
+      expect(health.brokenForMilliseconds(odd)).toBeUndefined();
+      expect(health.brokenForMilliseconds(server(0, true, 3))).toBeUndefined();
+    }
+  });
+
   it('takes its state from the list of servers once no sidecar reports', () => {
     // All sidecars were disconnected while they reported the group as broken. Relying on these
     // reports forever would keep a service closed that has long recovered.
