Accept all queued connections before a stopping entry closes its listener

One pass of the event loop accepts a single connection, and the entry waited for one pass. It now goes on until a pass accepts none, 1024 passes at most. The last responses also get 300 ms instead of 200 before the end, for two lookups of 100 ms each.

--- a/packages/forwarding/src/shut-down-listener.ts
+++ b/packages/forwarding/src/shut-down-listener.ts
@@ -16,7 +16,7 @@
  */
 const MINIMUM_IDLE_MILLISECONDS = 100;
 /** Time in which the last responses leave the process before it ends. */
-const FINAL_RESPONSES_MILLISECONDS = 200;
+const FINAL_RESPONSES_MILLISECONDS = 300;
 
 export interface ListenerShutdown {
   readonly connections: ConnectionDrain;
@@ -29,12 +29,27 @@
   readonly endsAt: number;
 }
 
+/** More connections than the listener's queue holds. */
+const MAXIMUM_ACCEPT_PASSES = 1024;
+
 function nextImmediate(): Promise<void> {
   return new Promise((resolve) => {
     setImmediate(resolve);
   });
 }
 
+/**
+ * Closing the listener resets connections that wait in its queue. The event loop accepts just
+ * before immediates run, and may accept a single one each time.
+ */
+async function acceptQueued(connections: ConnectionDrain): Promise<void> {
+  for (let pass = 0; pass < MAXIMUM_ACCEPT_PASSES; pass += 1) {
+    const before = connections.acceptedCount();
+    await nextImmediate();
+    if (connections.acceptedCount() === before) return;
+  }
+}
+
 /** Resolves when all connections are closed. */
 export async function shutDownListener(options: ListenerShutdown): Promise<void> {
   const { connections, inFlight, shutdown, logger, acceptMilliseconds, endsAt } = options;
@@ -51,12 +66,11 @@
   logProgress('shutdown begun');
   shutdown.begin(endsAt - FINAL_RESPONSES_MILLISECONDS);
   await sleep(acceptMilliseconds);
-  // Closing resets connections with unread requests, and those that wait in the listener's queue.
-  // The event loop reads and accepts just before immediates run.
-  await nextImmediate();
+  await acceptQueued(connections);
   shutdown.stopAccepting();
   const closed = connections.stopListening();
   logProgress('listener closed');
+  // Closing a connection resets an unread request; the event loop reads before immediates run.
   const timer = setInterval(
     () => setImmediate(() => connections.closeIdle(MINIMUM_IDLE_MILLISECONDS)),
     IDLE_CLOSE_INTERVAL_MILLISECONDS,
--- a/packages/kernel/src/connection-drain.ts
+++ b/packages/kernel/src/connection-drain.ts
@@ -23,6 +23,8 @@
   stopListening(): Promise<void>;
   /** Number of open connections. */
   openCount(): number;
+  /** Number of connections accepted so far. */
+  acceptedCount(): number;
 }
 
 interface ConnectionState {
@@ -38,8 +40,10 @@
 /** Must be called before the server accepts its first connection. */
 export function createConnectionDrain(server: Server): ConnectionDrain {
   const connections = new Map<Socket, ConnectionState>();
+  let accepted = 0;
 
   function track(socket: Socket): void {
+    accepted += 1;
     connections.set(socket, {
       openResponses: 0,
       isReceivingRequest: false,
@@ -96,5 +100,6 @@
       });
     },
     openCount: () => connections.size,
+    acceptedCount: () => accepted,
   };
 }
