Keep the time of a hedge when the entry begins to shut down

Callers whose idempotent request was late at the moment of SIGTERM waited twice the usual time for its duplicate: the signal interrupts requests that wait for a server, and restarted the wait of those that were running. Only requests without a running attempt are interrupted now.

Evidence: 'hedges a late request at its usual time' during a shutdown took 1145 ms instead of 610 in 10 of 10 runs; it passes now.

--- a/packages/forwarding/src/serve-plain.ts
+++ b/packages/forwarding/src/serve-plain.ts
@@ -96,7 +96,9 @@
     expiryCause = cause;
     interruptWait?.();
   });
-  const endShutdownWatch = context.shutdown.onBegin(() => interruptWait?.());
+  const endShutdownWatch = context.shutdown.onBegin(() => {
+    if (running.size === 0) interruptWait?.();
+  });
 
   /** Milliseconds to wait for a server to accept the request; 0 when too late for the caller. */
   function decideWait(roomInMilliseconds: number, reason: string): number {
