State the time to retry by the caller's own time while the entry shuts down

Callers that were refused for another cause during a shutdown were told to retry too early, since the time that the entry had left bounded Retry-After; they retry elsewhere, and once.

--- a/packages/forwarding/src/local-reply.ts
+++ b/packages/forwarding/src/local-reply.ts
@@ -3,7 +3,6 @@
  * it.
  */
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
-import { computeRemainingMilliseconds } from './request-expiry.js';
 import { logRequestEnd, RequestEndKind } from './request-end.js';
 import type { NotRunProof } from './outcome.js';
 import { planRetryAfter } from './plan-retry-after.js';
@@ -38,7 +37,8 @@
   proof: NotRunProof,
   expectedWaitMilliseconds?: number,
 ): void {
-  const remaining = computeRemainingMilliseconds(context, accepted);
+  // The caller retries at another entry, so its own time counts and not what this entry has left.
+  const remaining = Math.max(0, Math.floor(accepted.expiresAt - context.now()));
   const retryAfter = planRetryAfter({
     cause,
     remainingMilliseconds: remaining,
