End a process whose stop fails at the end of its grace time

A stop that rejected would have left the process running until it is killed. Only read in the review, and not seen in a run; the failure is logged and the process ends at its limit.

--- a/packages/process-life/src/process-life.ts
+++ b/packages/process-life/src/process-life.ts
@@ -104,7 +104,11 @@
     const limit = new Promise<void>((resolve) => {
       setTimeout(resolve, lastsMilliseconds);
     });
-    void Promise.race([shutdown.stop(startedAt + lastsMilliseconds), limit]).then(async () => {
+    const stopped = shutdown.stop(startedAt + lastsMilliseconds).catch((thrown: unknown) => {
+      life.logger.error('stop failed', { reason: String(thrown) });
+      return limit;
+    });
+    void Promise.race([stopped, limit]).then(async () => {
       shutdown.log?.();
       life.logger.info('stopped', { milliseconds: Math.round(performance.now() - startedAt) });
       await life.writer.flush();
