Take only whole responses for the usual time of a route

Requests whose callers had left, or whose response was broken off, counted as short ones, so that a request was sent to a server although it would not be complete before the entry ended. The refusal of an unfinished body at the deadline is no longer logged as a failed request, and the usual time is looked up only during a shutdown.

--- a/packages/forwarding/src/caller-listener.ts
+++ b/packages/forwarding/src/caller-listener.ts
@@ -23,6 +23,7 @@
 import { planUnreadTimeout } from './plan-wait.js';
 import { rankPriority } from './priority-classes.js';
 import { readBody } from './read-body.js';
+import { isSuccess } from './response-head.js';
 import { createRetryDetector } from './retry-detector.js';
 import { servePlain } from './serve-plain.js';
 import { serveStream } from './serve-stream.js';
@@ -229,7 +230,7 @@
         if (callerResponse.hasDisconnected) logCallerDisconnect(accepted);
         context.metrics.countRequest(admission.route.kind, callerResponse.status);
         const milliseconds = context.now() - arrivedAt;
-        if (callerResponse.status < BAD_REQUEST) {
+        if (response.writableEnded && isSuccess(callerResponse.status)) {
           context.responseTimes.record(admission.route.name, milliseconds);
         }
         context.metrics.observe(LatencyKind.Answer, milliseconds);
@@ -246,6 +247,8 @@
     const inFlightRequest = inFlight.track(incoming, response);
     applyLimits();
     handleRequest(incoming, response, inFlightRequest).catch((thrown: unknown) => {
+      // The body may never be complete after a response that did not wait for it.
+      if (response.writableEnded) return;
       context.logger.warn('request failed', { reason: String(thrown) });
       response.destroy();
     });
--- a/packages/forwarding/src/plan-shutdown-admission.ts
+++ b/packages/forwarding/src/plan-shutdown-admission.ts
@@ -25,7 +25,7 @@
     case ShutdownPhase.Accepting:
       return Math.max(0, untilDeadlineMilliseconds - input.usualMilliseconds);
     case ShutdownPhase.Draining:
-      // Its caller holds a connection that was kept, so other entries have long been available.
+      // Load balancers know by now that the entry stops, so a retry reaches another one.
       return 0;
     default: {
       const unreachable: never = admittedIn;
--- a/packages/forwarding/src/request-expiry.ts
+++ b/packages/forwarding/src/request-expiry.ts
@@ -2,6 +2,7 @@
  * The time that a request has left: until its own timeout or its caller's, and no longer than the
  * entry has until it ends.
  */
+import { ShutdownPhase } from './entry-shutdown.js';
 import type { AcceptedRequest, ForwardContext } from './forward-context.js';
 import { RefusalCause } from './plan-retry-after.js';
 import { planSendWindow } from './plan-shutdown-admission.js';
@@ -51,6 +52,7 @@
 export function computeSendWindow(context: ForwardContext, accepted: AcceptedRequest): number {
   const { shutdown, responseTimes, now } = context;
   const { route, admittedIn, expiresAt } = accepted;
+  if (shutdown.phase() === ShutdownPhase.None) return expiresAt - now();
   return planSendWindow({
     admittedIn,
     untilExpiryMilliseconds: expiresAt - now(),
--- a/packages/forwarding/src/stream-delay.ts
+++ b/packages/forwarding/src/stream-delay.ts
@@ -210,6 +210,7 @@
     },
   });
   if (wait === 0) return false;
+  // A stream that has begun cannot be refused any more.
   const sendWindow = situation.hasBegun ? Infinity : computeSendWindow(context, accepted);
   let endShutdownWatch: () => unknown = () => undefined;
   const shutdownBegun = new Promise<void>((resolve) => {
