Close a connection with the last of its pipelined responses during a shutdown

With two requests pipelined on one connection, the response to the first said Connection: close during a shutdown, and the second was lost although its server had answered. Only the last request in flight on a connection closes it now. Responses with 502 or 504 are counted apart from whole ones.

--- a/packages/forwarding/src/in-flight-requests.ts
+++ b/packages/forwarding/src/in-flight-requests.ts
@@ -3,6 +3,7 @@
  * from its head until its response has been passed to the connection, or the connection is closed.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 
 export enum RequestStage {
   /** Its body is not complete yet. */
@@ -20,9 +21,11 @@
 export enum ShutdownOutcome {
   /** The whole response was passed to the connection. */
   Complete = 'complete',
+  /** Responded with 502 or 504, by the entry or the server: it may have run. */
+  Failed = 'failed',
   /** Rejected with `Retry-After`, before it was sent to any backend server. */
   Refused = 'refused',
-  /** The connection was closed without a whole response. */
+  /** The connection was closed without a whole response, by the entry or the caller. */
   Incomplete = 'incomplete',
 }
 
@@ -55,8 +58,8 @@
   count(): number;
   countsByStage(): Readonly<Partial<Record<RequestStage, number>>>;
   /**
-   * From now on, each response that begins closes its connection, and requests are counted by how
-   * they end.
+   * From now on, each response that begins closes its connection unless another request is in
+   * flight on it, and requests are counted by how they end.
    */
   beginShutdown(): void;
   /** Requests that have ended since the shutdown began; all are zero before. */
@@ -66,6 +69,8 @@
 }
 
 const SERVICE_UNAVAILABLE = 503;
+const BAD_GATEWAY = 502;
+const GATEWAY_TIMEOUT = 504;
 
 interface TrackedRequest {
   readonly incoming: IncomingMessage;
@@ -86,7 +91,9 @@
 
 function outcomeOf({ response, isForwarded }: TrackedRequest): ShutdownOutcome {
   if (!response.writableFinished) return ShutdownOutcome.Incomplete;
-  return response.statusCode === SERVICE_UNAVAILABLE && !isForwarded
+  const { statusCode } = response;
+  if (statusCode === BAD_GATEWAY || statusCode === GATEWAY_TIMEOUT) return ShutdownOutcome.Failed;
+  return statusCode === SERVICE_UNAVAILABLE && !isForwarded
     ? ShutdownOutcome.Refused
     : ShutdownOutcome.Complete;
 }
@@ -94,11 +101,22 @@
 export function createInFlightRequests(now: () => number): InFlightRequests {
   const tracked = new Set<TrackedRequest>();
   const counts: Record<ShutdownArrival, Record<ShutdownOutcome, number>> = {
-    [ShutdownArrival.InFlight]: { complete: 0, refused: 0, incomplete: 0 },
-    [ShutdownArrival.Later]: { complete: 0, refused: 0, incomplete: 0 },
+    [ShutdownArrival.InFlight]: { complete: 0, failed: 0, refused: 0, incomplete: 0 },
+    [ShutdownArrival.Later]: { complete: 0, failed: 0, refused: 0, incomplete: 0 },
   };
   let isShuttingDown = false;
 
+  /** Pipelined requests share a connection, which has to stay open until the last response. */
+  function closeAfterLast(socket: Socket): void {
+    let last: ServerResponse | undefined;
+    for (const { incoming, response } of tracked) {
+      if (incoming.socket !== socket) continue;
+      if (last !== undefined) last.shouldKeepAlive = true;
+      last = response;
+      last.shouldKeepAlive = false;
+    }
+  }
+
   return {
     track(incoming, response) {
       const request: TrackedRequest = {
@@ -111,7 +129,7 @@
         isForwarded: false,
       };
       tracked.add(request);
-      if (isShuttingDown) response.shouldKeepAlive = false;
+      if (isShuttingDown) closeAfterLast(incoming.socket);
       response.once('close', () => {
         tracked.delete(request);
         if (isShuttingDown) counts[request.arrival][outcomeOf(request)] += 1;
@@ -137,7 +155,7 @@
     },
     beginShutdown() {
       isShuttingDown = true;
-      for (const { response } of tracked) response.shouldKeepAlive = false;
+      for (const { incoming } of tracked) closeAfterLast(incoming.socket);
     },
     shutdownCounts: () =>
       Object.values(ShutdownArrival).map((arrival) => ({ arrival, ...counts[arrival] })),
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -63,6 +63,8 @@
   readonly arrival: string;
   /** Whole responses. */
   readonly complete: number;
+  /** Responses that leave open whether the request ran. */
+  readonly failed: number;
   /** Rejected before they were sent to any backend server. */
   readonly refused: number;
   /** Connections that were closed without a whole response. */
@@ -297,8 +299,9 @@
         'Requests that ended while the entry shut down, by arrival and outcome.',
         ['arrival', 'outcome'],
         function* readShutdown() {
-          for (const { arrival, complete, refused, incomplete } of read()) {
+          for (const { arrival, complete, failed, refused, incomplete } of read()) {
             yield { labels: { arrival, outcome: 'complete' }, value: complete };
+            yield { labels: { arrival, outcome: 'failed' }, value: failed };
             yield { labels: { arrival, outcome: 'refused' }, value: refused };
             yield { labels: { arrival, outcome: 'incomplete' }, value: incomplete };
           }
