Keep the values of odd rows out of the copies that entries exchange

What would happen: an entry whose calls the store rejects would keep its old list of servers.

Cause: copies hold the bytes of every row, and a copy of more than 4 MB is rejected by the entry that fetches it. 99 odd rows of 64 KiB exceed that.

Change: followTable takes a function that says what the copy keeps of a row; of a row of the servers that names none (TableAdapter.isServerRow) these are its key and version.

--- a/packages/catalog/src/follow-table.ts
+++ b/packages/catalog/src/follow-table.ts
@@ -29,6 +29,8 @@
   readonly clock: StoreClock;
   /** Monotonic clock of this instance, in milliseconds. */
   now(): number;
+  /** What the copy keeps of a row; all of it if absent. */
+  readonly compact?: (row: StoreRow) => StoreRow;
   /** Called with all rows, as of a revision, after every change. */
   onRows(rows: ReadonlyMap<string, StoreRow>, revision: number): void;
   /** Called after each call to the store. */
@@ -91,6 +93,10 @@
   let isPolling = false;
   let isRefreshRequested = false;
 
+  function setRow(row: StoreRow): void {
+    rows.set(row.key, options.compact?.(row) ?? row);
+  }
+
   function recordConfirmation(answeredAt: number, requestedAt: number): void {
     options.clock.observe(answeredAt);
     confirmation = { answeredAt, requestedAt };
@@ -106,7 +112,7 @@
 
   function replaceRows(list: RowList): void {
     rows.clear();
-    for (const row of list.rows) rows.set(row.key, row);
+    for (const row of list.rows) setRow(row);
     revision = list.revision;
     isLoaded = true;
     options.onRows(rows, revision);
@@ -139,7 +145,7 @@
       if (row.part !== part) continue;
       changed = true;
       if (row.value === undefined) rows.delete(row.key);
-      else rows.set(row.key, row);
+      else setRow(row);
     }
     revision = feed.revision;
     if (changed) options.onRows(rows, revision);
--- a/packages/direct-entry/src/adapters.ts
+++ b/packages/direct-entry/src/adapters.ts
@@ -15,6 +15,8 @@
   readonly serversTable: string;
   /** Decodes the operators' table; rows that are invalid are ignored. */
   decodeOperatorState(rows: TableRows, revision: number): OperatorState;
+  /** Whether a row of the servers' table is valid. */
+  isServerRow(row: StoreRow): boolean;
   /** Decodes the servers' table; rows that are invalid are ignored. */
   decodeServerList(rows: TableRows, revision: number): ServerList;
 }
--- a/packages/direct-entry/src/catalog-sync-simulation.ts
+++ b/packages/direct-entry/src/catalog-sync-simulation.ts
@@ -99,6 +99,7 @@
       },
     };
   },
+  isServerRow: () => true,
   decodeServerList(rows, revision) {
     const servers = new Map<string, BackendServer>();
     for (const instanceId of rows.keys())
--- a/packages/direct-entry/src/catalog-sync.ts
+++ b/packages/direct-entry/src/catalog-sync.ts
@@ -10,6 +10,7 @@
   ServerList,
   Store,
   StoreCallResult,
+  StoreRow,
   TableFollower,
 } from '@lapisbridge/catalog';
 import { ReadingRole } from '@lapisbridge/fleet';
@@ -175,6 +176,11 @@
     unlistedServers.review();
   }
 
+  /** Invalid rows of any size must not make the copies too large to exchange. */
+  function compactServerRow(row: StoreRow): StoreRow {
+    return tables.isServerRow(row) ? row : { ...row, value: Buffer.alloc(0) };
+  }
+
   function applyServers(rows: TableRows, revision: number): void {
     const list = tables.decodeServerList(rows, revision);
     const fingerprint = fingerprintOfServers(list);
@@ -272,6 +278,7 @@
       delegatedMilliseconds: () => updateDirectRead(FollowedTable.Servers),
       longPollMilliseconds: () => readPlan().serversLongPollMilliseconds,
       pauseMilliseconds: () => readPlan().serversPauseMilliseconds,
+      compact: compactServerRow,
       onRows: applyServers,
       onStoreResult: (result) => onStoreResult(FollowedTable.Servers, result),
     }),
