--- a/packages/entry/src/http-listener.ts
+++ b/packages/entry/src/http-listener.ts
@@ -105,7 +105,7 @@
       // Immediates run after the event loop has read what has arrived: closing a connection resets
       // unread requests.
       const timer = setInterval(
-        () => setImmediate(() => drain.closeIdle()),
+        () => setImmediate(() => drain.closeIdle(CLOSE_IDLE_MILLISECONDS)),
         CLOSE_IDLE_MILLISECONDS,
       );
       let unanswered = 0;
