Check requests that may have run no oftener while the entry shuts down

A request that may have run, and that waited for capacity while the entry shut down, was checked again and again without a pause, with a log line each time: what it may still wait for was bounded as for a request that can be refused.

--- a/packages/forwarding/src/serve-plain.ts
+++ b/packages/forwarding/src/serve-plain.ts
@@ -152,13 +152,18 @@
     return running.size > 0 ? RetryCause.Hedged : retryCauseAfter(progress.outcomes);
   }
 
+  /** Whether no attempt may have run. */
+  function canRefuse(): boolean {
+    return progress.runs === 0;
+  }
+
   /** Starts one more attempt, or returns why none can be started. */
   function startNextAttempt(): StartResult {
     if (findQuarantinedCause(context, accepted) !== undefined) {
       return cannotStart(RefusalCause.Quarantined);
     }
     if (progress.sends >= MAXIMUM_SENDS) return cannotStart(RefusalCause.Full);
-    if (progress.runs === 0 && computeSendWindow(context, accepted) === 0) {
+    if (canRefuse() && computeSendWindow(context, accepted) === 0) {
       return cannotStart(expiryCause ?? RefusalCause.ShuttingDown);
     }
     if (computeRemainingMilliseconds(context, accepted) < MINIMUM_ATTEMPT_MILLISECONDS) {
@@ -310,7 +315,7 @@
           return;
         }
         if (start.kind === StartKind.Delayed) {
-          const sendWindow = computeSendWindow(context, accepted);
+          const sendWindow = canRefuse() ? computeSendWindow(context, accepted) : Infinity;
           await waitForSettled(Math.min(start.waitMilliseconds, sendWindow));
           continue;
         }
--- a/packages/forwarding/src/serve-stream.ts
+++ b/packages/forwarding/src/serve-stream.ts
@@ -110,6 +110,11 @@
     return progress.sends === 0 && !response.hasBegun;
   }
 
+  /** Whether no attempt may have run. */
+  function canRefuse(): boolean {
+    return progress.runs === 0 && !response.hasBegun;
+  }
+
   function retryCause(): RetryCause {
     return response.hasBegun ? RetryCause.Resumed : retryCauseAfter(progress.outcomes);
   }
@@ -123,8 +128,7 @@
     if (progress.sends - state.groupRefusals >= MAXIMUM_SENDS) {
       return { kind: StartKind.None, cause: RefusalCause.Full };
     }
-    const hasRun = progress.runs > 0 || response.hasBegun;
-    if (!hasRun && computeSendWindow(context, accepted) === 0) {
+    if (canRefuse() && computeSendWindow(context, accepted) === 0) {
       return { kind: StartKind.None, cause: RefusalCause.ShuttingDown };
     }
     const contention = mustBeAdmitted() ? findContention(context, accepted) : undefined;
@@ -283,6 +287,7 @@
         const waitSituation = {
           idleMilliseconds: record.idleMilliseconds(),
           isMoved: state.isMoved,
+          canRefuse: canRefuse(),
         };
         const mustGiveUp = !(await waitForServer(context, accepted, delay, waitSituation));
         if (mustGiveUp || state.timeout !== undefined) {
--- a/packages/forwarding/src/shutdown-deadline.test.ts
+++ b/packages/forwarding/src/shutdown-deadline.test.ts
@@ -2,7 +2,7 @@
  * What callers get from an entry that shuts down, depending on the time that is left.
  */
 import { Agent, request } from 'node:http';
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { RequestKind } from '@lapisbridge/catalog';
 import { sleep } from '@lapisbridge/kernel';
@@ -127,6 +127,38 @@
     expect(fixture.arrivals).toEqual([]);
   });
 
+  it('waits for capacity without further checks if it may have run', async () => {
+    // Guards against a loop that checks a request again and again that can no longer be refused.
+    const refuse = (incoming: IncomingMessage, response: ServerResponse, after?: string): void => {
+      response.writeHead(503, {
+        'request-id': String(incoming.headers['request-id']),
+        'not-run': '1',
+        'content-length': 0,
+        ...(after === undefined ? {} : { 'retry-after': after }),
+      });
+      response.end();
+    };
+    const one: BackendHandler = (incoming, response) => {
+      if (incoming.headers['request-id'] === 'early') {
+        setTimeout(() => incoming.socket.destroy(), 100);
+      } else refuse(incoming, response);
+    };
+    const two: BackendHandler = (incoming, response) => refuse(incoming, response, '0.5');
+    const started = await startFixture({
+      servers: { one, two },
+      route: { kind: RequestKind.Idempotent, latencyObjectiveMilliseconds: 2500 },
+    });
+    fixture = started;
+    await send(started.port, 'first');
+    const answer = send(started.port, 'early');
+    await sleep(50);
+    void started.shutDown(2000);
+    await answer;
+    const waits = started.logger.decisionsAbout('early').filter(({ kind }) => kind === 'wait');
+    expect(waits.length).toBeGreaterThan(0);
+    expect(waits.length).toBeLessThan(10);
+  });
+
   it('gets a failure rather than a closed connection if its server does not respond in time', async () => {
     fixture = await startFixture({ servers: { one: () => undefined } });
     const answer = send(fixture.port, 'early');
--- a/packages/forwarding/src/stream-delay.ts
+++ b/packages/forwarding/src/stream-delay.ts
@@ -177,6 +177,11 @@
   readonly isMoved: boolean;
 }
 
+export interface ServerWait extends Pick<WaitSituation, 'idleMilliseconds' | 'isMoved'> {
+  /** Whether the stream has not run, so that a shutdown may still refuse it. */
+  readonly canRefuse: boolean;
+}
+
 /**
  * Waits until a server may accept the stream; resolves with false when the caller is to be refused
  * instead.
@@ -185,7 +190,7 @@
   context: ForwardContext,
   accepted: AcceptedRequest,
   delay: StreamDelay,
-  { idleMilliseconds, isMoved }: Pick<WaitSituation, 'idleMilliseconds' | 'isMoved'>,
+  { idleMilliseconds, isMoved, canRefuse }: ServerWait,
 ): Promise<boolean> {
   const situation = {
     idleMilliseconds,
@@ -210,8 +215,7 @@
     },
   });
   if (wait === 0) return false;
-  // A stream that has begun cannot be refused any more.
-  const sendWindow = situation.hasBegun ? Infinity : computeSendWindow(context, accepted);
+  const sendWindow = canRefuse ? computeSendWindow(context, accepted) : Infinity;
   let endShutdownWatch: () => unknown = () => undefined;
   const shutdownBegun = new Promise<void>((resolve) => {
     endShutdownWatch = context.shutdown.onBegin(resolve);
