Log failed requests as before, except for a body refused at the deadline

 left out the log line for every failure after a complete response; only the connection that closes with the refusal of an unfinished body is expected. Evidence: 'refuses a request whose body is not complete at the deadline' passes.

--- a/packages/forwarding/src/caller-listener.ts
+++ b/packages/forwarding/src/caller-listener.ts
@@ -146,11 +146,19 @@
     const request = context.protocol.decodeRequest(incoming);
     const { limits } = context.catalog.operatorState().configuration ?? {};
     const maximumBody = limits?.maximumBodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES;
+    let isRefused = false;
     const endDeadlineWatch = context.shutdown.onDeadline(() => {
+      isRefused = true;
       const cause = RefusalCause.ShuttingDown;
       sendLocalReply(callerResponse, request, SERVICE_UNAVAILABLE, 'entry shuts down', cause);
     });
-    const body = await readBody(incoming, maximumBody).finally(endDeadlineWatch);
+    const body = await readBody(incoming, maximumBody)
+      .catch((thrown: unknown) => {
+        // Its connection closes with the refusal.
+        if (isRefused) return undefined;
+        throw thrown;
+      })
+      .finally(endDeadlineWatch);
     if (callerResponse.isEnded) return;
     if (body === undefined) {
       response.shouldKeepAlive = false;
@@ -247,8 +255,6 @@
     const inFlightRequest = inFlight.track(incoming, response);
     applyLimits();
     handleRequest(incoming, response, inFlightRequest).catch((thrown: unknown) => {
-      // The body may never be complete after a response that did not wait for it.
-      if (response.writableEnded) return;
       context.logger.warn('request failed', { reason: String(thrown) });
       response.destroy();
     });
