Tell pipelined requests that their caller has disconnected

Callers saw: after clients had pipelined requests and left, an entry answered nobody for as long as those requests waited. Cause: Node.js emits close for the response that is being sent, and not for those that wait for it on the same connection, so their requests went on, held servers and were counted as in flight until their deadline. Evidence: in the crowds of pipelined requests an ordinary request got 503 eight times in a row although the crowd had left. The tracker of connections now ends the waiting responses with their connection; its test failed before (1 of 3 told).

The tracker also lists its connections, with the bytes of incomplete heads, for the limits on clients.

--- a/packages/kernel/src/connection-drain.test.ts
+++ b/packages/kernel/src/connection-drain.test.ts
@@ -195,3 +195,23 @@
     await caller.closed;
   });
 });
+
+describe('pipelined requests', () => {
+  it('learn that their caller has disconnected while they wait for an earlier one', async () => {
+    // Guards against requests that go on for a caller that is gone.
+    let closed = 0;
+    let received = 0;
+    await start((_incoming, response) => {
+      received += 1;
+      response.on('close', () => {
+        closed += 1;
+      });
+    });
+    const { socket } = await call(REQUEST.repeat(3));
+    while (received < 3) await sleep(POLL_MILLISECONDS);
+    socket.destroy();
+    while (drain.openCount() > 0) await sleep(POLL_MILLISECONDS);
+    await sleep(POLL_MILLISECONDS);
+    expect(closed).toBe(3);
+  });
+});
--- a/packages/kernel/src/connection-drain.ts
+++ b/packages/kernel/src/connection-drain.ts
@@ -9,6 +9,18 @@
 import type { Socket } from 'node:net';
 import { Server as TransportSecurityServer } from 'node:tls';
 
+/** An open connection of a server. */
+export interface TrackedConnection {
+  readonly socket: Socket;
+  /** Requests whose responses have not left yet. */
+  readonly openResponses: number;
+  /** Bytes received after the last complete request, of a head that is not complete. */
+  readonly headBytes: number;
+  readonly hasCompletedRequest: boolean;
+  /** Since the last response left, or the connection was opened. */
+  readonly idleMilliseconds: number;
+}
+
 export interface ConnectionDrain {
   /**
    * Closes each connection that has no request in flight, no unsent bytes and no partially received
@@ -25,14 +37,18 @@
   openCount(): number;
   /** Number of connections accepted so far. */
   acceptedCount(): number;
+  connections(): Iterable<TrackedConnection>;
+  /** Number of requests of the connection whose responses have not left yet. */
+  openResponses(socket: Socket): number;
 }
 
 interface ConnectionState {
   /** Responses that have not been flushed or dropped yet. */
-  openResponses: number;
+  readonly openResponses: Set<ServerResponse>;
   isReceivingRequest: boolean;
   /** `bytesRead` of the socket when its last request was complete: more means a further request. */
   bytesOfCompleteRequests: number;
+  hasCompletedRequest: boolean;
   /** When the last response left, or the connection was opened. */
   idleSince: number;
 }
@@ -44,13 +60,23 @@
 
   function track(socket: Socket): void {
     accepted += 1;
-    connections.set(socket, {
-      openResponses: 0,
+    const state: ConnectionState = {
+      openResponses: new Set(),
       isReceivingRequest: false,
       bytesOfCompleteRequests: 0,
+      hasCompletedRequest: false,
       idleSince: performance.now(),
+    };
+    connections.set(socket, state);
+    socket.once('close', () => {
+      connections.delete(socket);
+      // Node.js tells only the response that is being sent, and not those that wait for it.
+      for (const response of state.openResponses) {
+        if (response.socket !== null) continue;
+        response.destroy();
+        response.emit('close');
+      }
     });
-    socket.once('close', () => connections.delete(socket));
   }
 
   function onRequest(incoming: IncomingMessage, response: ServerResponse): void {
@@ -59,13 +85,14 @@
     if (connection === undefined) return;
     const onComplete = (): void => {
       connection.isReceivingRequest = false;
+      connection.hasCompletedRequest = true;
       connection.bytesOfCompleteRequests = socket.bytesRead;
     };
-    connection.openResponses += 1;
+    connection.openResponses.add(response);
     connection.isReceivingRequest = true;
     incoming.once('end', onComplete);
     response.once('close', () => {
-      connection.openResponses -= 1;
+      connection.openResponses.delete(response);
       connection.idleSince = performance.now();
       // The body of a request may stay unread although all of it was received.
       if (connection.isReceivingRequest && incoming.complete) onComplete();
@@ -74,7 +101,7 @@
 
   function isIdle(socket: Socket, connection: ConnectionState): boolean {
     return (
-      connection.openResponses === 0 &&
+      connection.openResponses.size === 0 &&
       !connection.isReceivingRequest &&
       socket.bytesRead === connection.bytesOfCompleteRequests &&
       socket.writableLength === 0
@@ -101,5 +128,19 @@
     },
     openCount: () => connections.size,
     acceptedCount: () => accepted,
+    *connections() {
+      const now = performance.now();
+      for (const [socket, connection] of connections) {
+        const { openResponses, isReceivingRequest, bytesOfCompleteRequests } = connection;
+        yield {
+          socket,
+          openResponses: openResponses.size,
+          headBytes: isReceivingRequest ? 0 : socket.bytesRead - bytesOfCompleteRequests,
+          hasCompletedRequest: connection.hasCompletedRequest,
+          idleMilliseconds: now - connection.idleSince,
+        };
+      }
+    },
+    openResponses: (socket) => connections.get(socket)?.openResponses.size ?? 0,
   };
 }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -75,4 +75,4 @@
 }
 export { pickSome } from './pick-some.js';
 export { createConnectionDrain } from './connection-drain.js';
-export type { ConnectionDrain } from './connection-drain.js';
+export type { ConnectionDrain, TrackedConnection } from './connection-drain.js';
