Bound what clients may hold of an entry, from the size of its machine

Cause: each body had a limit and all together had none; each chunk was kept as an object of its own, a hundred times its size for a single byte, and whole bodies a second time; nothing bounded connections, requests, pipelined requests or incomplete heads.

Why this fix works: the package client-limits is the one place that counts what clients hold and decides whom to pause, refuse or close. Its limits follow from the memory, descriptors and heap of the machine. Bodies are copied into blocks and counted until their request has ended. Beyond the budget bodies that stand still are refused first; others are paused, and one at a time is read to its end, so that pausing cannot stop all of them. Many small chunks yield a turn of the event loop. Connections that never sent a request are closed first. Refusals come before a request has run, with 503 and Retry-After, and the connection stays half open for a moment so that they arrive.

Settings memoryMegabytes and maximumDescriptors, filled in by the platform, state the machine.

--- a/packages/direct-entry/src/instance-listener.ts
+++ b/packages/direct-entry/src/instance-listener.ts
@@ -5,8 +5,11 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
+import { BodyEndKind } from '@lapisbridge/client-limits';
+import type { ClientGuard } from '@lapisbridge/client-limits';
 import { forwardPrepare, RelayPath } from '@lapisbridge/group-leader';
 import { parseObject } from '@lapisbridge/json-call';
+import { monotonicClock } from '@lapisbridge/kernel';
 import type { Logger } from '@lapisbridge/logger';
 
 import type { CopyResponder } from './copy-exchange.js';
@@ -16,26 +19,31 @@
   readonly host: string;
   readonly port: number;
   readonly logger: Logger;
+  readonly guard: ClientGuard;
   readonly respondWithCopy: CopyResponder;
 }
 
 /** Limit for the body of a prepare order; a leader sends one per availability zone and map. */
 const MAXIMUM_BODY_BYTES = 4_000_000;
+/** Time in which another instance must have sent its request; a leader waits no longer. */
+const RECEIVE_MILLISECONDS = 5000;
+/** Other entries, and the leaders of groups, that may be connected at a time. */
+const MAXIMUM_INSTANCE_CONNECTIONS = 128;
 
-async function readBody(incoming: IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of incoming) {
-    size += (chunk as Buffer).length;
-    if (size > MAXIMUM_BODY_BYTES)
-      throw new RangeError(`request body exceeds ${MAXIMUM_BODY_BYTES} bytes`);
-    chunks.push(chunk as Buffer);
+async function relayPrepare(
+  guard: ClientGuard,
+  incoming: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const received = await guard.readBody(incoming, {
+    maximumBytes: MAXIMUM_BODY_BYTES,
+    expiresAt: monotonicClock() + RECEIVE_MILLISECONDS,
+  });
+  if (received.kind !== BodyEndKind.Complete) {
+    throw new RangeError(`request body not received: ${received.kind}`);
   }
-  return Buffer.concat(chunks);
-}
-
-async function relayPrepare(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-  const body = parseObject(await readBody(incoming));
+  const body = parseObject(received.bytes);
+  received.release();
   const outcomes = body === undefined ? {} : await forwardPrepare(body);
   response.writeHead(200, { 'content-type': 'application/json' });
   response.end(JSON.stringify(outcomes));
@@ -43,7 +51,7 @@
 
 /** Starts the listener; errors of its socket are logged and do not end the process. */
 export function startInstanceListener(options: InstanceListenerOptions): Server {
-  const { logger } = options;
+  const { guard, logger } = options;
   const server = createServer((incoming, response) => {
     if (options.respondWithCopy(incoming, response)) return;
     if (incoming.url !== RelayPath.ForwardPrepare) {
@@ -52,11 +60,12 @@
       response.end();
       return;
     }
-    relayPrepare(incoming, response).catch((thrown: unknown) => {
+    relayPrepare(guard, incoming, response).catch((thrown: unknown) => {
       logger.warn('prepare order not relayed', { reason: String(thrown) });
       response.destroy();
     });
   });
+  guard.guard(server, { maximumConnections: MAXIMUM_INSTANCE_CONNECTIONS });
   server.on('error', (error) =>
     logger.error('instance listener failed', { reason: error.message }),
   );
--- a/packages/direct-entry/src/start-entry.ts
+++ b/packages/direct-entry/src/start-entry.ts
@@ -6,6 +6,12 @@
 import { getHeapStatistics } from 'node:v8';
 
 import { createCatalog } from '@lapisbridge/catalog';
+import {
+  createClientGuard,
+  determineMachineSize,
+  planClientLimits,
+} from '@lapisbridge/client-limits';
+import type { ClientGuard } from '@lapisbridge/client-limits';
 import { createCrashLedger, encodeCrashStatements } from '@lapisbridge/crash-attribution';
 import {
   createArrivalMeter,
@@ -66,12 +72,20 @@
  */
 const LINGER_MILLISECONDS = 2600;
 
-function serveReadiness(address: Address, isReady: () => boolean): Promise<void> {
+/** Load balancers and scrapers that may be connected at a time. */
+const MAXIMUM_READINESS_CONNECTIONS = 32;
+
+function serveReadiness(
+  address: Address,
+  guard: ClientGuard,
+  isReady: () => boolean,
+): Promise<void> {
   const server = createServer((request, response) => {
     request.resume();
     response.writeHead(isReady() ? 200 : 503, { 'content-length': 0 });
     response.end();
   });
+  guard.guard(server, { maximumConnections: MAXIMUM_READINESS_CONNECTIONS });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(address.port, address.host, () => resolve());
@@ -267,6 +281,11 @@
   });
 
   const inFlight = createInFlightRequests(monotonicClock);
+  const guard = createClientGuard({
+    limits: planClientLimits(determineMachineSize(settings)),
+    logger,
+    now: monotonicClock,
+  });
 
   registerEntryMetrics(metrics, {
     inFlight,
@@ -282,6 +301,7 @@
     contentionCounts,
     hedges,
     callerBacklog,
+    guard,
     unlistedServers: () => catalogSync.unlistedServers(),
   });
 
@@ -326,22 +346,30 @@
           ...settings.callerAddress,
           context,
           inFlight,
+          guard,
           isOutdated: () => catalogSync.isOutdated(),
           shutdownDelayMilliseconds: LINGER_MILLISECONDS,
         });
 
-  startMetricsListener(metrics, settings.host, settings.metricsPort, (error) => {
-    logger.warn('metrics not served', { reason: error.message });
-  });
+  const metricsServer = startMetricsListener(
+    metrics,
+    settings.host,
+    settings.metricsPort,
+    (error) => {
+      logger.warn('metrics not served', { reason: error.message });
+    },
+  );
+  guard.guard(metricsServer, { maximumConnections: MAXIMUM_READINESS_CONNECTIONS });
   const isReady = (): boolean => !isStopping && catalog.operatorState().configuration !== undefined;
   try {
     const { readinessAddress } = settings;
-    if (readinessAddress !== undefined) await serveReadiness(readinessAddress, isReady);
+    if (readinessAddress !== undefined) await serveReadiness(readinessAddress, guard, isReady);
     await startFleetLink();
     startInstanceListener({
       host: settings.host,
       port: settings.peerPort,
       logger,
+      guard,
       respondWithCopy: catalogSync.respondWithCopy,
     });
     catalogSync.start();
--- a/packages/forwarding/src/caller-listener.ts
+++ b/packages/forwarding/src/caller-listener.ts
@@ -6,8 +6,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
 import { RequestKind } from '@lapisbridge/catalog';
+import { BodyEndKind, MAXIMUM_HEADER_BYTES } from '@lapisbridge/client-limits';
+import type { ClientGuard } from '@lapisbridge/client-limits';
 import { createRequestDigest } from '@lapisbridge/crash-attribution';
-import { createConnectionDrain } from '@lapisbridge/kernel';
 import { LatencyKind } from '@lapisbridge/metrics';
 
 import { AdmissionKind, decideAdmission, RejectionReason } from './accept-request.js';
@@ -22,7 +23,6 @@
 import { planRetryAfter, RefusalCause } from './plan-retry-after.js';
 import { planUnreadTimeout } from './plan-wait.js';
 import { rankPriority } from './priority-classes.js';
-import { readBody } from './read-body.js';
 import { isSuccess } from './response-head.js';
 import { createRetryDetector } from './retry-detector.js';
 import { servePlain } from './serve-plain.js';
@@ -46,6 +46,7 @@
   readonly port: number;
   readonly context: ForwardContext;
   readonly inFlight: InFlightRequests;
+  readonly guard: ClientGuard;
   /** Whether the configuration may be outdated. */
   isOutdated(): boolean;
   /** How long new connections are still accepted after `stop` was called. */
@@ -55,6 +56,7 @@
 const BAD_REQUEST = 400;
 const UNAUTHORIZED = 401;
 const NOT_FOUND = 404;
+const REQUEST_TIMEOUT = 408;
 const CONTENT_TOO_LARGE = 413;
 const SERVICE_UNAVAILABLE = 503;
 
@@ -73,15 +75,24 @@
  * later than that timeout never races with a new request.
  */
 const IDLE_TIMEOUT_FACTOR = 1.2;
-const MAXIMUM_HEADER_BYTES = 64 * 1024;
-/** Time limit for receiving a whole request; the caller's deadline ends sooner. */
-const REQUEST_TIMEOUT_MILLISECONDS = 30_000;
+/** Time in which a caller that states no deadline must have sent its whole request. */
+const DEFAULT_RECEIVE_MILLISECONDS = 30_000;
 const TIMEOUT_CHECK_INTERVAL_MILLISECONDS = 1000;
 /** Timeout assumed for a caller that states no deadline. */
 const DEFAULT_CALLER_TIMEOUT_MILLISECONDS = 10_000;
 
+/** A request that was received completely. */
+interface WholeRequest {
+  readonly request: CallerRequest;
+  readonly response: ServerResponse;
+  readonly callerResponse: CallerResponse;
+  readonly inFlightRequest: InFlightRequest;
+  readonly arrivedAt: number;
+  readonly body: Buffer;
+}
+
 export function createCallerListener(options: CallerListenerOptions): CallerListener {
-  const { context, inFlight } = options;
+  const { context, inFlight, guard } = options;
   const returnWatch = createRetryDetector();
 
   function sendLocalReply(
@@ -136,6 +147,35 @@
     return context.serverMemory.exceedsEveryServer(service, servers.values(), request.promptTokens);
   }
 
+  /** Responds to a request whose body was not received; it has not run. */
+  function rejectBody(
+    callerResponse: CallerResponse,
+    request: CallerRequest,
+    kind: Exclude<BodyEndKind, BodyEndKind.Complete>,
+  ): void {
+    switch (kind) {
+      case BodyEndKind.TooLarge:
+        sendLocalReply(callerResponse, request, CONTENT_TOO_LARGE, 'body exceeds the limit');
+        return;
+      case BodyEndKind.Refused:
+        sendLocalReply(
+          callerResponse,
+          request,
+          SERVICE_UNAVAILABLE,
+          'callers together hold too much',
+          RefusalCause.Overloaded,
+        );
+        return;
+      case BodyEndKind.Expired:
+        sendLocalReply(callerResponse, request, REQUEST_TIMEOUT, 'body incomplete for too long');
+        return;
+      default: {
+        const unreachable: never = kind;
+        throw new Error(String(unreachable));
+      }
+    }
+  }
+
   async function handleRequest(
     incoming: IncomingMessage,
     response: ServerResponse,
@@ -144,32 +184,50 @@
     const callerResponse = createCallerResponse(response, context.callerBacklog);
     const arrivedAt = context.now();
     const request = context.protocol.decodeRequest(incoming);
+    if (!guard.admit(incoming, response)) {
+      guard.closeAfter(incoming, response);
+      const reason = 'too many requests in flight';
+      const cause = RefusalCause.Overloaded;
+      sendLocalReply(callerResponse, request, SERVICE_UNAVAILABLE, reason, cause);
+      return;
+    }
     const { limits } = context.catalog.operatorState().configuration ?? {};
-    const maximumBody = limits?.maximumBodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES;
     let isRefused = false;
     const endDeadlineWatch = context.shutdown.onDeadline(() => {
       isRefused = true;
       const cause = RefusalCause.ShuttingDown;
       sendLocalReply(callerResponse, request, SERVICE_UNAVAILABLE, 'entry shuts down', cause);
     });
-    const body = await readBody(incoming, maximumBody)
+    const received = await guard
+      .readBody(incoming, {
+        maximumBytes: limits?.maximumBodyBytes ?? DEFAULT_MAXIMUM_BODY_BYTES,
+        expiresAt: arrivedAt + (request.callerTimeoutMilliseconds ?? DEFAULT_RECEIVE_MILLISECONDS),
+      })
       .catch((thrown: unknown) => {
         // Its connection closes with the refusal.
         if (isRefused) return undefined;
         throw thrown;
       })
       .finally(endDeadlineWatch);
-    if (callerResponse.isEnded) return;
-    if (body === undefined) {
-      response.shouldKeepAlive = false;
-      sendLocalReply(
-        callerResponse,
-        request,
-        CONTENT_TOO_LARGE,
-        `body exceeds ${maximumBody} bytes`,
-      );
+    if (received === undefined) return;
+    if (received.kind !== BodyEndKind.Complete) {
+      if (callerResponse.isEnded) return;
+      guard.closeAfter(incoming, response);
+      rejectBody(callerResponse, request, received.kind);
       return;
     }
+    try {
+      if (!callerResponse.isEnded) {
+        const { bytes } = received;
+        await serve({ request, response, callerResponse, inFlightRequest, arrivedAt, body: bytes });
+      }
+    } finally {
+      received.release();
+    }
+  }
+
+  async function serve(whole: WholeRequest): Promise<void> {
+    const { request, response, callerResponse, inFlightRequest, arrivedAt, body } = whole;
     // A newer configuration may have been loaded while the body was read.
     const { configuration } = context.catalog.operatorState();
     const admission = decideAdmission({
@@ -261,8 +319,9 @@
   }
 
   const server: Server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, onRequest);
-  const connections = createConnectionDrain(server);
-  server.requestTimeout = REQUEST_TIMEOUT_MILLISECONDS;
+  const connections = guard.guard(server);
+  // Bodies end at the deadline of their own caller.
+  server.requestTimeout = 0;
   (server as Server & { connectionsCheckingInterval: number }).connectionsCheckingInterval =
     TIMEOUT_CHECK_INTERVAL_MILLISECONDS;
 
--- a/packages/forwarding/src/forwarding-fixture.ts
+++ b/packages/forwarding/src/forwarding-fixture.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 
+import { createClientGuard, planClientLimits } from '@lapisbridge/client-limits';
 import { createCatalog, RequestKind } from '@lapisbridge/catalog';
 import type {
   BackendServer,
@@ -118,6 +119,7 @@
 }
 
 const HOST = '127.0.0.1';
+const MACHINE = { memoryBytes: 350e6, maximumDescriptors: 4200, heapBytes: 100 * 1024 * 1024 };
 const SERVICE = 'service';
 
 const ROUTE: Route = {
@@ -346,6 +348,7 @@
     port,
     context,
     inFlight: createInFlightRequests(now),
+    guard: createClientGuard({ limits: planClientLimits(MACHINE), logger, now }),
     isOutdated: () => false,
     shutdownDelayMilliseconds: 0,
   });
--- a/packages/forwarding/src/plan-retry-after.ts
+++ b/packages/forwarding/src/plan-retry-after.ts
@@ -26,6 +26,8 @@
   Expired = 'expired',
   /** This entry ends before the response would be complete. */
   ShuttingDown = 'shuttingDown',
+  /** Callers together hold too much of this entry. */
+  Overloaded = 'overloaded',
 }
 
 /**
@@ -48,6 +50,7 @@
     case RefusalCause.Quarantined:
     case RefusalCause.Expired:
     case RefusalCause.ShuttingDown:
+    case RefusalCause.Overloaded:
       return cause;
     default: {
       const unreachable: never = cause;
@@ -78,6 +81,8 @@
   [RefusalCause.Expired]: 0,
   // Other entries can serve the request at once.
   [RefusalCause.ShuttingDown]: 0,
+  // A retry reaches another entry; paused and stalled bodies give way within two seconds.
+  [RefusalCause.Overloaded]: 400,
 };
 
 /** Callers wait no longer than this share of the time they have left. */
--- a/packages/metrics/src/metrics.ts
+++ b/packages/metrics/src/metrics.ts
@@ -26,6 +26,13 @@
   observe(kind: LatencyKind, milliseconds: number): void;
   /** Registers a value that is read when metrics are asked for. */
   gauge(name: string, help: string, read: () => number): void;
+  /** Registers values by one label that are read when metrics are asked for. */
+  labelledGauge(
+    name: string,
+    help: string,
+    label: string,
+    read: () => ReadonlyMap<string, number>,
+  ): void;
   /** Registers values by backend server that are read when metrics are asked for. */
   serverGauge(name: string, help: string, read: () => ReadonlyMap<string, number>): void;
   /** Registers values by lock-step group that are read when metrics are asked for. */
@@ -206,6 +213,11 @@
     },
     observe: (kind, milliseconds) => histograms.get(kind)?.record(milliseconds),
     gauge: (name, help, read) => addGauge(name, help, [], () => [{ labels: {}, value: read() }]),
+    labelledGauge(name, help, label, read) {
+      addGauge(name, help, [label], function* readLabelled() {
+        for (const [key, value] of read()) yield { labels: { [label]: key }, value };
+      });
+    },
     serverGauge(name, help, read) {
       addGauge(name, help, ['server'], function* readServers() {
         for (const [server, value] of read()) yield { labels: { server }, value };
--- a/packages/process-life/src/settings.test.ts
+++ b/packages/process-life/src/settings.test.ts
@@ -50,3 +50,18 @@
     expect(() => parse(change)).toThrow(message);
   });
 });
+
+describe('the size of the machine in the settings', () => {
+  it('is detected where the settings state none', () => {
+    expect(parse({}).memoryMegabytes).toBeUndefined();
+    expect(parse({ memoryMegabytes: null }).memoryMegabytes).toBeUndefined();
+    expect(parse({ maximumDescriptors: 4200 }).maximumDescriptors).toBe(4200);
+  });
+
+  it.each<[Readonly<Record<string, unknown>>, RegExp]>([
+    [{ memoryMegabytes: 0 }, /memoryMegabytes must be more than 0, and is 0/],
+    [{ maximumDescriptors: 'many' }, /maximumDescriptors must be a number, and is "many"/],
+  ])('is rejected with what is wrong: %j', (change, message) => {
+    expect(() => parse(change)).toThrow(message);
+  });
+});
--- a/packages/process-life/src/settings.ts
+++ b/packages/process-life/src/settings.ts
@@ -39,6 +39,10 @@
   readonly retryRatio: number;
   readonly retrySlack: number;
   readonly retryWindowMilliseconds: number;
+  /** Memory of the machine at which the process is ended; detected if undefined. */
+  readonly memoryMegabytes?: number | undefined;
+  /** Descriptors that the process may have open; detected if undefined. */
+  readonly maximumDescriptors?: number | undefined;
   /** Limit on duplicates of late requests; undefined where operators have set none. */
   readonly hedgeLimit?: HedgeSettings | undefined;
 }
@@ -69,6 +73,16 @@
   throw new SettingsError(`${name} must be a number, and is ${JSON.stringify(object[name])}`);
 }
 
+/** A limit of the machine; the platform states null where it has none. */
+function optionalSize(object: JsonObject, name: string): number | undefined {
+  if (object[name] === null) return undefined;
+  const value = optionalNumber(object, name);
+  if (value === undefined || value > 0) return value;
+  throw new SettingsError(
+    `${name} must be more than 0, and is ${value}; leave it out to detect it`,
+  );
+}
+
 function optionalHedgeLimit(object: JsonObject): HedgeSettings | undefined {
   const ratio = optionalNumber(object, 'hedgeRatio');
   const seconds = optionalNumber(object, 'hedgeWindowSeconds');
@@ -126,6 +140,8 @@
     retryRatio: needNumber(object, 'retryRatio'),
     retrySlack: needNumber(object, 'retrySlack'),
     retryWindowMilliseconds: needNumber(object, 'retryWindowSeconds') * 1000,
+    memoryMegabytes: optionalSize(object, 'memoryMegabytes'),
+    maximumDescriptors: optionalSize(object, 'maximumDescriptors'),
     hedgeLimit: optionalHedgeLimit(object),
   };
 }
