Bound what clients may hold at the other listeners: own interface, operators, instances, sidecars

Callers saw nothing of it yet; the same clients at these listeners ended or filled the processes.

They share the guard now: callers' and operators' HTTP of the product with unfinished TLS handshakes, readiness, metrics, copies of tables and relayed orders, and the sidecars' listener. At the channels between instances frames are collected in blocks, the channel that holds most of all incomplete frames is closed beyond the budget, and connections without a hello give way first.

--- a/packages/bench/src/site/http-json.ts
+++ b/packages/bench/src/site/http-json.ts
@@ -4,7 +4,12 @@
 import { Agent, request } from 'undici';
 
 const TIMEOUT_MILLISECONDS = 10_000;
-const agent = new Agent({ connections: 64, pipelining: 1 });
+const agent = new Agent({
+  connections: 64,
+  pipelining: 1,
+  // Certificates of tests are signed by nobody.
+  connect: { rejectUnauthorized: false },
+});
 
 async function sendText(
   method: 'GET' | 'POST',
--- a/packages/bench/src/site/start-site.ts
+++ b/packages/bench/src/site/start-site.ts
@@ -6,7 +6,7 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-import type { EnvironmentDocument, Settings } from '@lapisbridge/config';
+import type { EntrySettings, EnvironmentDocument, Settings } from '@lapisbridge/config';
 import { StandInKind } from '@lapisbridge/stand-ins';
 import type { EngineOptions } from '@lapisbridge/stand-ins';
 import { BackendServerKind, Role } from '@lapisbridge/types';
@@ -36,6 +36,8 @@
   readonly platformUrl?: string;
   readonly engine?: Partial<EngineOptions>;
   readonly platformTimeoutMilliseconds?: number;
+  /** Settings of all entries. */
+  readonly entrySettings?: Pick<EntrySettings, 'machine' | 'transportSecurity'>;
   /** Changes the example document before it is applied. */
   adjust?(document: EnvironmentDocument): EnvironmentDocument;
 }
@@ -45,6 +47,8 @@
   readonly availabilityZone: string;
   readonly url: string;
   readonly operatorUrl: string;
+  /** Port for other instances. */
+  readonly peerPort: number;
 }
 
 export interface BackendAddress {
@@ -147,6 +151,7 @@
       peerPort: await ports.next(),
     };
     const instanceId = `${zone}-entry-${index}`;
+    const scheme = options.entrySettings?.transportSecurity === undefined ? 'http' : 'https';
     launchDaemon({
       role: Role.Entry,
       ...common,
@@ -154,12 +159,14 @@
       availabilityZone: zone,
       listen,
       operatorTokenHash: hash(OPERATOR_TOKEN),
+      ...options.entrySettings,
     });
     entries.push({
       id: instanceId,
       availabilityZone: zone,
-      url: `http://${HOST}:${listen.callerPort}`,
-      operatorUrl: `http://${HOST}:${listen.operatorPort}`,
+      url: `${scheme}://${HOST}:${listen.callerPort}`,
+      operatorUrl: `${scheme}://${HOST}:${listen.operatorPort}`,
+      peerPort: listen.peerPort,
     });
   }
 
--- a/packages/client-limits/src/client-guard.ts
+++ b/packages/client-limits/src/client-guard.ts
@@ -36,6 +36,7 @@
 }
 
 export interface ClientGuard {
+  readonly limits: ClientLimits;
   /**
    * Bounds the connections of a server, and returns what tracks them. Must be called before the
    * server accepts its first connection.
@@ -180,6 +181,7 @@
   }
 
   return {
+    limits,
     guard(server, { maximumConnections = limits.connections } = {}) {
       const guarded: GuardedServer = {
         drain: createConnectionDrain(server),
--- a/packages/client-limits/src/index.ts
+++ b/packages/client-limits/src/index.ts
@@ -9,6 +9,7 @@
 export { planClientLimits } from './plan-client-limits.js';
 export type { ClientLimits } from './plan-client-limits.js';
 export { BodyStage } from './plan-eviction.js';
+export { registerClientMetrics } from './register-client-metrics.js';
 export { LimitCause } from './pressure-log.js';
 export { BodyEndKind } from './read-body.js';
 export type { BodyEnd, BodyOptions } from './read-body.js';
--- a/packages/client-limits/src/plan-client-limits.ts
+++ b/packages/client-limits/src/plan-client-limits.ts
@@ -8,6 +8,8 @@
 /** What all clients together may hold; sizes are in bytes. */
 export interface ClientLimits {
   readonly connections: number;
+  /** Connections that other instances have opened. */
+  readonly instanceConnections: number;
   /** Requests from their head until their response has left. */
   readonly requests: number;
   /** Pipelined requests of one connection. */
@@ -43,6 +45,8 @@
 const FILE_DESCRIPTORS = 200;
 const OWN_DESCRIPTOR_SHARE = 0.15;
 const CONNECTION_DESCRIPTOR_SHARE = 0.45;
+/** Part of those for other instances that they may open themselves. */
+const INSTANCE_DESCRIPTOR_SHARE = 0.1;
 /** Connections to backend servers that a request may have open: few are sent twice. */
 const DESCRIPTORS_PER_REQUEST = 1.5;
 
@@ -53,6 +57,7 @@
 const REQUEST_HEAP_SHARE = 0.5;
 
 const MINIMUM_CONNECTIONS = 32;
+const MINIMUM_INSTANCE_CONNECTIONS = 16;
 const MINIMUM_REQUESTS = 16;
 const REQUESTS_PER_CONNECTION = 32;
 
@@ -77,6 +82,10 @@
         ),
       ),
     ),
+    instanceConnections: Math.max(
+      MINIMUM_INSTANCE_CONNECTIONS,
+      Math.floor(descriptors * INSTANCE_DESCRIPTOR_SHARE),
+    ),
     requests: Math.max(
       MINIMUM_REQUESTS,
       Math.floor(
--- a/packages/client-limits/src/read-body.ts
+++ b/packages/client-limits/src/read-body.ts
@@ -4,7 +4,8 @@
  */
 import type { IncomingMessage } from 'node:http';
 
-import { createBodyCollector } from './body-collector.js';
+import { createChunkCollector } from '@lapisbridge/kernel';
+
 import type { BodyAccount, BodyBudget, BodyExpectation } from './body-budget.js';
 import { createReadingSwitch } from './reading-switch.js';
 import type { TurnQueue } from './turn-queue.js';
@@ -60,7 +61,7 @@
 ): Promise<BodyEnd> {
   return new Promise((resolve, reject) => {
     const announced = announcedBytes(incoming);
-    const collector = createBodyCollector(announced ?? options.maximumBytes);
+    const collector = createChunkCollector(announced ?? options.maximumBytes);
     const reading = createReadingSwitch(incoming);
     let account: BodyAccount | undefined;
     let isEnded = false;
--- a/packages/config/src/settings.ts
+++ b/packages/config/src/settings.ts
@@ -20,6 +20,12 @@
   .string()
   .regex(/^[0-9a-f]{64}$/, { message: 'must be a SHA-256 hash in lower-case hex' });
 
+/** Size of the machine, from which the limits on clients follow; detected where it is left out. */
+const machine = z.strictObject({
+  memoryMegabytes: z.int().min(64).max(1_048_576).optional(),
+  maximumDescriptors: z.int().min(256).max(10_000_000).optional(),
+});
+
 const common = {
   environment: name,
   instanceId: name,
@@ -31,6 +37,7 @@
   }),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
   logFormat: z.enum(['json', 'pretty']).default('json'),
+  machine: machine.optional(),
 };
 
 const transportSecurity = z.strictObject({
--- a/packages/direct-entry/src/instance-listener.ts
+++ b/packages/direct-entry/src/instance-listener.ts
@@ -27,8 +27,6 @@
 const MAXIMUM_BODY_BYTES = 4_000_000;
 /** Time in which another instance must have sent its request; a leader waits no longer. */
 const RECEIVE_MILLISECONDS = 5000;
-/** Other entries, and the leaders of groups, that may be connected at a time. */
-const MAXIMUM_INSTANCE_CONNECTIONS = 128;
 
 async function relayPrepare(
   guard: ClientGuard,
@@ -65,7 +63,7 @@
       response.destroy();
     });
   });
-  guard.guard(server, { maximumConnections: MAXIMUM_INSTANCE_CONNECTIONS });
+  guard.guard(server, { maximumConnections: guard.limits.instanceConnections });
   server.on('error', (error) =>
     logger.error('instance listener failed', { reason: error.message }),
   );
--- a/packages/direct-entry/src/register-entry-metrics.ts
+++ b/packages/direct-entry/src/register-entry-metrics.ts
@@ -1,6 +1,7 @@
 /**
  * Registers the metrics of an entry's parts. Values are read when metrics are asked for.
  */
+import { registerClientMetrics } from '@lapisbridge/client-limits';
 import type { ClientGuard } from '@lapisbridge/client-limits';
 import type { CrashLedger } from '@lapisbridge/crash-attribution';
 import type {
@@ -143,34 +144,3 @@
   metrics.shutdownRequests(() => parts.inFlight.shutdownCounts());
   registerClientMetrics(metrics, parts.guard);
 }
-
-function registerClientMetrics(metrics: Metrics, guard: ClientGuard): void {
-  metrics.gauge(
-    'lapisbridge_client_connections',
-    'Open connections to the listeners of this process.',
-    () => guard.usage().connections,
-  );
-  metrics.gauge(
-    'lapisbridge_incomplete_head_bytes',
-    'Bytes received of request heads that are not complete.',
-    () => guard.usage().headBytes,
-  );
-  metrics.labelledGauge(
-    'lapisbridge_request_body_bytes',
-    'Memory that bodies of requests occupy, by stage.',
-    'stage',
-    () => guard.usage().bodyBytes,
-  );
-  metrics.labelledGauge(
-    'lapisbridge_request_bodies',
-    'Requests with a body, by the stage of their body.',
-    'stage',
-    () => guard.usage().bodies,
-  );
-  metrics.labelledGauge(
-    'lapisbridge_limited_clients_total',
-    'Requests refused and connections closed because of a limit on clients, by cause.',
-    'cause',
-    () => guard.usage().limited,
-  );
-}
--- a/packages/entry/src/caller/caller-options.ts
+++ b/packages/entry/src/caller/caller-options.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import type { ClientGuard } from '@lapisbridge/client-limits';
 import type { EnvironmentDocument } from '@lapisbridge/config';
 import { LapisError, ResultCode } from '@lapisbridge/errors';
 import type { Instance } from '@lapisbridge/instance';
@@ -15,6 +16,7 @@
 
 export interface CallerOptions {
   readonly instance: Instance;
+  readonly guard: ClientGuard;
   readonly accounts: Accounts;
   readonly inFlight: InFlightLimits;
   readonly metrics: Metrics;
--- a/packages/entry/src/caller/handle-call.ts
+++ b/packages/entry/src/caller/handle-call.ts
@@ -68,7 +68,7 @@
 }
 
 export async function handleCall(options: CallerOptions, exchange: Exchange): Promise<void> {
-  const { instance, accounts, metrics, inFlight, context, stopDeadline } = options;
+  const { instance, guard, accounts, metrics, inFlight, context, stopDeadline } = options;
   const { request, response, requestId, url } = exchange;
   const document = requireDocument(instance);
   const account = await accounts.authenticate(headerOf(request, 'authorization'));
@@ -77,7 +77,10 @@
   const { service, path: operationPath } = splitPath(url.pathname);
   const operation = operationKind(document, service, operationPath);
   const idempotencyKey = requireIdempotencyKey(request, operation);
-  const body = await readBody(request, document.limits.maximumBodyBytes);
+  const body = await readBody(guard, request, response, {
+    maximumBytes: document.limits.maximumBodyBytes,
+    maximumMilliseconds: timeout,
+  });
   stopDeadline.requireTime(deadline.remaining());
   const method = request.method ?? 'GET';
   const path = `${operationPath}${url.search}`;
--- a/packages/entry/src/caller/handle-draft.ts
+++ b/packages/entry/src/caller/handle-draft.ts
@@ -40,13 +40,18 @@
 }
 
 export async function handleDraft(options: CallerOptions, exchange: Exchange): Promise<void> {
-  const { instance, accounts, metrics, inFlight, context, stopDeadline } = options;
+  const { instance, guard, accounts, metrics, inFlight, context, stopDeadline } = options;
   const { request, response, requestId } = exchange;
   const document = requireDocument(instance);
   const account = await accounts.authenticate(headerOf(request, 'authorization'));
   const timeout = parseTimeout(headerOf(request, 'lapisbridge-timeout-ms'), document.limits);
   const deadline = createDeadline(timeout);
-  const body = parseDraft(await readBody(request, document.limits.maximumBodyBytes));
+  const body = parseDraft(
+    await readBody(guard, request, response, {
+      maximumBytes: document.limits.maximumBodyBytes,
+      maximumMilliseconds: timeout,
+    }),
+  );
   const model = requireModel(document, body.model);
   stopDeadline.requireTime(deadline.remaining());
   const resumeFrom = parseResume(headerOf(request, 'last-event-id'));
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,6 +2,12 @@
  * The entry: takes callers' requests, chooses backend servers, relays and repairs answers,
  * and serves operators. It keeps nothing that its loss would lose for good.
  */
+import {
+  createClientGuard,
+  determineMachineSize,
+  planClientLimits,
+  registerClientMetrics,
+} from '@lapisbridge/client-limits';
 import type { EntrySettings } from '@lapisbridge/config';
 import { createInstance } from '@lapisbridge/instance';
 import { monotonicClock, sleep } from '@lapisbridge/kernel';
@@ -36,6 +42,7 @@
 /** Kept back from the grace time, to end what is left and to say goodbye. */
 const RESERVE_MILLISECONDS = 500;
 const DEFAULT_MAXIMUM_TIMEOUT_MILLISECONDS = 600_000;
+const MAXIMUM_OPERATOR_CONNECTIONS = 32;
 
 export function createEntry(settings: EntrySettings): Entry {
   let started = false;
@@ -70,6 +77,11 @@
   const storeWatcher = createStoreWatcher(platform.table, instance.random);
   const metrics = createMetrics();
   const inFlight = createInFlightLimits();
+  const guard = createClientGuard({
+    limits: planClientLimits(determineMachineSize(settings.machine ?? {})),
+    logger,
+    now: monotonicClock,
+  });
   const stopDeadline = createStopDeadline(monotonicClock);
   const budget = createRetryBudget({
     ratio: () => state.configuration?.document.limits.retryBudgetRatio ?? DEFAULT_RETRY_RATIO,
@@ -94,12 +106,16 @@
     };
   }
 
-  const callers = createHttpListener(
-    settings.listen.host,
-    settings.listen.callerPort,
-    settings.transportSecurity,
-    createCallerApi({
+  const { host } = settings.listen;
+  const { transportSecurity } = settings;
+  const callers = createHttpListener({
+    host,
+    port: settings.listen.callerPort,
+    transportSecurity,
+    guard,
+    handler: createCallerApi({
       instance,
+      guard,
       accounts: createAccounts(self.environment, state, instance.store),
       inFlight,
       metrics,
@@ -107,18 +123,21 @@
       stopDeadline,
       isReady,
     }),
-  );
-  const operators = createHttpListener(
-    settings.listen.host,
-    settings.listen.operatorPort,
-    settings.transportSecurity,
-    createOperatorApi({
+  });
+  const operators = createHttpListener({
+    host,
+    port: settings.listen.operatorPort,
+    transportSecurity,
+    guard,
+    maximumConnections: MAXIMUM_OPERATOR_CONNECTIONS,
+    handler: createOperatorApi({
       instance,
+      guard,
       operatorTokenHash: settings.operatorTokenHash,
       servers: () => pool.servers(),
       isReady,
     }),
-  );
+  });
 
   const { traffic } = instance.membership;
   metrics.gauge(
@@ -129,6 +148,7 @@
   metrics.gauge('lapisbridge_backend_connections', 'Connections to sidecars.', () =>
     pool.connections(),
   );
+  registerClientMetrics(metrics, guard);
   metrics.gauge(
     'lapisbridge_configuration_version',
     'Version in force here.',
--- a/packages/entry/src/http-listener.test.ts
+++ b/packages/entry/src/http-listener.test.ts
@@ -8,14 +8,16 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
+import { createClientGuard, planClientLimits } from '@lapisbridge/client-limits';
 import { ResultCode } from '@lapisbridge/errors';
 import { sleep } from '@lapisbridge/kernel';
+import { createSilentLogger } from '@lapisbridge/logger';
 import { generate } from 'selfsigned';
 import { Agent, request } from 'undici';
 import { afterEach, describe, expect, it } from 'vitest';
 
 import { createHttpListener } from './http-listener.js';
-import type { Handler, HttpListener } from './http-listener.js';
+import type { Handler, HttpListener, HttpListenerOptions } from './http-listener.js';
 
 const HOST = '127.0.0.1';
 const listeners: HttpListener[] = [];
@@ -38,10 +40,15 @@
 
 async function listen(
   handler: Handler,
-  transportSecurity?: Parameters<typeof createHttpListener>[2],
+  transportSecurity?: HttpListenerOptions['transportSecurity'],
 ): Promise<{ readonly listener: HttpListener; readonly port: number }> {
   const port = await freePort();
-  const listener = createHttpListener(HOST, port, transportSecurity, handler);
+  const guard = createClientGuard({
+    limits: planClientLimits({ memoryBytes: 350e6, maximumDescriptors: 4200, heapBytes: 100e6 }),
+    logger: createSilentLogger(),
+    now: () => performance.now(),
+  });
+  const listener = createHttpListener({ host: HOST, port, transportSecurity, guard, handler });
   listeners.push(listener);
   await listener.start();
   return { listener, port };
--- a/packages/entry/src/http-listener.ts
+++ b/packages/entry/src/http-listener.ts
@@ -8,8 +8,9 @@
 import { createServer as createSecureServer } from 'node:https';
 
 import { LapisError, ResultCode, toLapisError } from '@lapisbridge/errors';
+import type { ClientGuard } from '@lapisbridge/client-limits';
 import type { EntrySettings } from '@lapisbridge/config';
-import { createConnectionDrain, sleep } from '@lapisbridge/kernel';
+import { sleep } from '@lapisbridge/kernel';
 import { Ran } from '@lapisbridge/types';
 
 import { sendProblem } from './reply.js';
@@ -28,6 +29,7 @@
   stop(maximumMilliseconds: number): Promise<number>;
 }
 
+const HANDSHAKE_MILLISECONDS = 10_000;
 const HEADERS_MILLISECONDS = 10_000;
 const BODY_MILLISECONDS = 60_000;
 const IDLE_MILLISECONDS = 65_000;
@@ -35,12 +37,18 @@
 /** Time for the bytes of the last errors to leave. */
 const LINGER_MILLISECONDS = 200;
 
-export function createHttpListener(
-  host: string,
-  port: number,
-  transportSecurity: EntrySettings['transportSecurity'],
-  handler: Handler,
-): HttpListener {
+export interface HttpListenerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly transportSecurity: EntrySettings['transportSecurity'];
+  readonly guard: ClientGuard;
+  /** By default the limit for callers. */
+  readonly maximumConnections?: number;
+  readonly handler: Handler;
+}
+
+export function createHttpListener(options: HttpListenerOptions): HttpListener {
+  const { host, port, transportSecurity, guard, handler } = options;
   const openResponses = new Set<ServerResponse>();
   let isDraining = false;
 
@@ -48,10 +56,20 @@
     response.shouldKeepAlive = false;
   }
 
+  /** Responds before the request is complete. */
+  function refuse(request: IncomingMessage, response: ServerResponse, error: LapisError): void {
+    guard.closeAfter(request, response);
+    sendProblem(response, error);
+  }
+
   function onRequest(request: IncomingMessage, response: ServerResponse): void {
     openResponses.add(response);
     response.once('close', () => openResponses.delete(response));
     if (isDraining) closeWithAnswer(response);
+    if (!guard.admit(request, response)) {
+      refuse(request, response, new LapisError(ResultCode.Overloaded, 'too many requests'));
+      return;
+    }
     handler(request, response).catch((thrown: unknown) => {
       sendProblem(response, toLapisError(thrown));
     });
@@ -64,6 +82,7 @@
           {
             cert: readFileSync(transportSecurity.certificateFile),
             key: readFileSync(transportSecurity.keyFile),
+            handshakeTimeout: HANDSHAKE_MILLISECONDS,
           },
           onRequest,
         );
@@ -71,7 +90,8 @@
   server.headersTimeout = HEADERS_MILLISECONDS;
   server.requestTimeout = BODY_MILLISECONDS;
   server.keepAliveTimeout = IDLE_MILLISECONDS;
-  const drain = createConnectionDrain(server);
+  const { maximumConnections } = options;
+  const drain = guard.guard(server, maximumConnections === undefined ? {} : { maximumConnections });
 
   function beginDrain(): void {
     isDraining = true;
--- a/packages/entry/src/late-request.test.ts
+++ b/packages/entry/src/late-request.test.ts
@@ -5,6 +5,7 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
+import { createClientGuard, planClientLimits } from '@lapisbridge/client-limits';
 import { checkDocument } from '@lapisbridge/config';
 import { ResultCode } from '@lapisbridge/errors';
 import { createSilentLogger } from '@lapisbridge/logger';
@@ -56,6 +57,11 @@
       state: { configuration: { version: 1, document: DOCUMENT } },
       logger,
     },
+    guard: createClientGuard({
+      limits: planClientLimits({ memoryBytes: 350e6, maximumDescriptors: 4200, heapBytes: 100e6 }),
+      logger,
+      now: () => performance.now(),
+    }),
     accounts: {
       authenticate: () => Promise.resolve({ name: 'account', maximumInFlightTokens: 1000 }),
     },
--- a/packages/entry/src/operator-api.ts
+++ b/packages/entry/src/operator-api.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import type { ClientGuard } from '@lapisbridge/client-limits';
 import { LapisError, ResultCode } from '@lapisbridge/errors';
 import type { Instance } from '@lapisbridge/instance';
 import { DrainTargetKind, ServiceState } from '@lapisbridge/types';
@@ -22,12 +23,14 @@
 
 export interface OperatorApiOptions {
   readonly instance: Instance;
+  readonly guard: ClientGuard;
   readonly operatorTokenHash: string;
   servers(): readonly LoadedServer[];
   isReady(): boolean;
 }
 
 const MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
+const MAXIMUM_BODY_MILLISECONDS = 60_000;
 
 const version = z.int().min(0);
 const author = z.string().min(1).max(128).default('operator');
@@ -56,7 +59,7 @@
 export function createOperatorApi(
   options: OperatorApiOptions,
 ): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
-  const { instance } = options;
+  const { instance, guard } = options;
 
   function authenticate(request: IncomingMessage): void {
     const token = bearerKey(request.headers.authorization);
@@ -69,11 +72,14 @@
     return acceptDocument(instance, { ...given, changeId: given.changeId });
   }
 
-  async function route(request: IncomingMessage): Promise<unknown> {
+  async function route(request: IncomingMessage, response: ServerResponse): Promise<unknown> {
     authenticate(request);
     const url = new URL(request.url ?? '/', 'http://entry');
     const name = `${request.method} ${url.pathname}`;
-    const body = await readBody(request, MAXIMUM_BODY_BYTES);
+    const body = await readBody(guard, request, response, {
+      maximumBytes: MAXIMUM_BODY_BYTES,
+      maximumMilliseconds: MAXIMUM_BODY_MILLISECONDS,
+    });
     switch (name) {
       case 'GET /v1/status':
         return describeStatus(instance, options.servers(), options.isReady());
@@ -103,7 +109,7 @@
 
   return async (request, response) => {
     try {
-      sendJson(response, 200, await route(request));
+      sendJson(response, 200, await route(request, response));
     } catch (thrown) {
       if (!(thrown instanceof LapisError)) {
         instance.logger.error('operator request failed', { reason: String(thrown) });
--- a/packages/group-leader/src/prepare-forwarding.test.ts
+++ b/packages/group-leader/src/prepare-forwarding.test.ts
@@ -7,6 +7,7 @@
 import type { GroupMap } from '@lapisbridge/placement';
 import { afterEach, expect, it } from 'vitest';
 
+import { createClientGuard, planClientLimits } from '@lapisbridge/client-limits';
 import { forwardPrepare } from './prepare-forwarding.js';
 import { createRankClient } from './rank-client.js';
 import type { RankEngine, RankTarget } from './rank-client.js';
@@ -82,6 +83,11 @@
       },
     };
     const server = startRelayListener({
+      guard: createClientGuard({
+        limits: planClientLimits({ memoryBytes: 218e6, maximumDescriptors: 2048, heapBytes: 64e6 }),
+        logger: createSilentLogger(),
+        now: () => performance.now(),
+      }),
       host: sidecarHost(rank),
       port,
       backendServer: { host: sidecarHost(rank), port: 1 },
--- a/packages/group-leader/src/relay-listener.test.ts
+++ b/packages/group-leader/src/relay-listener.test.ts
@@ -6,6 +6,7 @@
 import type { GroupMap, RankOrder } from '@lapisbridge/placement';
 import { afterEach, describe, expect, it } from 'vitest';
 
+import { createClientGuard, planClientLimits } from '@lapisbridge/client-limits';
 import { createRankClient } from './rank-client.js';
 import type { RankEngine } from './rank-client.js';
 import { startRelayListener } from './relay-listener.js';
@@ -57,6 +58,11 @@
     },
   };
   listener = startRelayListener({
+    guard: createClientGuard({
+      limits: planClientLimits({ memoryBytes: 218e6, maximumDescriptors: 2048, heapBytes: 64e6 }),
+      logger: createSilentLogger(),
+      now: () => performance.now(),
+    }),
     host: HOST,
     port: 0,
     backendServer: { host: HOST, port: 1 },
--- a/packages/group-leader/src/relay-listener.ts
+++ b/packages/group-leader/src/relay-listener.ts
@@ -6,7 +6,10 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server } from 'node:http';
 
+import { BodyEndKind } from '@lapisbridge/client-limits';
+import type { ClientGuard } from '@lapisbridge/client-limits';
 import { parseObject } from '@lapisbridge/json-call';
+import { monotonicClock } from '@lapisbridge/kernel';
 import type { Logger } from '@lapisbridge/logger';
 import { OrderOutcome } from '@lapisbridge/placement';
 import type { GroupMap } from '@lapisbridge/placement';
@@ -30,6 +33,7 @@
 export interface RelayListenerOptions extends RankRelayOptions {
   readonly host: string;
   readonly port: number;
+  readonly guard: ClientGuard;
 }
 
 export interface RankRelay {
@@ -45,20 +49,8 @@
 /** The active map, the one being prepared, and one that was abandoned. */
 const REMEMBERED_MAPS = 3;
 const MAXIMUM_ORDER_BYTES = 4 * 1024 * 1024;
-
-function readBody(incoming: IncomingMessage): Promise<Buffer> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    incoming.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > MAXIMUM_ORDER_BYTES) incoming.destroy(new Error('order exceeds the maximum size'));
-      else chunks.push(chunk);
-    });
-    incoming.on('end', () => resolve(Buffer.concat(chunks)));
-    incoming.on('error', reject);
-  });
-}
+/** Time in which a leader must have sent an order; it waits no longer for the outcome. */
+const RECEIVE_MILLISECONDS = 5000;
 
 export function createRankRelay(options: RankRelayOptions): RankRelay {
   const { engine, backendServer, logger } = options;
@@ -113,11 +105,27 @@
 
 /** Starts listening. The server stays open until the process ends. */
 export function startRelayListener(options: RelayListenerOptions): Server {
-  const { logger } = options;
+  const { guard, logger } = options;
   const relay = createRankRelay(options);
+
+  async function handle(incoming: IncomingMessage): Promise<unknown> {
+    const received = await guard.readBody(incoming, {
+      maximumBytes: MAXIMUM_ORDER_BYTES,
+      expiresAt: monotonicClock() + RECEIVE_MILLISECONDS,
+    });
+    if (received.kind !== BodyEndKind.Complete) {
+      incoming.destroy();
+      throw new RangeError(`order not received: ${received.kind}`);
+    }
+    try {
+      return await relay.handle(incoming.url, received.bytes);
+    } finally {
+      received.release();
+    }
+  }
+
   const server = createServer((incoming, response) => {
-    readBody(incoming)
-      .then((received) => relay.handle(incoming.url, received))
+    handle(incoming)
       .then((body) => {
         response.writeHead(body === undefined ? 404 : 200, { 'content-type': 'application/json' });
         response.end(body === undefined ? '' : JSON.stringify(body));
@@ -128,6 +136,7 @@
         response.end();
       });
   });
+  guard.guard(server, { maximumConnections: guard.limits.instanceConnections });
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MILLISECONDS;
   server.on('error', (error) => logger.error('relay listener failed', { reason: error.message }));
   server.listen(options.port, options.host);
--- a/packages/group-sidecar/src/start-sidecar.ts
+++ b/packages/group-sidecar/src/start-sidecar.ts
@@ -3,6 +3,11 @@
  * that server as a rank of its lock-step group.
  */
 import type { Store } from '@lapisbridge/catalog';
+import {
+  createClientGuard,
+  determineMachineSize,
+  planClientLimits,
+} from '@lapisbridge/client-limits';
 import { queryLeader, createLeadership, startRelayListener } from '@lapisbridge/group-leader';
 import type { RankAddress, RankEngine } from '@lapisbridge/group-leader';
 import { createRandom, monotonicClock } from '@lapisbridge/kernel';
@@ -20,6 +25,8 @@
 }
 
 const STORE_TIMEOUT_MILLISECONDS = 700;
+/** Scrapers that may be connected at a time. */
+const MAXIMUM_METRICS_CONNECTIONS = 32;
 
 function registerMetrics(metrics: Metrics, member: RankMember, isLeading: () => boolean): void {
   metrics.gauge(
@@ -45,9 +52,15 @@
   const { host, instanceId, peerPort, backendServerAddress } = settings;
   const random = createRandom(Math.floor(Math.random() * 0x7fffffff));
   const metrics = createMetrics();
-  startMetricsListener(metrics, host, settings.metricsPort, (error) => {
+  const guard = createClientGuard({
+    limits: planClientLimits(determineMachineSize(settings)),
+    logger,
+    now: monotonicClock,
+  });
+  const metricsServer = startMetricsListener(metrics, host, settings.metricsPort, (error) => {
     logger.warn('metrics not served', { reason: error.message });
   });
+  guard.guard(metricsServer, { maximumConnections: MAXIMUM_METRICS_CONNECTIONS });
   if (backendServerAddress === undefined) {
     logger.warn('sidecar has no backend server', { reason: 'the settings name no backend server' });
     endOnSignal(life, { stop: async () => undefined });
@@ -77,6 +90,7 @@
   startRelayListener({
     host,
     port: peerPort,
+    guard,
     backendServer: backendServerAddress,
     engine: adapters.engine,
     logger,
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -5,6 +5,7 @@
  */
 import { createHash } from 'node:crypto';
 
+import { determineMachineSize, planClientLimits } from '@lapisbridge/client-limits';
 import type { Settings } from '@lapisbridge/config';
 import { createKernel, createRandom, monotonicClock } from '@lapisbridge/kernel';
 import type { Kernel, MonotonicClock, Random } from '@lapisbridge/kernel';
@@ -136,10 +137,13 @@
     peerListener.beat();
   });
 
+  const limits = planClientLimits(determineMachineSize(settings.machine ?? {}));
   const peerListener = createPeerListener({
     host: settings.listen.host,
     port: settings.listen.peerPort,
     environment: settings.environment,
+    maximumConnections: limits.instanceConnections,
+    maximumFrameBytes: limits.bodyBytes,
     hello,
     heartbeat,
     serializeState: () => state.serialize(),
--- a/packages/instance/src/peer-listener.ts
+++ b/packages/instance/src/peer-listener.ts
@@ -5,13 +5,17 @@
 import { createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
 
-import { MessageKind, openChannel, PROTOCOL_VERSION } from '@lapisbridge/wire';
+import { createFrameBudget, MessageKind, openChannel, PROTOCOL_VERSION } from '@lapisbridge/wire';
 import type { Channel, Heartbeat, Hello, Message } from '@lapisbridge/wire';
 
 export interface PeerListenerOptions {
   readonly host: string;
   readonly port: number;
   readonly environment: string;
+  /** Connections of other instances; beyond, those without a hello are closed first. */
+  readonly maximumConnections: number;
+  /** Bytes of incomplete frames of all connections together. */
+  readonly maximumFrameBytes: number;
   hello(): Hello;
   heartbeat(): Omit<Heartbeat, 'kind'>;
   serializeState(): Uint8Array;
@@ -32,6 +36,9 @@
 
 export function createPeerListener(options: PeerListenerOptions): PeerListener {
   const channels = new Set<Channel>();
+  /** Channels whose peer has not sent a compatible hello, oldest first. */
+  const strangers = new Set<Channel>();
+  const frameBudget = createFrameBudget(options.maximumFrameBytes);
   let server: Server | undefined;
 
   function onHello(message: Hello, channel: Channel): void {
@@ -41,6 +48,7 @@
       channel.close();
       return;
     }
+    strangers.delete(channel);
     channel.send(options.hello());
   }
 
@@ -64,15 +72,29 @@
   }
 
   function accept(socket: Socket): void {
-    const channel = openChannel(socket, {
-      onMessage,
-      onClose(_reason, closed) {
-        channels.delete(closed);
-        options.onClose(closed);
+    const oldest = strangers.values().next().value;
+    if (channels.size >= options.maximumConnections) {
+      if (oldest === undefined) {
+        socket.destroy();
+        return;
+      }
+      oldest.abort();
+    }
+    const channel = openChannel(
+      socket,
+      {
+        onMessage,
+        onClose(_reason, closed) {
+          channels.delete(closed);
+          strangers.delete(closed);
+          options.onClose(closed);
+        },
+        heartbeat: () => options.heartbeat(),
       },
-      heartbeat: () => options.heartbeat(),
-    });
+      { frameBudget },
+    );
     channels.add(channel);
+    strangers.add(channel);
   }
 
   return {
--- a/packages/client-limits/src/body-collector.test.ts
+++ b/packages/kernel/src/chunk-collector.test.ts
@@ -1,6 +1,6 @@
 import { expect, it } from 'vitest';
 
-import { createBodyCollector } from './body-collector.js';
+import { createChunkCollector } from './chunk-collector.js';
 
 const CHUNKS = [1, 1, 700, 5000, 3, 200_000, 64];
 
@@ -12,7 +12,7 @@
   'returns all bytes in their order, with %d expected',
   (expected) => {
     const chunks = chunksOf(CHUNKS);
-    const collector = createBodyCollector(expected);
+    const collector = createChunkCollector(expected);
     for (const chunk of chunks) collector.append(chunk);
     const whole = Buffer.concat(chunks);
     expect(collector.length()).toBe(whole.length);
@@ -24,14 +24,14 @@
   },
 );
 
-it('occupies no more than a small body announces', () => {
-  const collector = createBodyCollector(100);
+it('occupies no more than a small message announces', () => {
+  const collector = createChunkCollector(100);
   for (const chunk of chunksOf([60, 40])) collector.append(chunk);
   expect(collector.capacity()).toBe(100);
 });
 
-it('takes little memory for a body in single bytes', () => {
-  const collector = createBodyCollector(1_000_000);
+it('takes little memory for a message in single bytes', () => {
+  const collector = createChunkCollector(1_000_000);
   for (let index = 0; index < 3000; index += 1) collector.append(Buffer.alloc(1));
   expect(collector.capacity()).toBeLessThanOrEqual(4096);
 });
--- a/packages/client-limits/src/body-collector.ts
+++ b/packages/kernel/src/chunk-collector.ts
@@ -1,8 +1,8 @@
 /**
- * Collects the chunks of a body in blocks. A chunk of its own would cost an object whatever its
+ * Collects the chunks of a message in blocks. A chunk of its own would cost an object whatever its
  * size, and one growing buffer would take up to twice its bytes.
  */
-export interface BodyCollector {
+export interface ChunkCollector {
   append(chunk: Buffer): void;
   length(): number;
   /** Memory that the blocks occupy. */
@@ -15,7 +15,7 @@
 const LARGEST_BLOCK_BYTES = 16 * 1024;
 
 /** Blocks are no larger than what is expected, as long as no more arrives. */
-export function createBodyCollector(expectedBytes: number): BodyCollector {
+export function createChunkCollector(expectedBytes: number): ChunkCollector {
   let blocks: Buffer[] = [];
   let length = 0;
   let capacity = 0;
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -74,5 +74,7 @@
   });
 }
 export { pickSome } from './pick-some.js';
+export { createChunkCollector } from './chunk-collector.js';
+export type { ChunkCollector } from './chunk-collector.js';
 export { createConnectionDrain } from './connection-drain.js';
 export type { ConnectionDrain, TrackedConnection } from './connection-drain.js';
--- a/packages/wire/src/channel.ts
+++ b/packages/wire/src/channel.ts
@@ -4,6 +4,7 @@
  */
 import type { Socket } from 'node:net';
 
+import type { FrameBudget } from './frame-budget.js';
 import { createFrameReader, encodeFrame } from './frames.js';
 import type { Heartbeat, Message } from './messages.js';
 import { MessageKind } from './messages.js';
@@ -20,6 +21,8 @@
   Disconnected = 'ended',
   PeerSilent = 'silent',
   InvalidFrame = 'badFrame',
+  /** Incomplete frames of all channels held too much, and those of this one most. */
+  BudgetExceeded = 'budgetExceeded',
   ClosedLocally = 'local',
 }
 
@@ -33,6 +36,8 @@
   /** Ends a request that `acquire` counted. */
   release(): void;
   close(): void;
+  /** Closes the connection at once and drops what was not sent. */
+  abort(): void;
 }
 
 export interface ChannelHandlers {
@@ -45,6 +50,8 @@
 export interface ChannelOptions {
   readonly heartbeatIntervalMilliseconds?: number;
   readonly silenceTimeoutMilliseconds?: number;
+  /** Bounds incomplete frames; they are not bounded together without it. */
+  readonly frameBudget?: FrameBudget;
 }
 
 interface SilenceMonitor {
@@ -90,6 +97,7 @@
   options: ChannelOptions = {},
 ): Channel {
   const reader = createFrameReader();
+  const frameAccount = options.frameBudget?.open(() => end(CloseReason.BudgetExceeded));
   let closed = false;
   let corked = false;
   const state = { reason: CloseReason.Disconnected };
@@ -133,6 +141,9 @@
     close() {
       end(CloseReason.ClosedLocally);
     },
+    abort() {
+      end(CloseReason.BudgetExceeded);
+    },
   };
 
   const silenceLimitMilliseconds = (): number =>
@@ -155,6 +166,7 @@
     closed = true;
     clearInterval(heartbeatTimer);
     silenceMonitor.stop();
+    frameAccount?.close();
     handlers.onClose(state.reason, channel);
   }
 
@@ -173,7 +185,9 @@
   socket.on('data', (bytes: Buffer) => {
     silenceMonitor.recordActivity();
     try {
-      for (const message of reader.push(bytes)) {
+      const messages = reader.push(bytes);
+      frameAccount?.update(reader.heldBytes());
+      for (const message of messages) {
         if (closed) return;
         handlers.onMessage(message, channel);
       }
--- a/packages/wire/src/frames.ts
+++ b/packages/wire/src/frames.ts
@@ -2,6 +2,7 @@
  * Frames: a length of four bytes (big-endian), then a CBOR body. The length is bounded, so that
  * a faulty or hostile peer cannot make this process allocate unlimited memory.
  */
+import { createChunkCollector } from '@lapisbridge/kernel';
 import { Encoder } from 'cbor-x';
 
 import type { Message } from './messages.js';
@@ -24,13 +25,15 @@
 export interface FrameReader {
   /** Returns the messages that `bytes` completes. Throws `RangeError` on an oversized frame. */
   push(bytes: Buffer): readonly Message[];
+  /** Memory that an incomplete frame occupies. */
+  heldBytes(): number;
 }
 
 export function createFrameReader(): FrameReader {
-  let bufferedPieces: Buffer[] = [];
-  let bufferedBytes = 0;
+  let partial = createChunkCollector(LENGTH_BYTES);
   let requiredBytes = LENGTH_BYTES;
 
+  /** Returns the position after the last complete frame. */
   function decodeCompleteFrames(buffer: Buffer, messages: Message[]): number {
     let position = 0;
     while (buffer.length - position >= LENGTH_BYTES) {
@@ -52,15 +55,18 @@
   return {
     push(bytes) {
       const messages: Message[] = [];
-      bufferedPieces.push(bytes);
-      bufferedBytes += bytes.length;
-      if (bufferedBytes < requiredBytes) return messages;
-      const buffer =
-        bufferedPieces.length === 1 ? bytes : Buffer.concat(bufferedPieces, bufferedBytes);
+      const heldBytes = partial.length();
+      if (heldBytes > 0) partial.append(bytes);
+      if (heldBytes + bytes.length < requiredBytes) {
+        if (heldBytes === 0) partial.append(bytes);
+        return messages;
+      }
+      const buffer = heldBytes > 0 ? partial.take() : bytes;
       const position = decodeCompleteFrames(buffer, messages);
-      bufferedPieces = position === buffer.length ? [] : [buffer.subarray(position)];
-      bufferedBytes = buffer.length - position;
+      partial = createChunkCollector(requiredBytes);
+      if (position < buffer.length) partial.append(buffer.subarray(position));
       return messages;
     },
+    heldBytes: () => partial.capacity(),
   };
 }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -2,6 +2,8 @@
  * The internal protocol between the system's processes: messages, frames and channels.
  */
 export * from './messages.js';
+export { createFrameBudget } from './frame-budget.js';
+export type { FrameBudget } from './frame-budget.js';
 export { createFrameReader, encodeFrame, MAXIMUM_FRAME_BYTES } from './frames.js';
 export type { FrameReader } from './frames.js';
 export {
