--- a/packages/sidecar/src/draft-repair.test.ts
+++ b/packages/sidecar/src/draft-repair.test.ts
@@ -47,7 +47,7 @@
       acquire: () => undefined,
       release: () => undefined,
       close: () => undefined,
-    abort: () => undefined,
+      abort: () => undefined,
     };
     const buffer = createAnswerBuffer('account', 'zero ');
     const run: Run = {
