Do not serve requests that follow a response which closes their connection

A client that goes on sending after a refusal had its next request forwarded although no response to it could be sent.

--- a/packages/client-limits/src/client-guard.ts
+++ b/packages/client-limits/src/client-guard.ts
@@ -205,6 +205,11 @@
         openRequests -= 1;
       });
       const { socket } = incoming;
+      // It came after a response that closes the connection, and could not be answered.
+      if (socket.writableEnded) {
+        socket.destroy();
+        return false;
+      }
       const pipelined = serversByConnection.get(socket)?.drain.openResponses(socket) ?? 1;
       if (pipelined > limits.requestsPerConnection) {
         pressure.record(LimitCause.RequestsPerConnection);
